--- /dev/null
+++ b/include/boragehill/time_point.hpp
@@ -0,0 +1,17 @@
+#ifndef BORAGEHILL_TIME_POINT_HPP
+#define BORAGEHILL_TIME_POINT_HPP
+
+#include <chrono>
+
+namespace boragehill {
+
+/// A point on the monotonic clock of one process; never compared across
+/// processes. Decisions take it as an argument, so tests run on virtual time.
+using time_point = std::chrono::steady_clock::time_point;
+
+/// The unit of every duration that crosses an interface.
+using milliseconds = std::chrono::milliseconds;
+
+}  // namespace boragehill
+
+#endif  // BORAGEHILL_TIME_POINT_HPP
--- /dev/null
+++ b/src/decide/admission.cpp
@@ -0,0 +1,45 @@
+#include "decide/admission.hpp"
+
+namespace boragehill::decide {
+
+admission::admission(attempt_memory_settings settings) : memory(settings) {}
+
+admission_verdict admission::decide(const attempt_offer& offer,
+                                    result_code target, time_point now) {
+  // A permit of an earlier start of this agent shows as a fencing number that
+  // is not ours; what ran there is not remembered here. It is refused as not
+  // run, since an attempt is sent once and on a connection of its own: the one
+  // that arrived here reached no earlier start.
+  if (this->own_fence == 0 || offer.fence != this->own_fence) {
+    return {.code = result_code::wrong_incarnation};
+  }
+  const auto verdict = this->memory.check(offer.id, offer.permit_end, now);
+  if (verdict.code != result_code::ok) return verdict;
+  if (this->is_draining) return {.code = result_code::draining};
+  if (target != result_code::ok) return {.code = target};
+  if (this->running_count >= this->slot_count) {
+    return {.code = result_code::server_busy};
+  }
+  ++this->running_count;
+  return this->memory.begin(offer.id, offer.permit_end, now);
+}
+
+void admission::end(const attempt_id& id, bool whole) {
+  if (this->memory.state_of(id, time_point::max()) != attempt_state::running) {
+    return;
+  }
+  this->memory.end(id, whole);
+  --this->running_count;
+}
+
+attempt_state admission::state_of(const attempt_offer& asked) const {
+  if (asked.fence != this->own_fence) return attempt_state::forgotten;
+  return this->memory.state_of(asked.id, asked.permit_end);
+}
+
+attempt_state admission::tombstone(const attempt_offer& asked, time_point now) {
+  if (asked.fence != this->own_fence) return attempt_state::forgotten;
+  return this->memory.tombstone(asked.id, asked.permit_end, now);
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/catalog.hpp
@@ -0,0 +1,68 @@
+#ifndef BORAGEHILL_DECIDE_CATALOG_HPP
+#define BORAGEHILL_DECIDE_CATALOG_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boragehill/profile.hpp>
+
+#include "decide/model_spec.hpp"
+
+namespace boragehill::decide {
+
+/// Everything published at one revision, indexed for the request path.
+///
+/// A value: a new revision makes a new catalog, and requests that began under
+/// the old one end under it.
+class catalog {
+ public:
+  catalog() = default;
+
+  /// Indexes the profiles of one revision.
+  ///
+  /// \param revision The global revision.
+  /// \param profiles All profiles in force at it.
+  catalog(std::uint64_t revision, std::vector<profile> profiles);
+
+  std::uint64_t revision() const { return this->number; }
+  const std::vector<profile>& profiles() const { return this->all; }
+
+  /// Returns the profile that a service picked; null if none names it.
+  const profile* profile_of(std::string_view service) const;
+
+  /// Returns what the profiles ask for a model; null if none names it.
+  const model_spec* spec_of(std::string_view model) const;
+
+  /// Returns every model's spec by name.
+  const std::map<std::string, model_spec, std::less<>>& models() const {
+    return this->specs;
+  }
+
+  bool operator==(const catalog&) const = default;
+
+ private:
+  void add_model(const profile& owner, const profile_model& model);
+
+  std::uint64_t number = 0;
+  std::vector<profile> all;
+  std::map<std::string, std::size_t, std::less<>> by_service;
+  std::map<std::string, model_spec, std::less<>> specs;
+};
+
+/// Returns whether a profile allows a model, and its adapter if one is named.
+bool allows_model(const profile& owner, std::string_view base,
+                  std::string_view adapter);
+
+/// Returns whether a profile allows a pool of plain services.
+bool allows_pool(const profile& owner, std::string_view pool);
+
+/// Returns whether a profile says that a call may run once only.
+bool is_non_idempotent(const profile& owner, std::string_view method,
+                       std::string_view path);
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_CATALOG_HPP
--- /dev/null
+++ b/src/decide/decision_note.hpp
@@ -0,0 +1,22 @@
+#ifndef BORAGEHILL_DECIDE_DECISION_NOTE_HPP
+#define BORAGEHILL_DECIDE_DECISION_NOTE_HPP
+
+#include <string>
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide {
+
+/// One decision with its reason and inputs, kept for `explain`.
+struct decision_note {
+  time_point at;
+  /// The attempt decided about; empty for decisions about the target.
+  std::string attempt;
+  std::string text;
+
+  bool operator==(const decision_note&) const = default;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_DECISION_NOTE_HPP
--- /dev/null
+++ b/src/decide/flow_request.hpp
@@ -0,0 +1,34 @@
+#ifndef BORAGEHILL_DECIDE_FLOW_REQUEST_HPP
+#define BORAGEHILL_DECIDE_FLOW_REQUEST_HPP
+
+#include <cstdint>
+#include <string>
+
+#include <boragehill/endpoint.hpp>
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide {
+
+/// What the decisions about one accepted request need to know of it.
+struct flow_request {
+  /// The entry router's process and the request's number there.
+  std::string incarnation;
+  std::uint64_t sequence = 0;
+  /// The entry router's control endpoint.
+  endpoint entry;
+  std::string target;
+  std::string adapter;
+  std::string profile;
+  std::string fingerprint;
+  std::int64_t priority = 0;
+  bool non_idempotent = false;
+  /// Non-idempotent with a key: claimed in the table before each dispatch.
+  bool keyed = false;
+  time_point deadline;
+
+  bool operator==(const flow_request&) const = default;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_FLOW_REQUEST_HPP
--- /dev/null
+++ b/src/decide/home.hpp
@@ -0,0 +1,199 @@
+#ifndef BORAGEHILL_DECIDE_HOME_HPP
+#define BORAGEHILL_DECIDE_HOME_HPP
+
+#include <array>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boragehill/attempt_id.hpp>
+#include <boragehill/result_code.hpp>
+#include <boragehill/time_point.hpp>
+
+#include "decide/home_action.hpp"
+#include "decide/home_server.hpp"
+#include "decide/home_settings.hpp"
+#include "decide/home_target.hpp"
+#include "decide/issued_permit.hpp"
+#include "decide/strikes.hpp"
+#include "wire/attempt_end.hpp"
+#include "wire/permit_answer.hpp"
+#include "wire/permit_request.hpp"
+#include "wire/wake_answer.hpp"
+
+namespace boragehill::decide {
+
+class catalog;
+
+/// The decisions of a model's home: who waits, who goes where, what is woken.
+///
+/// A pure state machine for all targets that one router looks after. Events
+/// come in through the `on_` functions; what the surroundings shall do is
+/// collected and fetched with `take_actions`. Two routers that both believe
+/// to be home break no promise: agents enforce grants, memory and attempts.
+///
+///     home h(settings);
+///     auto answer = h.request(ask, now);   // granted, queued or refused
+///     for (auto& action : h.take_actions()) std::visit(run, action);
+class home {
+ public:
+  explicit home(home_settings settings, strike_settings strike_limits);
+
+  /// Asks for a permit. Idempotent for one attempt.
+  ///
+  /// \param ask The request; its time left counts from `now`.
+  /// \param now The time.
+  /// \return Granted, queued or refused. A refusal is final for the attempt;
+  ///   it was not run.
+  wire::permit_answer request(const wire::permit_request& ask, time_point now);
+
+  /// Takes back a request whose caller is gone, or whose permit its entry
+  /// router will not use.
+  void withdraw(const std::string& attempt, time_point now);
+
+  /// Returns which of an entry router's waiting attempts are not known here.
+  /// Those with a permit are told of it again: the first telling was lost.
+  std::vector<std::string> on_renewal(const std::vector<std::string>& attempts);
+
+  /// Takes note of how an attempt ended; its place is free again.
+  void on_done(const wire::attempt_end& end, time_point now);
+
+  /// Takes an agent's report.
+  void on_report(const wire::agent_report& report, time_point now);
+
+  /// Takes an agent's answer to a wake; `unreachable` if none came.
+  void on_wake_answer(const order_wake& wake, const wire::wake_answer& answer,
+                      time_point now);
+
+  /// Takes note that a wake could not be delivered.
+  void on_wake_lost(const order_wake& wake, time_point now);
+
+  /// Sets the backend servers that hold a grant for a model, as the table's
+  /// row says, or that make up a pool.
+  void on_servers(const std::string& target, std::vector<std::string> servers,
+                  time_point now);
+
+  /// Takes note that the platform or the server itself says it is leaving.
+  void on_leaving(const std::string& server);
+
+  /// Takes note that a call to a server failed: no new work for a while.
+  void on_suspected(const std::string& server, time_point now);
+
+  /// Drops all that waits for an entry router that is gone.
+  void on_entry_gone(const endpoint& entry, time_point now);
+
+  /// Takes the configuration in force.
+  void on_catalog(const catalog& published, time_point now);
+
+  /// Takes over a conviction from the table or another router.
+  void on_conviction(const std::string& fingerprint, time_point now);
+
+  /// Refuses what can no longer be in time and orders what is due.
+  void tick(time_point now);
+
+  /// Returns and forgets the actions collected since the last call.
+  std::vector<home_action> take_actions();
+
+  /// Returns the target, or null if nobody asked for it yet.
+  const home_target* target(const std::string& name) const;
+
+  /// Returns all targets by name.
+  const std::map<std::string, home_target>& targets() const {
+    return this->known_targets;
+  }
+
+  const std::map<std::string, home_server>& servers() const {
+    return this->known_servers;
+  }
+
+  /// Returns the waiting requests over all targets.
+  std::size_t waiting() const { return this->waiting_total; }
+
+  /// Returns the permits out, over all targets.
+  std::size_t permits_out() const { return this->issued.size(); }
+
+  /// Returns the expected time until a new request of a target would start.
+  milliseconds estimate(const std::string& target, const std::string& adapter,
+                        time_point now) const;
+
+  const strikes& struck() const { return this->strike_book; }
+
+ private:
+  struct chosen_server {
+    std::string id;
+    const home_server* server = nullptr;
+  };
+
+  home_target& target_of(const std::string& name);
+  wire::permit_answer refuse(const wire::permit_request& ask, result_code code,
+                             milliseconds retry_after,
+                             const std::string& reason);
+  void refuse_waiting(home_target& target,
+                      std::set<waiting_request, by_deadline>::iterator at,
+                      result_code code, const std::string& reason,
+                      time_point now);
+  std::set<waiting_request, by_deadline>::iterator erase_waiting(
+      home_target& target, std::set<waiting_request, by_deadline>::iterator at);
+
+  void pump(home_target& target, time_point now);
+  bool try_issue(home_target& target, const waiting_request& waiting,
+                 time_point now);
+  chosen_server choose_server(const home_target& target,
+                              const waiting_request& waiting,
+                              time_point now) const;
+  bool can_run(const home_target& target, const home_server& server,
+               const wire::permit_request& ask) const;
+  std::uint32_t in_flight(const std::string& server) const;
+  void issue(home_target& target, const waiting_request& waiting,
+             const chosen_server& chosen, bool exclusive, time_point now);
+  void release(const std::string& attempt);
+
+  void consider_wakes(home_target& target, time_point now);
+  void forget_stale_wakes(home_target& target, time_point now);
+  bool wake_settled(const home_target& target, const pending_wake& wake,
+                    time_point now);
+  void wake_base(home_target& target, time_point now);
+  void wake_adapters(home_target& target, time_point now);
+  void order(home_target& target, const std::string& server,
+             const std::string& adapter, time_point now);
+  void ask_grants(home_target& target, std::uint32_t number,
+                  const std::string& reason, time_point now);
+  std::uint32_t lost_grants(const home_target& target, time_point now) const;
+  std::uint32_t active_replicas(const home_target& target,
+                                time_point now) const;
+  std::string choose_to_wake(const home_target& target, time_point now) const;
+  milliseconds time_to_ready(const home_target& target,
+                             const std::string& adapter, time_point now) const;
+  bool load_measured(const home_target& target) const;
+  milliseconds load_time(checkpoint_tier tier) const {
+    return this->load_means[static_cast<std::size_t>(tier)].value();
+  }
+  milliseconds queue_time(const home_target& target, std::size_t ahead,
+                          time_point now) const;
+  void refuse_hopeless(home_target& target, time_point now);
+  void note(home_target& target, const std::string& attempt, std::string text,
+            time_point now);
+
+  home_settings limits;
+  strikes strike_book;
+  std::map<std::string, home_target> known_targets;
+  std::map<std::string, home_server> known_servers;
+  std::unordered_map<std::string, issued_permit> issued;
+  /// Attempts waiting, by id, with their target.
+  std::unordered_map<std::string, std::string> waiting_at;
+  std::map<std::string, std::uint32_t> in_flight_by_server;
+  /// Servers and targets with a struck request in flight; one each.
+  std::set<std::string> struck_servers;
+  std::set<std::string> struck_targets;
+  /// Load times by checkpoint tier, as seen.
+  std::array<running_mean, 3> load_means;
+  std::vector<home_action> actions;
+  std::size_t waiting_total = 0;
+  std::uint64_t next_order = 1;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_HOME_HPP
--- /dev/null
+++ b/src/decide/home_dispatch.cpp
@@ -0,0 +1,132 @@
+// The half of home that gives permits: who goes to which backend server.
+
+#include <algorithm>
+
+#include "decide/home.hpp"
+#include "decide/target_name.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+bool contains(const std::vector<std::string>& list, const std::string& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+}  // namespace
+
+void home::pump(home_target& target, time_point now) {
+  auto at = target.queue.begin();
+  std::size_t skipped = 0;
+  while (at != target.queue.end() && skipped < this->limits.scan_limit) {
+    if (at->deadline <= now) {
+      const auto expired = at++;
+      this->refuse_waiting(target, expired, result_code::deadline_passed,
+                           "its deadline passed while it waited", now);
+      continue;
+    }
+    if (this->try_issue(target, *at, now)) {
+      at = this->erase_waiting(target, at);
+      continue;
+    }
+    ++skipped;
+    ++at;
+  }
+  this->consider_wakes(target, now);
+}
+
+bool home::try_issue(home_target& target, const waiting_request& waiting,
+                     time_point now) {
+  const auto verdict = this->strike_book.judge(waiting.ask.fingerprint, now);
+  const bool exclusive = std::holds_alternative<run_alone>(verdict);
+  // Struck requests go one at a time, so a crash names exactly one of them.
+  if (exclusive && this->struck_targets.contains(target.name)) return false;
+  const chosen_server chosen = this->choose_server(target, waiting, now);
+  if (chosen.server == nullptr) return false;
+  if (exclusive && this->in_flight(chosen.id) > 0) return false;
+  this->issue(target, waiting, chosen, exclusive, now);
+  return true;
+}
+
+home::chosen_server home::choose_server(const home_target& target,
+                                        const waiting_request& waiting,
+                                        time_point now) const {
+  chosen_server best;
+  std::uint32_t best_load = 0;
+  for (const auto& id : target.servers) {
+    if (contains(waiting.ask.excluded, id)) continue;
+    const auto known = this->known_servers.find(id);
+    if (known == this->known_servers.end()) continue;
+    const home_server& server = known->second;
+    if (!server.usable(now, this->limits.report_silence)) continue;
+    if (!this->can_run(target, server, waiting.ask)) continue;
+    if (this->struck_servers.contains(id)) continue;
+    // Reports lag, so permits given since the last one count as running.
+    const std::uint32_t load =
+        std::max(server.report().running, this->in_flight(id));
+    if (load >= server.report().slots) continue;
+    if (best.server != nullptr && load >= best_load) continue;
+    best = {id, &server};
+    best_load = load;
+  }
+  return best;
+}
+
+bool home::can_run(const home_target& target, const home_server& server,
+                   const wire::permit_request& ask) const {
+  if (!is_model_target(target.name)) return true;
+  const auto* replica = server.replica(model_of_target(target.name));
+  if (replica == nullptr) return false;
+  if (replica->state != wire::replica_state::ready) return false;
+  return ask.adapter.empty() || contains(replica->adapters, ask.adapter);
+}
+
+std::uint32_t home::in_flight(const std::string& server) const {
+  const auto found = this->in_flight_by_server.find(server);
+  return found == this->in_flight_by_server.end() ? 0 : found->second;
+}
+
+void home::issue(home_target& target, const waiting_request& waiting,
+                 const chosen_server& chosen, bool exclusive, time_point now) {
+  const wire::agent_report& report = chosen.server->report();
+  wire::permit_answer answer{.attempt = waiting.ask.attempt};
+  answer.state = wire::permit_state::granted;
+  answer.server = chosen.id;
+  answer.data = report.data;
+  answer.control = report.control;
+  answer.fence = report.fence;
+  answer.exclusive = exclusive;
+  // On the agent's own clock, so that an attempt whose sender was paused is
+  // refused there however late it arrives.
+  answer.permit_end_ms =
+      chosen.server->agent_clock(now) + this->limits.permit_allowance.count();
+  const auto slack = this->limits.permit_allowance * 2;
+  this->issued[answer.attempt] = {.ask = waiting.ask,
+                                  .answer = answer,
+                                  .issued_at = now,
+                                  .gone_at = waiting.deadline + slack};
+  ++this->in_flight_by_server[chosen.id];
+  if (exclusive) {
+    this->struck_servers.insert(chosen.id);
+    this->struck_targets.insert(target.name);
+  }
+  this->note(target, answer.attempt, "sent to " + chosen.id, now);
+  this->actions.emplace_back(tell_entry{waiting.ask.entry, answer});
+}
+
+void home::release(const std::string& attempt) {
+  const auto found = this->issued.find(attempt);
+  if (found == this->issued.end()) return;
+  const issued_permit& permit = found->second;
+  if (permit.answer.exclusive) {
+    this->struck_servers.erase(permit.answer.server);
+    this->struck_targets.erase(permit.ask.target);
+  }
+  const auto count = this->in_flight_by_server.find(permit.answer.server);
+  if (count != this->in_flight_by_server.end() && --count->second == 0) {
+    this->in_flight_by_server.erase(count);
+  }
+  this->issued.erase(found);
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/home_target.hpp
@@ -0,0 +1,44 @@
+#ifndef BORAGEHILL_DECIDE_HOME_TARGET_HPP
+#define BORAGEHILL_DECIDE_HOME_TARGET_HPP
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decide/decision_note.hpp"
+#include "decide/model_spec.hpp"
+#include "decide/pending_wake.hpp"
+#include "decide/running_mean.hpp"
+#include "decide/waiting_request.hpp"
+
+namespace boragehill::decide {
+
+/// A model or pool that a home looks after.
+struct home_target {
+  explicit home_target(std::string target_name, milliseconds run_time_guess)
+      : name(std::move(target_name)), run_time(run_time_guess) {}
+
+  /// "model:<base>" or "pool:<name>".
+  std::string name;
+  /// Set for models that a profile in force names.
+  std::optional<model_spec> spec;
+  std::set<waiting_request, by_deadline> queue;
+  /// Backend servers with a grant; for a pool, its servers.
+  std::vector<std::string> servers;
+  /// Whether `servers` was ever read from the table or the VM list.
+  bool servers_known = false;
+  std::vector<pending_wake> wakes;
+  running_mean run_time;
+  time_point last_arrival;
+  /// The number last asked for, so that a storm asks once.
+  std::uint32_t wanted_grants = 0;
+  time_point wanted_at;
+  std::deque<decision_note> notes;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_HOME_TARGET_HPP
--- /dev/null
+++ b/src/decide/home_wakes.cpp
@@ -0,0 +1,326 @@
+// The half of home that wakes models and estimates when a request would start.
+
+#include <algorithm>
+#include <set>
+
+#include "decide/home.hpp"
+#include "decide/keep_warm.hpp"
+#include "decide/placement_choice.hpp"
+#include "decide/target_name.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+bool contains(const std::vector<std::string>& list, const std::string& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+}  // namespace
+
+void home::consider_wakes(home_target& target, time_point now) {
+  if (!is_model_target(target.name) || !target.spec) return;
+  this->forget_stale_wakes(target, now);
+  const std::uint32_t lost = this->lost_grants(target, now);
+  const std::uint32_t standing = target.spec->replicas + lost;
+  if (!target.servers_known || target.servers.size() < standing) {
+    this->ask_grants(
+        target, standing,
+        lost == 0 ? "grants ahead of need" : "granted servers not heard of",
+        now);
+  }
+  this->wake_base(target, now);
+  this->wake_adapters(target, now);
+}
+
+void home::forget_stale_wakes(home_target& target, time_point now) {
+  std::erase_if(target.wakes, [&](const pending_wake& wake) {
+    return this->wake_settled(target, wake, now);
+  });
+}
+
+bool home::wake_settled(const home_target& target, const pending_wake& wake,
+                        time_point now) {
+  const auto found = this->known_servers.find(wake.server);
+  if (found == this->known_servers.end()) return true;
+  const home_server& server = found->second;
+  if (!server.usable(now, this->limits.report_silence)) return true;
+  const auto* replica = server.replica(model_of_target(target.name));
+  const bool held =
+      replica != nullptr && replica->state == wire::replica_state::ready;
+  if (held && wake.adapter.empty()) {
+    this->load_means[static_cast<std::size_t>(wake.tier)].add(
+        std::chrono::duration_cast<milliseconds>(now - wake.ordered_at));
+    return true;
+  }
+  if (held && contains(replica->adapters, wake.adapter)) return true;
+  // A wake whose order or load was lost is forgotten, and so ordered again.
+  const bool loading =
+      replica != nullptr && replica->state == wire::replica_state::loading;
+  if (loading) return false;
+  return now > wake.expected_ready + this->limits.wake_confirm;
+}
+
+void home::wake_base(home_target& target, time_point now) {
+  const std::uint32_t active = this->active_replicas(target, now);
+  const bool needed = !target.queue.empty() || active < target.spec->warm;
+  if (!needed) return;
+  // One wake serves the whole first burst; a further replica is worth its
+  // load only when the queue would outlast it.
+  if (active > 0 && active >= target.spec->warm) {
+    const auto wait = this->queue_time(target, target.queue.size(), now);
+    if (wait <= this->limits.scale_out_wait) return;
+    const bool loading =
+        std::any_of(target.wakes.begin(), target.wakes.end(),
+                    [](const auto& wake) { return wake.adapter.empty(); });
+    if (loading) return;
+  }
+  const std::string server = this->choose_to_wake(target, now);
+  if (!server.empty()) {
+    this->order(target, server, {}, now);
+    return;
+  }
+  if (!target.servers_known) return;
+  const bool all_used = active >= target.servers.size();
+  const std::uint32_t most =
+      target.spec->max_replicas + this->lost_grants(target, now);
+  if (all_used && target.servers.size() < most) {
+    this->ask_grants(target,
+                     static_cast<std::uint32_t>(target.servers.size() + 1),
+                     "the queue outlasts its replicas", now);
+  }
+}
+
+void home::wake_adapters(home_target& target, time_point now) {
+  const std::string model = model_of_target(target.name);
+  std::set<std::string> wanted;
+  for (const auto& waiting : target.queue) {
+    if (!waiting.ask.adapter.empty()) wanted.insert(waiting.ask.adapter);
+  }
+  for (const auto& adapter : wanted) {
+    const bool ordered =
+        std::any_of(target.wakes.begin(), target.wakes.end(),
+                    [&](const auto& wake) { return wake.adapter == adapter; });
+    if (ordered) continue;
+    for (const auto& id : target.servers) {
+      const auto known = this->known_servers.find(id);
+      if (known == this->known_servers.end()) continue;
+      const home_server& server = known->second;
+      if (!server.usable(now, this->limits.report_silence)) continue;
+      const auto* replica = server.replica(model);
+      if (replica == nullptr) continue;
+      if (replica->state != wire::replica_state::ready) continue;
+      if (contains(replica->adapters, adapter)) break;
+      this->order(target, id, adapter, now);
+      break;
+    }
+  }
+}
+
+void home::order(home_target& target, const std::string& server_id,
+                 const std::string& adapter, time_point now) {
+  const home_server& server = this->known_servers[server_id];
+  const std::string model = model_of_target(target.name);
+  const checkpoint_tier tier =
+      adapter.empty() ? server.tier(model) : checkpoint_tier::memory;
+  const milliseconds load = this->load_time(tier);
+  const break_even_rule rule{target.spec->cold_start_weight,
+                             target.spec->idle_weight};
+  milliseconds keep = keep_warm_time(rule, load, {});
+  if (this->active_replicas(target, now) < target.spec->warm) {
+    keep = milliseconds(-1);
+  }
+  target.wakes.push_back({.server = server_id,
+                          .adapter = adapter,
+                          .ordered_at = now,
+                          .expected_ready = now + load,
+                          .tier = tier});
+  this->note(target, {},
+             "wake " + (adapter.empty() ? model : model + ":" + adapter) +
+                 " at " + server_id + " for " +
+                 std::to_string(target.queue.size()) + " waiting",
+             now);
+  this->actions.emplace_back(
+      order_wake{.server = server_id,
+                 .control = server.report().control,
+                 .order = {.model = model,
+                           .adapter = adapter,
+                           .bytes = target.spec->bytes,
+                           .adapter_bytes = target.spec->adapter_bytes,
+                           .keep_warm_ms = keep.count()}});
+}
+
+void home::ask_grants(home_target& target, std::uint32_t number,
+                      const std::string& reason, time_point now) {
+  const bool asked_lately = target.wanted_grants >= number &&
+                            now - target.wanted_at < this->limits.wake_confirm;
+  if (asked_lately) return;
+  target.wanted_grants = number;
+  target.wanted_at = now;
+  want_grants wanted{.model = model_of_target(target.name),
+                     .number = number,
+                     .not_counted = {},
+                     .reason = reason};
+  for (const auto& id : target.servers) {
+    const auto known = this->known_servers.find(id);
+    const bool heard = known != this->known_servers.end() &&
+                       known->second.heard(now, this->limits.report_silence);
+    if (!heard) wanted.not_counted.push_back(id);
+  }
+  this->note(target, {},
+             "wants " + std::to_string(number) + " grants: " + reason, now);
+  this->actions.emplace_back(std::move(wanted));
+}
+
+std::uint32_t home::lost_grants(const home_target& target,
+                                time_point now) const {
+  const auto silent = [&](const std::string& id) {
+    const auto known = this->known_servers.find(id);
+    if (known == this->known_servers.end()) return false;
+    const home_server& server = known->second;
+    if (server.report().server.empty()) return false;
+    return !server.heard(now, this->limits.report_silence * 2);
+  };
+  return static_cast<std::uint32_t>(
+      std::count_if(target.servers.begin(), target.servers.end(), silent));
+}
+
+std::uint32_t home::active_replicas(const home_target& target,
+                                    time_point now) const {
+  const std::string model = model_of_target(target.name);
+  const auto active = [&](const std::string& id) {
+    const bool ordered = std::any_of(
+        target.wakes.begin(), target.wakes.end(), [&](const auto& wake) {
+          return wake.server == id && wake.adapter.empty();
+        });
+    if (ordered) return true;
+    const auto known = this->known_servers.find(id);
+    if (known == this->known_servers.end()) return false;
+    if (!known->second.usable(now, this->limits.report_silence)) return false;
+    const auto* replica = known->second.replica(model);
+    if (replica == nullptr) return false;
+    return replica->state == wire::replica_state::ready ||
+           replica->state == wire::replica_state::loading;
+  };
+  return static_cast<std::uint32_t>(
+      std::count_if(target.servers.begin(), target.servers.end(), active));
+}
+
+std::string home::choose_to_wake(const home_target& target,
+                                 time_point now) const {
+  const std::string model = model_of_target(target.name);
+  wake_request request{
+      .model = model, .bytes = target.spec->bytes, .servers = {}};
+  for (const auto& id : target.servers) {
+    const auto known = this->known_servers.find(id);
+    if (known == this->known_servers.end()) continue;
+    const home_server& server = known->second;
+    const auto* replica = server.replica(model);
+    const auto state =
+        replica == nullptr ? wire::replica_state::cold : replica->state;
+    if (state == wire::replica_state::ready) continue;
+    if (state == wire::replica_state::loading) continue;
+    const bool ordered = std::any_of(
+        target.wakes.begin(), target.wakes.end(), [&](const auto& wake) {
+          return wake.server == id && wake.adapter.empty();
+        });
+    if (ordered) continue;
+    request.servers.push_back(
+        {.server = id,
+         .state = state,
+         .tier = server.tier(model),
+         .free_bytes = server.report().free_bytes,
+         .evictable_bytes = server.report().evictable_bytes,
+         .running = server.report().running,
+         .usable = server.usable(now, this->limits.report_silence)});
+  }
+  return choose_replica_to_wake(request).value_or(std::string{});
+}
+
+milliseconds home::time_to_ready(const home_target& target,
+                                 const std::string& adapter,
+                                 time_point now) const {
+  if (!is_model_target(target.name)) return milliseconds{0};
+  const std::string model = model_of_target(target.name);
+  milliseconds best = this->load_time(checkpoint_tier::remote);
+  for (const auto& id : target.servers) {
+    const auto known = this->known_servers.find(id);
+    if (known == this->known_servers.end()) continue;
+    const home_server& server = known->second;
+    if (!server.usable(now, this->limits.report_silence)) continue;
+    const auto* replica = server.replica(model);
+    milliseconds wait = this->load_time(server.tier(model));
+    if (replica != nullptr && replica->state == wire::replica_state::ready) {
+      const bool has = adapter.empty() || contains(replica->adapters, adapter);
+      wait = has ? milliseconds{0} : this->load_time(checkpoint_tier::memory);
+    }
+    if (replica != nullptr && replica->state == wire::replica_state::loading) {
+      wait = milliseconds(replica->ready_in_ms);
+    }
+    best = std::min(best, wait);
+  }
+  for (const auto& wake : target.wakes) {
+    if (wake.adapter != adapter && !wake.adapter.empty()) continue;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(wake.expected_ready - now);
+    best = std::min(best, std::max(left, milliseconds{0}));
+  }
+  return best;
+}
+
+milliseconds home::queue_time(const home_target& target, std::size_t ahead,
+                              time_point now) const {
+  std::uint32_t slots = 0;
+  for (const auto& id : target.servers) {
+    const auto known = this->known_servers.find(id);
+    if (known == this->known_servers.end()) continue;
+    if (!known->second.usable(now, this->limits.report_silence)) continue;
+    if (!this->can_run(target, known->second, {})) continue;
+    slots += known->second.report().slots;
+  }
+  const auto rounds =
+      static_cast<std::int64_t>(ahead / std::max<std::uint32_t>(slots, 1));
+  return target.run_time.value() * rounds;
+}
+
+milliseconds home::estimate(const std::string& name, const std::string& adapter,
+                            time_point now) const {
+  const home_target* target = this->target(name);
+  if (target == nullptr) return this->load_time(checkpoint_tier::remote);
+  return this->time_to_ready(*target, adapter, now) +
+         this->queue_time(*target, target->queue.size(), now);
+}
+
+bool home::load_measured(const home_target& target) const {
+  if (!is_model_target(target.name)) return true;
+  const std::string model = model_of_target(target.name);
+  return std::any_of(
+      target.servers.begin(), target.servers.end(), [&](const auto& id) {
+        const auto known = this->known_servers.find(id);
+        if (known == this->known_servers.end()) return false;
+        const auto tier = static_cast<std::size_t>(known->second.tier(model));
+        return this->load_means[tier].measured();
+      });
+}
+
+void home::refuse_hopeless(home_target& target, time_point now) {
+  // A first guess refuses nobody: only what was seen here says that a load
+  // takes too long.
+  if (!this->load_measured(target)) return;
+  std::size_t ahead = 0;
+  auto at = target.queue.begin();
+  while (at != target.queue.end()) {
+    const auto start = this->time_to_ready(target, at->ask.adapter, now) +
+                       this->queue_time(target, ahead, now);
+    if (now + start <= at->deadline) {
+      ++ahead;
+      ++at;
+      continue;
+    }
+    const auto hopeless = at++;
+    this->refuse_waiting(target, hopeless, result_code::deadline_unreachable,
+                         "the earliest start is past its deadline", now);
+  }
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/issued_permit.hpp
@@ -0,0 +1,24 @@
+#ifndef BORAGEHILL_DECIDE_ISSUED_PERMIT_HPP
+#define BORAGEHILL_DECIDE_ISSUED_PERMIT_HPP
+
+#include <boragehill/time_point.hpp>
+
+#include "wire/permit_answer.hpp"
+#include "wire/permit_request.hpp"
+
+namespace boragehill::decide {
+
+/// A permit whose attempt has not been reported as ended.
+struct issued_permit {
+  wire::permit_request ask;
+  wire::permit_answer answer;
+  time_point issued_at;
+  /// When its place counts as free though nobody said how it ended.
+  time_point gone_at;
+
+  bool operator==(const issued_permit&) const = default;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_ISSUED_PERMIT_HPP
--- /dev/null
+++ b/src/decide/keep_warm.cpp
@@ -0,0 +1,69 @@
+#include "decide/keep_warm.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragehill::decide {
+
+namespace {
+
+constexpr std::uint64_t enough_gaps = 8;
+constexpr milliseconds longest_keep_warm = std::chrono::hours(24);
+
+struct time_chooser {
+  milliseconds load;
+  const gap_histogram& gaps;
+
+  milliseconds operator()(const break_even_rule& rule) const {
+    if (rule.idle_weight <= 0) return longest_keep_warm;
+    const double ratio =
+        std::max(rule.cold_start_weight, 0.0) / rule.idle_weight;
+    const double time = ratio * static_cast<double>(this->load.count());
+    const auto limit = static_cast<double>(longest_keep_warm.count());
+    return milliseconds(std::llround(std::min(time, limit)));
+  }
+
+  milliseconds operator()(const fixed_timer_rule& rule) const {
+    return rule.time;
+  }
+
+  milliseconds operator()(const histogram_rule& rule) const {
+    if (this->gaps.count() < enough_gaps) return rule.most;
+    return std::min(this->gaps.quantile(rule.share), rule.most);
+  }
+};
+
+}  // namespace
+
+void gap_histogram::add(milliseconds gap) {
+  std::size_t place = 0;
+  while (place + 1 < classes && (std::int64_t{1} << place) < gap.count()) {
+    ++place;
+  }
+  ++this->counts.at(place);
+  ++this->total;
+}
+
+milliseconds gap_histogram::quantile(double share) const {
+  const double wanted = share * static_cast<double>(this->total);
+  std::uint64_t seen = 0;
+  std::size_t place = 0;
+  for (; place + 1 < classes; ++place) {
+    seen += this->counts.at(place);
+    if (static_cast<double>(seen) >= wanted) break;
+  }
+  return milliseconds(std::int64_t{1} << place);
+}
+
+milliseconds keep_warm_time(const keep_warm_rule& rule, milliseconds load,
+                            const gap_histogram& gaps) {
+  return std::visit(time_chooser{load, gaps}, rule);
+}
+
+bool past_keep_warm(milliseconds keep_warm, time_point last_used,
+                    time_point now) {
+  if (keep_warm < milliseconds(0)) return false;
+  return now - last_used >= keep_warm;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/placement_choice.cpp
@@ -0,0 +1,125 @@
+#include "decide/placement_choice.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "decide/rendezvous.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+/// How many grants of the model stand in each place. Domains are named within
+/// their region, so that two regions may use the same names.
+struct spread {
+  std::map<std::pair<std::string, std::string>, std::uint32_t> domains;
+  std::map<std::string, std::uint32_t> regions;
+
+  void add(const server_view& server) {
+    this->domains[{server.region, server.failure_domain}] += 1;
+    this->regions[server.region] += 1;
+  }
+};
+
+bool holds_grant(const placement_request& request, const std::string& id) {
+  return std::ranges::find(request.current, id) != request.current.end();
+}
+
+bool takes_grants(const placement_request& request, const server_view& server) {
+  if (server.draining || server.suspected) return false;
+  if (!request.pool.empty() && server.pool != request.pool) return false;
+  return server.capacity_bytes >= request.bytes && server.capacity_bytes > 0;
+}
+
+double granted_share(const server_view& server) {
+  return static_cast<double>(server.granted_bytes) /
+         static_cast<double>(server.capacity_bytes);
+}
+
+/// The rank of a candidate; lower goes first.
+auto rank_of(const server_view& server, const spread& standing,
+             const std::string& model) {
+  const auto domain =
+      standing.domains.find({server.region, server.failure_domain});
+  const auto region = standing.regions.find(server.region);
+  const bool new_domain = domain == standing.domains.end();
+  const bool new_region = region == standing.regions.end();
+  return std::tuple{new_domain ? 0U : domain->second,
+                    new_region ? 0U : region->second,
+                    server.tier,
+                    granted_share(server),
+                    ~rendezvous_weight(server.id, model),
+                    server.id};
+}
+
+std::uint32_t grants_to_add(const placement_request& request,
+                            std::uint32_t usable) {
+  const auto standing = static_cast<std::uint32_t>(request.current.size());
+  if (usable >= request.wanted || standing >= request.most) return 0;
+  return std::min(request.wanted - usable, request.most - standing);
+}
+
+auto wake_rank_of(const wake_view& view, const wake_request& request) {
+  const bool fits_free = view.free_bytes >= request.bytes;
+  const bool has_room = view.free_bytes + view.evictable_bytes >= request.bytes;
+  const std::uint64_t last = ~rendezvous_weight(view.server, request.model);
+  switch (view.state) {
+    case wire::replica_state::ready:
+      return std::tuple{0, std::int64_t{0}, 0, view.running, last};
+    case wire::replica_state::loading:
+      return std::tuple{1, std::int64_t{view.ready_in.count()}, 0, view.running,
+                        last};
+    case wire::replica_state::cold:
+    case wire::replica_state::unloading:
+      break;
+  }
+  return std::tuple{has_room ? 2 : 3, static_cast<std::int64_t>(view.tier),
+                    fits_free ? 0 : 1, view.running, last};
+}
+
+}  // namespace
+
+std::vector<std::string> choose_servers(const placement_request& request) {
+  std::vector<const server_view*> candidates;
+  spread standing;
+  std::uint32_t usable = 0;
+  for (const server_view& server : request.servers) {
+    const bool granted = holds_grant(request, server.id);
+    if (granted) standing.add(server);
+    if (!takes_grants(request, server)) continue;
+    if (granted) {
+      usable += 1;
+    } else {
+      candidates.push_back(&server);
+    }
+  }
+  std::vector<std::string> chosen;
+  const std::uint32_t count = grants_to_add(request, usable);
+  while (chosen.size() < count && !candidates.empty()) {
+    const auto best = std::ranges::min_element(
+        candidates, std::less{}, [&](const server_view* server) {
+          return rank_of(*server, standing, request.model);
+        });
+    standing.add(**best);
+    chosen.push_back((*best)->id);
+    candidates.erase(best);
+  }
+  return chosen;
+}
+
+std::optional<std::string> choose_replica_to_wake(const wake_request& request) {
+  const wake_view* best = nullptr;
+  for (const wake_view& view : request.servers) {
+    if (!view.usable) continue;
+    const bool better = best == nullptr || wake_rank_of(view, request) <
+                                               wake_rank_of(*best, request);
+    if (better) best = &view;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->server;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/rendezvous.cpp
@@ -0,0 +1,36 @@
+#include "decide/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace boragehill::decide {
+
+std::uint64_t rendezvous_weight(std::string_view node,
+                                std::string_view target) {
+  // The node's hash seeds the target's, so that no two pairs share an input.
+  const std::uint64_t seed = XXH64(node.data(), node.size(), 0);
+  return XXH64(target.data(), target.size(), seed);
+}
+
+std::vector<std::string> home_order(std::string_view target,
+                                    std::vector<std::string> routers,
+                                    std::size_t count) {
+  std::vector<std::pair<std::uint64_t, std::string>> weighted;
+  weighted.reserve(routers.size());
+  for (std::string& router : routers) {
+    const std::uint64_t weight = rendezvous_weight(router, target);
+    weighted.emplace_back(weight, std::move(router));
+  }
+  const std::size_t kept = std::min(count, weighted.size());
+  const auto middle = weighted.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::partial_sort(weighted.begin(), middle, weighted.end(), std::greater{});
+  std::vector<std::string> order;
+  order.reserve(kept);
+  for (std::size_t i = 0; i < kept; ++i) {
+    order.push_back(std::move(weighted[i].second));
+  }
+  return order;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/request_flow.cpp
@@ -0,0 +1,245 @@
+#include "decide/request_flow.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "decide/backoff.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+/// Refusals by an agent that say nothing against the server itself: the same
+/// one may be right a moment later.
+bool passes_soon(result_code code) {
+  return code == result_code::server_busy ||
+         code == result_code::model_not_ready ||
+         code == result_code::permit_ended;
+}
+
+}  // namespace
+
+request_flow::request_flow(flow_request accepted, flow_limits flow_bounds,
+                           std::function<bool()> budget,
+                           std::function<std::uint64_t()> random)
+    : request(std::move(accepted)),
+      limits(flow_bounds),
+      take_retry(std::move(budget)),
+      random_bits(std::move(random)),
+      current{this->request.incarnation, this->request.sequence, 0} {}
+
+flow_step request_flow::begin(time_point now) {
+  return this->next_attempt(now);
+}
+
+flow_step request_flow::on_permit(const wire::permit_answer& answer,
+                                  time_point now) {
+  if (now >= this->request.deadline) return this->out_of_time(now);
+  switch (answer.state) {
+    case wire::permit_state::queued:
+      return await_permit{this->current, this->rank, this->request.deadline};
+    case wire::permit_state::not_home:
+      return this->on_home_lost(now);
+    case wire::permit_state::refused:
+      return this->refuse(static_cast<result_code>(answer.code),
+                          milliseconds(answer.retry_after_ms), answer.reason);
+    case wire::permit_state::granted:
+      break;
+  }
+  this->permit = answer;
+  this->homes_lost = 0;
+  if (this->request.keyed) return write_claim{this->current, this->permit};
+  return dispatch{this->current, this->permit};
+}
+
+flow_step request_flow::on_home_lost(time_point now) {
+  if (now >= this->request.deadline) return this->out_of_time(now);
+  ++this->homes_lost;
+  if (this->homes_lost >= this->limits.max_homes) {
+    return this->refuse(result_code::home_unreachable,
+                        this->limits.default_retry_after,
+                        "no home of " + this->request.target + " answers");
+  }
+  ++this->rank;
+  // A new number, so that a permit that the lost home gave for the old one
+  // can never be used beside the next home's.
+  ++this->current.number;
+  return this->ask(now);
+}
+
+flow_step request_flow::on_claim(result_code code, time_point now) {
+  if (now >= this->request.deadline) return this->out_of_time(now);
+  if (code == result_code::ok) return dispatch{this->current, this->permit};
+  // Nothing was dispatched under this permit, and without the claim nothing
+  // may be: a resend at another router could not see it.
+  return this->refuse(code, this->limits.default_retry_after,
+                      "the run could not be written down");
+}
+
+flow_step request_flow::on_attempt(const attempt_result& result,
+                                   time_point now) {
+  switch (result.ending) {
+    case attempt_ending::whole:
+      return delivered{};
+    case attempt_ending::refused:
+      return this->on_refused(result.code, now);
+    case attempt_ending::never_sent:
+      this->exclude_server();
+      return this->retry(true, result.code, now);
+    case attempt_ending::caller_gone:
+      this->may_have_run = true;
+      return this->refuse(result_code::caller_gone, milliseconds{0},
+                          "the caller hung up");
+    case attempt_ending::broken:
+      break;
+  }
+  return this->on_broken(result, now);
+}
+
+flow_step request_flow::on_refused(result_code code, time_point now) {
+  if (passes_soon(code)) return this->retry(false, code, now);
+  this->exclude_server();
+  return this->retry(true, code, now);
+}
+
+flow_step request_flow::on_broken(const attempt_result& result,
+                                  time_point now) {
+  if (result.crashed) ++this->crashes;
+  if (result.passed_on) {
+    this->may_have_run = true;
+    return this->refuse(result.code, milliseconds{0},
+                        "the answer broke off on the way");
+  }
+  if (this->request.non_idempotent) {
+    this->fate_asks = 0;
+    if (result.crashed) {
+      this->may_have_run = true;
+      return this->refuse(result_code::outcome_unknown, milliseconds{0},
+                          "its backend server went down while running it");
+    }
+    this->asking_fate = true;
+    return ask_fate{this->current, this->permit};
+  }
+  this->may_have_run = true;
+  this->exclude_server();
+  return this->retry(true, result.code, now);
+}
+
+flow_step request_flow::on_fate(std::optional<wire::attempt_status> fate,
+                                time_point now) {
+  this->asking_fate = false;
+  if (!fate) {
+    ++this->fate_asks;
+    const auto wait = backoff(this->fate_asks, this->limits.backoff_base * 4,
+                              this->limits.backoff_cap, this->random_bits());
+    const bool ask_again = this->fate_asks < this->limits.max_fate_asks &&
+                           now + wait < this->request.deadline;
+    if (ask_again) {
+      this->asking_fate = true;
+      return pause_until{now + wait};
+    }
+    this->may_have_run = true;
+    return this->refuse(result_code::outcome_unknown, milliseconds{0},
+                        "the agent that was sent it does not answer");
+  }
+  switch (*fate) {
+    case wire::attempt_status::never_ran:
+      this->exclude_server();
+      return this->retry(true, result_code::peer_unreachable, now);
+    case wire::attempt_status::ended:
+      return fetch_kept{this->current, this->permit};
+    case wire::attempt_status::running: {
+      const auto wait = this->limits.backoff_cap / 4;
+      if (now + wait >= this->request.deadline) break;
+      this->asking_fate = true;
+      return pause_until{now + wait};
+    }
+    case wire::attempt_status::broken:
+    case wire::attempt_status::forgotten:
+      break;
+  }
+  this->may_have_run = true;
+  return this->refuse(result_code::outcome_unknown, milliseconds{0},
+                      "it was sent and its end is not known");
+}
+
+flow_step request_flow::on_kept(bool whole, time_point now) {
+  (void)now;
+  if (whole) return delivered{};
+  this->may_have_run = true;
+  return this->refuse(result_code::outcome_unknown, milliseconds{0},
+                      "it ran and its answer could not be fetched");
+}
+
+flow_step request_flow::on_pause_over(time_point now) {
+  if (this->asking_fate) return ask_fate{this->current, this->permit};
+  if (now >= this->request.deadline) return this->out_of_time(now);
+  return this->next_attempt(now);
+}
+
+flow_step request_flow::next_attempt(time_point now) {
+  if (now >= this->request.deadline) return this->out_of_time(now);
+  ++this->current.number;
+  return this->ask(now);
+}
+
+flow_step request_flow::ask(time_point now) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(this->request.deadline - now);
+  return ask_home{.rank = this->rank,
+                  .ask = {.attempt = this->current.to_string(),
+                          .entry = this->request.entry,
+                          .target = this->request.target,
+                          .adapter = this->request.adapter,
+                          .profile = this->request.profile,
+                          .time_left_ms = left.count(),
+                          .priority = this->request.priority,
+                          .fingerprint = this->request.fingerprint,
+                          .non_idempotent = this->request.non_idempotent,
+                          .crashes = this->crashes,
+                          .excluded = this->excluded,
+                          .passed_on = this->rank > 0}};
+}
+
+flow_step request_flow::retry(bool charged, result_code code, time_point now) {
+  if (this->current.number >= this->limits.max_attempts) {
+    return this->refuse(code, this->limits.default_retry_after,
+                        "no attempt succeeded");
+  }
+  if (charged && !this->take_retry()) {
+    return this->refuse(result_code::retry_budget_spent,
+                        this->limits.default_retry_after,
+                        "too many requests are being retried");
+  }
+  const auto wait = backoff(this->current.number, this->limits.backoff_base,
+                            this->limits.backoff_cap, this->random_bits());
+  if (now + wait >= this->request.deadline) return this->out_of_time(now);
+  return pause_until{now + wait};
+}
+
+flow_step request_flow::refuse(result_code code, milliseconds retry_after,
+                               std::string reason) const {
+  const auto ran = this->may_have_run ? ran_state::unknown : ran_state::no;
+  return give_up{refusal{code, ran, retry_after, std::move(reason)}};
+}
+
+flow_step request_flow::out_of_time(time_point now) const {
+  (void)now;
+  return this->refuse(result_code::deadline_passed,
+                      this->limits.default_retry_after,
+                      "its deadline leaves no time for an attempt");
+}
+
+void request_flow::exclude_server() {
+  const auto& server = this->permit.server;
+  const auto found =
+      std::find(this->excluded.begin(), this->excluded.end(), server);
+  if (found == this->excluded.end()) this->excluded.push_back(server);
+}
+
+bool is_final(const flow_step& step) {
+  return std::holds_alternative<delivered>(step) ||
+         std::holds_alternative<give_up>(step);
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/residency.cpp
@@ -0,0 +1,438 @@
+#include "decide/residency.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boragehill/grant.hpp>
+#include <boragehill/model_ref.hpp>
+#include <boragehill/server_record.hpp>
+
+#include "decide/residency_name.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+using wire::replica_state;
+
+const engine_model* find_model(const engine_state& state,
+                               const std::string& name) {
+  const auto found =
+      std::find_if(state.models.begin(), state.models.end(),
+                   [&](const engine_model& m) { return m.name == name; });
+  return found == state.models.end() ? nullptr : &*found;
+}
+
+replica_state replica_state_of(engine_model_state state) {
+  switch (state) {
+    case engine_model_state::loading:
+      return replica_state::loading;
+    case engine_model_state::unloading:
+      return replica_state::unloading;
+    case engine_model_state::ready:
+      break;
+  }
+  return replica_state::ready;
+}
+
+}  // namespace
+
+residency::residency(residency_settings settings, time_point started)
+    : settings(settings), started(started) {}
+
+void residency::on_fence_taken(std::uint64_t fence, time_point now) {
+  this->fence = fence;
+  this->request_grants();
+  this->proceed(now);
+}
+
+void residency::on_engine_state(const engine_state& state, time_point now) {
+  this->call = engine_call::none;
+  this->next_state_read = now + this->settings.state_poll;
+  const bool restarted =
+      this->state_known && state.incarnation != this->last_state.incarnation;
+  if (restarted) {
+    this->engine_fenced = false;
+    this->actions.emplace_back(note_engine_restarted{});
+  }
+  this->up = true;
+  this->state_known = true;
+  this->last_state = state;
+  this->settle(state, restarted, now);
+  this->adopt(state, now);
+  this->proceed(now);
+}
+
+void residency::on_engine_lost(time_point now) {
+  this->call = engine_call::none;
+  this->up = false;
+  this->next_state_read = now + this->settings.state_poll;
+}
+
+void residency::on_grants(const server_record& record, time_point read_began,
+                          time_point now) {
+  this->grants_asked = false;
+  this->next_grants_read = now + this->settings.grants_poll;
+  if (record.fence > this->fence) {
+    this->overtaken = true;
+    this->actions.emplace_back(note_overtaken{});
+    return;
+  }
+  if (record.fence < this->fence) return;
+  // A grant outlives its giving up in a reading that was sent before: the row
+  // still shows it, the home removes it and grants it elsewhere, and a load
+  // here would be one replica too many. Such a reading is dropped.
+  if (read_began <= this->last_give_up || this->grants_hinted) {
+    this->grants_hinted = false;
+    this->request_grants();
+    if (read_began <= this->last_give_up) return;
+  }
+  this->grants_known = true;
+  this->grants.clear();
+  for (const grant& item : record.grants) {
+    this->grants.emplace(item.model, item.bytes);
+  }
+  // A given-up grant stays unusable until the row no longer shows it: the
+  // home may act on the acknowledgement at any time.
+  std::erase_if(this->given_back, [this](const std::string& model) {
+    return !this->grants.contains(model);
+  });
+  for (const auto& model : this->given_back) this->grants.erase(model);
+  this->proceed(now);
+}
+
+void residency::on_grants_hint(time_point now) {
+  this->request_grants();
+  this->proceed(now);
+}
+
+residency_wake_outcome residency::on_wake(const residency_wake& wake,
+                                          time_point now) {
+  if (this->draining || this->overtaken) return {result_code::draining};
+  if (!this->up) return {result_code::engine_down};
+  if (!this->grants_known || !this->granted(wake.model)) {
+    this->request_grants();
+    return {result_code::no_grant};
+  }
+  const std::uint64_t granted_bytes = this->grants.at(wake.model);
+  const std::uint64_t bytes = granted_bytes > 0 ? granted_bytes : wake.bytes;
+  const residency_holding* held = this->find(wake.model);
+  const bool cold = held == nullptr || held->state == replica_state::cold;
+  const std::string adapter =
+      wake.adapter.empty() ? ""
+                           : model_ref{wake.model, wake.adapter}.to_string();
+  const bool adapter_cold = !adapter.empty() && !this->memory.holds(adapter);
+  const std::uint64_t needed =
+      (cold ? bytes : 0) + (adapter_cold ? wake.adapter_bytes : 0);
+  if (needed > 0 && !this->fits_in_time(wake.model, needed, now)) {
+    return {result_code::no_memory};
+  }
+  this->want(wake.model, bytes, wake.keep_warm, now);
+  if (!adapter.empty()) {
+    this->want(adapter, wake.adapter_bytes, wake.keep_warm, now);
+  }
+  const auto ready =
+      this->ready_in(adapter.empty() ? wake.model : adapter, now);
+  this->proceed(now);
+  return {result_code::ok, ready};
+}
+
+void residency::on_retire(const std::string& model, time_point now) {
+  residency_holding& held = this->holdings[model];
+  held.retiring = true;
+  held.wanted_since.reset();
+  for (const auto& adapter : this->adapters_of(model)) {
+    this->holdings[adapter].wanted_since.reset();
+  }
+  this->proceed(now);
+}
+
+void residency::on_order_done(const engine_order& order, std::error_code error,
+                              time_point now) {
+  if (!this->outstanding) return;
+  if (this->outstanding->order.sequence != order.sequence) return;
+  this->call = engine_call::none;
+  if (error == result_code::order_unknown) {
+    this->outstanding->unknown_since = now;
+    this->next_state_read = now;
+    this->proceed(now);
+    return;
+  }
+  if (error == result_code::order_fenced) {
+    this->overtaken = true;
+    this->actions.emplace_back(note_overtaken{});
+  }
+  if (error == result_code::engine_down) this->up = false;
+  if (error) this->next_state_read = now;
+  this->finish_order(!error, now);
+  this->proceed(now);
+}
+
+result_code residency::usable(const std::string& model,
+                              const std::string& adapter) const {
+  if (!this->up) return result_code::engine_down;
+  const residency_holding* held = this->find(model);
+  if (!this->granted(model)) return result_code::no_grant;
+  if (held == nullptr) return result_code::model_not_ready;
+  if (held->retiring) return result_code::no_grant;
+  if (held->state != replica_state::ready) return result_code::model_not_ready;
+  if (adapter.empty()) return result_code::ok;
+  held = this->find(model_ref{model, adapter}.to_string());
+  const bool ready = held != nullptr && held->state == replica_state::ready;
+  return ready ? result_code::ok : result_code::model_not_ready;
+}
+
+void residency::on_use_began(const std::string& model,
+                             const std::string& adapter, time_point now) {
+  this->use(model, now);
+  if (!adapter.empty()) this->use(model_ref{model, adapter}.to_string(), now);
+}
+
+void residency::on_use_ended(const std::string& model,
+                             const std::string& adapter, time_point now) {
+  if (!adapter.empty()) {
+    this->end_use(model_ref{model, adapter}.to_string(), now);
+  }
+  this->end_use(model, now);
+  this->proceed(now);
+}
+
+void residency::on_engine_suspected(time_point now) {
+  this->next_state_read = now;
+  this->proceed(now);
+}
+
+void residency::tick(time_point now) {
+  if (!this->grants_asked && now >= this->next_grants_read) {
+    this->request_grants();
+  }
+  this->proceed(now);
+}
+
+std::vector<residency_action> residency::take_actions() {
+  return std::exchange(this->actions, {});
+}
+
+bool residency::granted(const std::string& model) const {
+  // Before the row was read, what the engine holds is served as it is.
+  if (!this->grants_known) return !this->given_back.contains(model);
+  return this->grants.contains(model);
+}
+
+bool residency::order_unknown() const {
+  return this->outstanding && this->outstanding->unknown_since.has_value();
+}
+
+void residency::proceed(time_point now) {
+  if (this->call != engine_call::none) return;
+  if (now >= this->next_state_read) {
+    this->call = engine_call::reading;
+    this->actions.emplace_back(read_engine_state{});
+    return;
+  }
+  if (this->outstanding || !this->may_order(now)) return;
+  this->give_up_retired(now);
+  if (const auto next = this->choose_order(now)) this->send(*next, now);
+}
+
+void residency::request_grants() {
+  if (this->fence == 0) return;
+  if (this->grants_asked) {
+    this->grants_hinted = true;
+    return;
+  }
+  this->grants_asked = true;
+  this->actions.emplace_back(read_grants{});
+}
+
+void residency::settle(const engine_state& state, bool restarted,
+                       time_point now) {
+  if (!this->order_unknown()) return;
+  // An order on its way survives a restart of the engine: it may reach the
+  // new process, which holds nothing of the old one's, so an absent model is
+  // then no sign that an unload was carried out.
+  if (restarted) this->outstanding->engine_restarted = true;
+  if (this->settled_as_done(state)) return this->finish_order(true, now);
+  if (this->still_working(state)) return;
+  // The answer was lost and the state shows nothing of the order: it may
+  // still be under way to the engine. Its memory stays reserved until the
+  // longest delivery time has passed.
+  const time_point since = *this->outstanding->unknown_since;
+  if (now - since < this->settings.wait_out) return;
+  this->finish_order(false, now);
+}
+
+bool residency::settled_as_done(const engine_state& state) const {
+  const engine_order& order = this->outstanding->order;
+  const engine_model* held = find_model(state, order.model);
+  if (order.kind == order_kind::unload) {
+    return held == nullptr && !this->outstanding->engine_restarted;
+  }
+  return held != nullptr && held->state == engine_model_state::ready;
+}
+
+bool residency::still_working(const engine_state& state) const {
+  const engine_model* held = find_model(state, this->outstanding->order.model);
+  return held != nullptr && held->state != engine_model_state::ready;
+}
+
+void residency::adopt(const engine_state& state, time_point now) {
+  memory_ledger next(state.capacity_bytes);
+  for (const engine_model& model : state.models) {
+    const auto known = this->memory.bytes_of(model.name);
+    next.adopt(model.name, std::max(model.bytes, known));
+    const bool is_new = !this->holdings.contains(model.name);
+    residency_holding& held = this->holdings[model.name];
+    if (is_new || held.state != replica_state_of(model.state)) {
+      this->actions.emplace_back(note_changed{base_of(model.name)});
+    }
+    if (is_new) held.keep_warm = this->settings.keep_warm;
+    if (is_new) held.last_used = now;
+    held.bytes = next.bytes_of(model.name);
+    held.state = replica_state_of(model.state);
+    // An unload of unknown outcome may still arrive and would cut off what
+    // was admitted meanwhile; the replica stays closed until it is settled.
+    if (this->unload_pending(model.name)) {
+      held.state = replica_state::unloading;
+    }
+  }
+  if (this->outstanding) {
+    const std::string& name = this->outstanding->order.model;
+    const auto reserved = this->memory.bytes_of(name);
+    if (reserved > 0 && !next.holds(name)) next.adopt(name, reserved);
+  }
+  std::vector<std::string> gone;
+  for (auto& [name, held] : this->holdings) {
+    if (next.holds(name)) continue;
+    if (held.state == replica_state::cold) continue;
+    held.state = replica_state::cold;
+    this->actions.emplace_back(note_changed{base_of(name)});
+    gone.push_back(name);
+  }
+  this->memory = std::move(next);
+  for (const auto& name : gone) this->forget_if_unused(name);
+}
+
+bool residency::unload_pending(const std::string& name) const {
+  if (!this->outstanding) return false;
+  const engine_order& order = this->outstanding->order;
+  return order.kind == order_kind::unload && order.model == name;
+}
+
+void residency::finish_order(bool done, time_point now) {
+  const outstanding_order past = *this->outstanding;
+  this->outstanding.reset();
+  if (past.order.model == fence_probe_name) {
+    this->engine_fenced =
+        !past.unknown_since.has_value() && !this->overtaken && this->up;
+    this->next_state_read = now;
+    return;
+  }
+  if (past.order.kind == order_kind::load) {
+    if (done && !past.unknown_since) {
+      const auto took =
+          std::chrono::duration_cast<milliseconds>(now - past.sent);
+      this->load_time.learn(this->tier_of(past.order.model), past.order.bytes,
+                            took);
+    }
+    this->finish_load(past.order, done, now);
+  } else {
+    this->finish_unload(past.order, done, now);
+  }
+  this->actions.emplace_back(note_changed{base_of(past.order.model)});
+}
+
+void residency::finish_load(const engine_order& order, bool done,
+                            time_point now) {
+  residency_holding& held = this->holdings[order.model];
+  held.wanted_since.reset();
+  if (!done) {
+    held.state = replica_state::cold;
+    this->memory.release(order.model);
+    this->forget_if_unused(order.model);
+    return;
+  }
+  held.state = replica_state::ready;
+  held.last_used = now;
+  held.fresh_until = now + this->settings.protect_fresh;
+}
+
+void residency::finish_unload(const engine_order& order, bool done,
+                              time_point now) {
+  residency_holding& held = this->holdings[order.model];
+  if (!done) {
+    held.state = replica_state::ready;
+    this->next_unload = now + this->settings.state_poll;
+    return;
+  }
+  held.state = replica_state::cold;
+  this->memory.release(order.model);
+  this->give_up_retired(now);
+  this->forget_if_unused(order.model);
+}
+
+void residency::give_up_retired(time_point now) {
+  std::vector<std::string> done;
+  for (const auto& [name, held] : this->holdings) {
+    if (!held.retiring || held.state != replica_state::cold) continue;
+    if (held.users > 0 || this->memory.holds(name)) continue;
+    if (!this->adapters_of(name).empty()) continue;
+    done.push_back(name);
+  }
+  if (this->outstanding || !this->may_order(now)) return;
+  if (!this->old_orders_gone(now)) return;
+  for (const auto& name : done) this->give_up(name, now);
+}
+
+void residency::give_up(const std::string& model, time_point now) {
+  this->grants.erase(model);
+  this->given_back.insert(model);
+  this->last_give_up = now;
+  this->holdings.erase(model);
+  this->actions.emplace_back(note_given_up{model});
+  this->request_grants();
+}
+
+void residency::want(const std::string& name, std::uint64_t bytes,
+                     milliseconds keep, time_point now) {
+  residency_holding& held = this->holdings[name];
+  held.keep_warm = keep;
+  held.retiring = false;
+  held.last_used = now;
+  if (held.state == replica_state::ready) {
+    held.fresh_until = now + this->settings.protect_fresh;
+    return;
+  }
+  if (held.state != replica_state::loading && !this->memory.holds(name)) {
+    held.bytes = bytes;
+  }
+  if (!held.wanted(now)) held.wanted_since = now;
+  held.wanted_until = now + this->settings.wake_stays;
+}
+
+void residency::use(const std::string& name, time_point now) {
+  residency_holding& held = this->holdings[name];
+  ++held.users;
+  held.last_used = now;
+  held.fresh_until = time_point{};
+}
+
+void residency::end_use(const std::string& name, time_point now) {
+  const auto found = this->holdings.find(name);
+  if (found == this->holdings.end() || found->second.users == 0) return;
+  --found->second.users;
+  found->second.last_used = now;
+  this->forget_if_unused(name);
+}
+
+void residency::forget_if_unused(const std::string& name) {
+  const auto found = this->holdings.find(name);
+  if (found == this->holdings.end()) return;
+  const residency_holding& held = found->second;
+  if (held.state != replica_state::cold || held.users > 0) return;
+  if (held.wanted_since || held.retiring) return;
+  if (this->memory.holds(name)) return;
+  this->holdings.erase(found);
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/residency_orders.cpp
@@ -0,0 +1,201 @@
+#include <algorithm>
+
+#include "decide/keep_warm.hpp"
+#include "decide/residency.hpp"
+#include "decide/residency_name.hpp"
+
+namespace boragehill::decide {
+
+using wire::replica_state;
+
+bool residency::old_orders_gone(time_point now) const {
+  // An order of an earlier start of this agent may still be under way to the
+  // engine: it would show as a load that nobody here reserved. An engine that
+  // checks the fencing number refuses it once it has seen ours; for others
+  // the longest delivery time is waited out.
+  if (this->settings.engine_checks_fence) return this->engine_fenced;
+  return now - this->started >= this->settings.wait_out;
+}
+
+bool residency::may_order(time_point now) const {
+  if (this->overtaken || !this->up || !this->state_known) return false;
+  if (this->fence == 0 || !this->grants_known) return false;
+  return this->settings.engine_checks_fence || this->old_orders_gone(now);
+}
+
+std::optional<residency::next_order> residency::choose_order(
+    time_point now) const {
+  if (!this->old_orders_gone(now)) {
+    return next_order{order_kind::unload, fence_probe_name,
+                      order_reason::fence_engine};
+  }
+  const bool may_unload = now >= this->next_unload;
+  if (may_unload) {
+    if (const auto forced = this->choose_forced_unload()) return forced;
+  }
+  if (const auto load = this->choose_load(now)) return load;
+  if (!may_unload) return std::nullopt;
+  return this->choose_idle_unload(now);
+}
+
+std::optional<residency::next_order> residency::choose_forced_unload() const {
+  for (const auto& [name, held] : this->holdings) {
+    if (is_adapter(name) || !held.idle()) continue;
+    const bool has_grant = this->granted(name);
+    if (has_grant && !held.retiring) continue;
+    const std::string step = this->unload_step(name);
+    if (step.empty()) continue;
+    return next_order{
+        order_kind::unload, step,
+        has_grant ? order_reason::retired : order_reason::not_granted};
+  }
+  return std::nullopt;
+}
+
+std::optional<residency::next_order> residency::choose_load(
+    time_point now) const {
+  if (this->draining) return std::nullopt;
+  for (const auto& name : this->wanted_names(now)) {
+    if (const auto next = this->order_for(name, now)) return next;
+  }
+  return std::nullopt;
+}
+
+std::optional<residency::next_order> residency::order_for(
+    const std::string& name, time_point now) const {
+  const std::string base = base_of(name);
+  if (!this->granted(base)) return std::nullopt;
+  const residency_holding* held = this->find(base);
+  if (held == nullptr || held->retiring) return std::nullopt;
+  if (is_adapter(name) && held->state != replica_state::ready) {
+    return std::nullopt;
+  }
+  const std::uint64_t bytes = this->find(name)->bytes;
+  const std::uint64_t free = this->memory.free();
+  if (bytes <= free) {
+    return next_order{order_kind::load, name, order_reason::wake};
+  }
+  if (now < this->next_unload) return std::nullopt;
+  const auto victim =
+      choose_victim(this->victims(base, now), bytes - free, now);
+  if (!victim) return std::nullopt;
+  const std::string step = this->unload_step(*victim);
+  if (step.empty()) return std::nullopt;
+  return next_order{order_kind::unload, step, order_reason::evicted};
+}
+
+std::optional<residency::next_order> residency::choose_idle_unload(
+    time_point now) const {
+  for (const auto& [name, held] : this->holdings) {
+    if (!held.idle() || held.wanted(now)) continue;
+    if (now < held.fresh_until) continue;
+    if (!past_keep_warm(held.keep_warm, held.last_used, now)) continue;
+    if (!is_adapter(name) && !this->may_evict_base(name, now)) continue;
+    const std::string step = this->unload_step(name);
+    if (step.empty()) continue;
+    return next_order{order_kind::unload, step, order_reason::keep_warm_over};
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string> residency::wanted_names(time_point now) const {
+  std::vector<std::string> names;
+  for (const auto& [name, held] : this->holdings) {
+    if (held.state != replica_state::cold || this->memory.holds(name)) continue;
+    if (held.wanted(now)) names.push_back(name);
+  }
+  std::stable_sort(names.begin(), names.end(),
+                   [this](const std::string& left, const std::string& right) {
+                     return *this->find(left)->wanted_since <
+                            *this->find(right)->wanted_since;
+                   });
+  return names;
+}
+
+std::vector<eviction_candidate> residency::victims(const std::string& target,
+                                                   time_point now) const {
+  std::vector<eviction_candidate> list;
+  const auto add = [&](const std::string& name, std::uint64_t bytes) {
+    const residency_holding& held = *this->find(name);
+    list.push_back(
+        {.name = name,
+         .bytes = bytes,
+         .last_used = held.last_used,
+         .keep_warm = held.keep_warm,
+         .reload = this->load_time.expected(this->tier_of(name), bytes)});
+  };
+  for (const auto& [name, held] : this->holdings) {
+    if (!held.idle() || now < held.fresh_until) continue;
+    const std::string base = base_of(name);
+    const bool whole = base != target && this->may_evict_base(base, now);
+    if (!is_adapter(name) && whole) add(name, this->bytes_with_adapters(name));
+    // An idle adapter of a base that has to stay may go alone.
+    if (is_adapter(name) && !whole) add(name, held.bytes);
+  }
+  return list;
+}
+
+bool residency::may_evict_base(const std::string& base, time_point now) const {
+  const residency_holding* held = this->find(base);
+  if (held == nullptr || !held->idle() || now < held->fresh_until) return false;
+  const auto first = this->holdings.lower_bound(base + ":");
+  for (auto it = first; it != this->holdings.end(); ++it) {
+    if (base_of(it->first) != base) break;
+    const residency_holding& adapter = it->second;
+    if (adapter.wanted(now) || adapter.users > 0) return false;
+    if (now < adapter.fresh_until) return false;
+    if (this->memory.holds(it->first) && !adapter.idle()) return false;
+  }
+  return true;
+}
+
+std::string residency::unload_step(const std::string& name) const {
+  // A base goes last: the engine could not account for an adapter without it.
+  for (const auto& adapter : this->adapters_of(name)) {
+    return this->find(adapter)->idle() ? adapter : std::string{};
+  }
+  return name;
+}
+
+std::vector<std::string> residency::adapters_of(const std::string& base) const {
+  std::vector<std::string> names;
+  const auto first = this->holdings.lower_bound(base + ":");
+  for (auto it = first; it != this->holdings.end(); ++it) {
+    if (base_of(it->first) != base) break;
+    if (this->memory.holds(it->first)) names.push_back(it->first);
+  }
+  return names;
+}
+
+std::uint64_t residency::bytes_with_adapters(const std::string& base) const {
+  std::uint64_t bytes = this->memory.bytes_of(base);
+  for (const auto& adapter : this->adapters_of(base)) {
+    bytes += this->memory.bytes_of(adapter);
+  }
+  return bytes;
+}
+
+void residency::send(const next_order& next, time_point now) {
+  const engine_order order{.kind = next.kind,
+                           .model = next.name,
+                           .bytes = this->memory.bytes_of(next.name),
+                           .fence = this->fence,
+                           .sequence = ++this->sequence};
+  engine_order sent = order;
+  if (next.reason != order_reason::fence_engine) {
+    residency_holding& held = this->holdings[next.name];
+    if (next.kind == order_kind::load) {
+      if (!this->memory.reserve(next.name, held.bytes)) return;
+      sent.bytes = held.bytes;
+      held.state = replica_state::loading;
+    } else {
+      held.state = replica_state::unloading;
+    }
+    this->actions.emplace_back(note_changed{base_of(next.name)});
+  }
+  this->call = engine_call::ordering;
+  this->outstanding = outstanding_order{.order = sent, .sent = now};
+  this->actions.emplace_back(send_order{sent, next.reason});
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/revision_view.cpp
@@ -0,0 +1,132 @@
+#include "decide/revision_view.hpp"
+
+#include <algorithm>
+
+namespace boragehill::decide {
+
+revision_view::revision_view(revision_view_settings settings, time_point now)
+    : settings(settings), last_tick(now), valid_from(now) {}
+
+bool revision_view::apply(std::uint64_t revision) {
+  // Catalogs arrive from the table and from peers, out of order: a slow read
+  // can end after a newer one was applied and would bring a profile that an
+  // operator replaced back in force.
+  if (this->has_catalog && revision <= this->in_force) return false;
+  this->in_force = revision;
+  this->has_catalog = true;
+  return true;
+}
+
+bool revision_view::on_table_read(std::uint64_t revision, time_point began) {
+  if (!this->has_catalog || revision > this->in_force) return true;
+  this->confirm(began);
+  return false;
+}
+
+bool revision_view::on_peer_answer(const std::string& peer,
+                                   const peer_revision& answer,
+                                   time_point began) {
+  this->note(peer, {began, answer});
+  if (!this->has_catalog || answer.revision > this->in_force) return true;
+  if (!answer.confirmed_age) return false;
+  // The peer answered after `began`, so its confirmation is no older than
+  // this; a negative age would claim a time at which nobody asked.
+  const milliseconds age = std::max(*answer.confirmed_age, milliseconds{0});
+  this->confirm(began - age);
+  return false;
+}
+
+void revision_view::on_peer_silent(const std::string& peer, time_point began) {
+  this->note(peer, {began, std::nullopt});
+}
+
+void revision_view::on_tick(time_point now) {
+  if (this->is_paused(now)) this->valid_from = now;
+  this->last_tick = std::max(this->last_tick, now);
+}
+
+revision_readiness revision_view::readiness(
+    const std::vector<std::string>& peers, time_point now) const {
+  if (!this->has_catalog) return revision_readiness::no_catalog;
+  // A request can be admitted before the next tick notices the pause.
+  if (this->is_paused(now)) return revision_readiness::paused;
+  const time_point oldest = now - this->settings.confirm_within;
+  const time_point needed = std::max(oldest, this->valid_from);
+  if (this->confirmed_at && *this->confirmed_at >= needed) {
+    return revision_readiness::ready;
+  }
+  if (this->table_seems_down(peers, now)) return revision_readiness::ready;
+  const bool is_stale = this->confirmed_at && *this->confirmed_at >= oldest;
+  return is_stale ? revision_readiness::paused
+                  : revision_readiness::unconfirmed;
+}
+
+std::uint64_t revision_view::revision() const {
+  return this->in_force;
+}
+
+std::optional<milliseconds> revision_view::confirmed_age(time_point now) const {
+  if (!this->confirmed_at) return std::nullopt;
+  // Rounded up: a confirmation must never look younger than it is.
+  return std::chrono::ceil<milliseconds>(now - *this->confirmed_at);
+}
+
+bool revision_view::is_paused(time_point now) const {
+  return now - this->last_tick > this->settings.pause_limit;
+}
+
+void revision_view::confirm(time_point at) {
+  if (!this->confirmed_at || at > *this->confirmed_at) this->confirmed_at = at;
+}
+
+void revision_view::note(const std::string& peer, const peer_state& seen) {
+  peer_state& known = this->peer_states[peer];
+  if (known.began <= seen.began) known = seen;
+}
+
+bool revision_view::table_seems_down(const std::vector<std::string>& peers,
+                                     time_point now) const {
+  std::size_t asked = 0;
+  std::size_t asked_lately = 0;
+  std::size_t alike = 0;
+  for (const std::string& peer : peers) {
+    const peer_state* known = this->recent_state(peer, now);
+    if (known == nullptr) continue;
+    asked += 1;
+    const auto ago = now - known->began;
+    if (ago <= this->settings.peer_asked_within) asked_lately += 1;
+    if (!known->answer) continue;
+    if (!this->is_alike(*known, now)) return false;
+    alike += 1;
+  }
+  const auto enough = std::min(peers.size(), this->settings.peers_asked);
+  if (asked_lately < enough) return false;
+  const double needed =
+      this->settings.answering_share * static_cast<double>(asked);
+  return static_cast<double>(alike) >= needed;
+}
+
+const revision_view::peer_state* revision_view::recent_state(
+    const std::string& peer, time_point now) const {
+  const auto found = this->peer_states.find(peer);
+  if (found == this->peer_states.end()) return nullptr;
+  const time_point began = found->second.began;
+  if (began < this->valid_from) return nullptr;
+  if (now - began > this->settings.peer_answer_within) return nullptr;
+  return &found->second;
+}
+
+/// Returns true if the peer that answered knows no newer revision and can't
+/// tell either whether there is one.
+bool revision_view::is_alike(const peer_state& known, time_point now) const {
+  const peer_revision& answer = *known.answer;
+  if (answer.revision > this->in_force) return false;
+  if (!answer.confirmed_age) return true;
+  // The age grew since the answer. Without that, every router would turn
+  // unready for one heartbeat when the last confirmation before an outage of
+  // the table expires for all of them at once.
+  const auto age = *answer.confirmed_age + (now - known.began);
+  return age > this->settings.confirm_within;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/store_pacing.cpp
@@ -0,0 +1,135 @@
+#include "decide/store_pacing.hpp"
+
+#include <algorithm>
+
+namespace boragehill::decide {
+
+namespace {
+
+/// The weight of the newest load in the mean load time.
+constexpr double newest_weight = 0.2;
+
+bool needs_slot(const paced_load& load) {
+  return load.tier == checkpoint_tier::remote;
+}
+
+milliseconds to_milliseconds(time_point::duration span) {
+  return std::chrono::duration_cast<milliseconds>(span);
+}
+
+}  // namespace
+
+store_pacing::store_pacing(store_pacing_settings settings)
+    : settings(settings), measured(settings.load_time) {}
+
+bool store_pacing::ask(const paced_load& load) {
+  const load_key key{load.server, load.model};
+  if (this->slots.contains(key)) return true;
+  const auto found = this->queue.find(key);
+  if (found != this->queue.end()) {
+    paced_load merged = load;
+    merged.deadline = std::min(load.deadline, found->second.deadline);
+    found->second = merged;
+    return true;
+  }
+  if (this->queue.size() >= this->settings.capacity) return false;
+  this->queue.emplace(key, load);
+  return true;
+}
+
+std::vector<paced_load> store_pacing::start(time_point now) {
+  this->take_back_lost_slots(now);
+  std::vector<paced_load> started;
+  for (paced_load& load : this->ordered(now)) {
+    const load_key key{load.server, load.model};
+    if (needs_slot(load)) {
+      if (this->slots.size() >= this->settings.parallel) continue;
+      this->slots.emplace(key, now);
+    }
+    this->queue.erase(key);
+    started.push_back(std::move(load));
+  }
+  return started;
+}
+
+void store_pacing::finish(const std::string& server, const std::string& model,
+                          milliseconds took) {
+  const load_key key{server, model};
+  this->queue.erase(key);
+  const bool held_slot = this->slots.erase(key) > 0;
+  if (!held_slot || took <= milliseconds{0}) return;
+  const double mean = static_cast<double>(this->measured.count());
+  const double newest = static_cast<double>(took.count());
+  const double next = mean + newest_weight * (newest - mean);
+  this->measured = milliseconds{static_cast<std::int64_t>(next)};
+}
+
+milliseconds store_pacing::expected_wait(time_point deadline,
+                                         time_point now) const {
+  const paced_load asked{.deadline = deadline};
+  std::size_t ahead = 0;
+  for (const auto& [key, load] : this->queue) {
+    if (needs_slot(load) && load.deadline <= asked.deadline) ahead += 1;
+  }
+  std::vector<milliseconds> left;
+  for (const auto& [key, began] : this->slots) {
+    left.push_back(this->measured - to_milliseconds(now - began));
+  }
+  return expected_start(ahead, std::move(left), this->settings.parallel,
+                        this->measured);
+}
+
+milliseconds store_pacing::load_time() const {
+  return this->measured;
+}
+
+std::size_t store_pacing::waiting() const {
+  return this->queue.size();
+}
+
+std::size_t store_pacing::running() const {
+  return this->slots.size();
+}
+
+void store_pacing::take_back_lost_slots(time_point now) {
+  // An agent that dies in the middle of a load never reports its end. Its slot
+  // would stay taken and, after a few, no remote load would start at all. The
+  // limit is well past any load's time; a slow load past it only shares the
+  // store with one more.
+  std::erase_if(this->slots, [&](const auto& slot) {
+    return now - slot.second > this->settings.slot_limit;
+  });
+}
+
+std::vector<paced_load> store_pacing::ordered(time_point now) const {
+  std::vector<paced_load> loads;
+  loads.reserve(this->queue.size());
+  for (const auto& [key, load] : this->queue) loads.push_back(load);
+  const time_point earliest_end = now + this->measured;
+  const auto is_late = [&](const paced_load& load) {
+    return needs_slot(load) && load.deadline < earliest_end;
+  };
+  std::ranges::stable_sort(loads, std::less{}, [&](const paced_load& load) {
+    return std::pair{is_late(load), load.deadline};
+  });
+  return loads;
+}
+
+milliseconds expected_start(std::size_t position,
+                            std::vector<milliseconds> left,
+                            std::uint32_t parallel, milliseconds load_time) {
+  const std::size_t slots = std::max<std::size_t>(parallel, 1);
+  for (milliseconds& span : left) span = std::max(span, milliseconds{0});
+  std::ranges::sort(left);
+  // More may run than there are slots, as the limit is soft: those that end
+  // first free no slot.
+  if (left.size() > slots) {
+    const auto extra = static_cast<std::ptrdiff_t>(left.size() - slots);
+    left.erase(left.begin(), left.begin() + extra);
+  }
+  left.insert(left.begin(), slots - left.size(), milliseconds{0});
+  const auto rounds = static_cast<std::int64_t>(position / slots);
+  return left[position % slots] + rounds * load_time;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/waiting_request.hpp
@@ -0,0 +1,36 @@
+#ifndef BORAGEHILL_DECIDE_WAITING_REQUEST_HPP
+#define BORAGEHILL_DECIDE_WAITING_REQUEST_HPP
+
+#include <cstdint>
+
+#include <boragehill/time_point.hpp>
+
+#include "wire/permit_request.hpp"
+
+namespace boragehill::decide {
+
+/// A request in a home's queue.
+struct waiting_request {
+  wire::permit_request ask;
+  time_point deadline;
+  time_point queued_at;
+  /// Grows with each request of this home; settles ties.
+  std::uint64_t order = 0;
+
+  bool operator==(const waiting_request&) const = default;
+};
+
+/// Earliest deadline first, then priority, then arrival.
+struct by_deadline {
+  bool operator()(const waiting_request& a, const waiting_request& b) const {
+    if (a.deadline != b.deadline) return a.deadline < b.deadline;
+    if (a.ask.priority != b.ask.priority) {
+      return a.ask.priority > b.ask.priority;
+    }
+    return a.order < b.order;
+  }
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_WAITING_REQUEST_HPP
--- /dev/null
+++ b/src/kernel/event.hpp
@@ -0,0 +1,94 @@
+#ifndef BORAGEHILL_KERNEL_EVENT_HPP
+#define BORAGEHILL_KERNEL_EVENT_HPP
+
+#include <span>
+#include <string_view>
+
+#include "kernel/severity.hpp"
+
+namespace boragehill::kernel {
+
+/// The numbered log events; docs/EVENTS.md lists each with its fields and
+/// what to do. Numbers are never reused.
+enum class event : int {
+  // 100: process.
+  process_started = 101,
+  process_ready = 102,
+  process_stopping = 103,
+  process_stopped = 104,
+  settings_problem = 105,
+  duty_failed = 106,
+  duty_stuck = 107,
+  ring_full = 108,
+
+  // 200: the control protocol.
+  frame_rejected = 201,
+  connection_refused = 202,
+  peer_lost = 203,
+  peer_back = 204,
+  handler_failed = 205,
+
+  // 300: platform.
+  platform_outage_began = 301,
+  platform_outage_ended = 302,
+  write_conflict = 303,
+  write_answer_lost = 304,
+
+  // 400: placement.
+  grant_added = 401,
+  grant_removed = 402,
+  grant_unplaceable = 403,
+
+  // 500: agent.
+  agent_fenced_in = 501,
+  load_ordered = 502,
+  load_done = 503,
+  load_failed = 504,
+  unload_ordered = 505,
+  unload_done = 506,
+  order_unknown = 507,
+  evicted = 508,
+  wake_refused = 509,
+  engine_restarted = 510,
+  engine_lost = 511,
+
+  // 600: requests.
+  request_refused = 601,
+  request_answered = 602,
+  outcome_unknown = 603,
+  attempt_refused = 604,
+  retry = 605,
+  striked = 606,
+  convicted = 607,
+  answer_broken = 608,
+  caller_hung_up = 609,
+
+  // 700: profiles.
+  profile_published = 701,
+  profile_conflict = 702,
+  revision_applied = 703,
+  revision_unconfirmed = 704,
+  revision_confirmed = 705,
+
+  // 800: membership.
+  peer_suspected = 801,
+  peer_trusted = 802,
+  vm_listed = 803,
+  vm_leaving = 804,
+  vm_gone = 805,
+  drain_started = 806,
+  drain_ended = 807,
+};
+
+/// \return The event's name as it stands in docs/EVENTS.md.
+std::string_view name_of(event which) noexcept;
+
+/// \return How serious the event is.
+severity severity_of(event which) noexcept;
+
+/// \return All events, by number.
+std::span<const event> all_events() noexcept;
+
+}  // namespace boragehill::kernel
+
+#endif  // BORAGEHILL_KERNEL_EVENT_HPP
--- /dev/null
+++ b/src/router/placement_message.hpp
@@ -0,0 +1,28 @@
+#ifndef BORAGEHILL_ROUTER_PLACEMENT_MESSAGE_HPP
+#define BORAGEHILL_ROUTER_PLACEMENT_MESSAGE_HPP
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "decide/home_action.hpp"
+
+namespace boragehill::router {
+
+/// A grant that an agent gave back.
+struct given_up_message {
+  std::string server;
+  std::string model;
+  std::uint64_t fence = 0;
+};
+
+/// A new catalog is in force: look at all models now.
+struct look_message {};
+
+/// What the placement duty's ring carries.
+using placement_message =
+    std::variant<decide::want_grants, given_up_message, look_message>;
+
+}  // namespace boragehill::router
+
+#endif  // BORAGEHILL_ROUTER_PLACEMENT_MESSAGE_HPP
--- /dev/null
+++ b/src/router/request_driver.cpp
@@ -0,0 +1,328 @@
+#include "router/request_driver.hpp"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "kernel/event_log.hpp"
+#include "kernel/random.hpp"
+#include "kernel/task_pool.hpp"
+#include "router/answer_collector.hpp"
+#include "router/attempt_call.hpp"
+#include "router/done_duty.hpp"
+#include "router/fleet.hpp"
+#include "router/home_link.hpp"
+#include "router/live_answer.hpp"
+#include "router/permit_desk.hpp"
+#include "router/router_metrics.hpp"
+#include "router/shared_retry_budget.hpp"
+#include "wire/attempt_query.hpp"
+#include "wire/field_codec.hpp"
+#include "wire/rpc_client.hpp"
+
+namespace boragehill::router {
+
+namespace {
+
+constexpr std::size_t homes_considered = 8;
+/// An agent that sends nothing for so long is asked whether it lives.
+constexpr milliseconds silence{2000};
+constexpr int unanswered_probes = 2;
+
+decide::flow_request facts_of(const driver_parts& parts,
+                              const accepted_request& request,
+                              std::uint64_t sequence) {
+  return {.incarnation = parts.incarnation,
+          .sequence = sequence,
+          .entry = parts.members.self().control,
+          .target = request.target,
+          .adapter = request.adapter,
+          .profile = request.profile,
+          .fingerprint = request.fingerprint,
+          .priority = request.priority,
+          .non_idempotent = request.non_idempotent,
+          .keyed = request.non_idempotent && !request.idempotency_key.empty(),
+          .deadline = request.deadline};
+}
+
+wire::attempt_outcome outcome_of(const decide::attempt_result& result) {
+  switch (result.ending) {
+    case decide::attempt_ending::whole:
+      return wire::attempt_outcome::answered;
+    case decide::attempt_ending::refused:
+      return wire::attempt_outcome::refused;
+    case decide::attempt_ending::never_sent:
+      return wire::attempt_outcome::lost;
+    case decide::attempt_ending::caller_gone:
+      return wire::attempt_outcome::cancelled;
+    case decide::attempt_ending::broken:
+      break;
+  }
+  if (result.crashed) return wire::attempt_outcome::crashed;
+  if (result.code == result_code::deadline_passed) {
+    return wire::attempt_outcome::cancelled;
+  }
+  return wire::attempt_outcome::lost;
+}
+
+/// Tells the home how an attempt ended, and the log if it was not well.
+void report_end(driver_parts& parts, const vm_info& home,
+                const accepted_request& request, const decide::dispatch& step,
+                const decide::attempt_result& result) {
+  parts.done.post(home, {.attempt = step.attempt.to_string(),
+                         .target = request.target,
+                         .server = step.permit.server,
+                         .fingerprint = request.fingerprint,
+                         .outcome = outcome_of(result)});
+  if (result.ending == decide::attempt_ending::whole) return;
+  kernel::log_event(kernel::event::attempt_refused,
+                    {{"attempt", step.attempt.to_string()},
+                     {"server", step.permit.server},
+                     {"code", make_error_code(result.code)},
+                     {"crashed", result.crashed}});
+}
+
+}  // namespace
+
+request_driver::request_driver(driver_parts& owner, accepted_request accepted,
+                               std::uint64_t sequence)
+    : parts(owner),
+      request(std::move(accepted)),
+      hop(owner.traces, "router.request", request.trace),
+      flow(
+          facts_of(owner, request, sequence), owner.limits,
+          [this] {
+            this->parts.metrics.on_retry();
+            return this->parts.budget.take_retry();
+          },
+          kernel::random_bits) {
+  this->hop.tag("service", this->request.service);
+  this->hop.tag("target", this->request.target);
+}
+
+request_driver::outcome request_driver::run() {
+  const bool keyed =
+      this->request.non_idempotent && !this->request.idempotency_key.empty();
+  if (keyed) {
+    auto found = this->parts.once.open(this->request);
+    if (auto* earlier = std::get_if<whole_answer>(&found)) {
+      return std::move(*earlier);
+    }
+    if (auto* refused = std::get_if<refusal>(&found)) {
+      return std::move(*refused);
+    }
+    this->ticket = std::get<once_ticket>(found);
+  }
+  this->parts.budget.on_first_attempt();
+  decide::flow_step step = this->flow.begin(time_point::clock::now());
+  while (!decide::is_final(step)) {
+    step = std::visit(
+        [this](const auto& each) { return this->carry_out(each); }, step);
+  }
+  return this->conclude(step);
+}
+
+decide::flow_step request_driver::carry_out(const decide::ask_home& step) {
+  const auto chosen = this->pick_home();
+  if (!chosen) return this->flow.on_home_lost(time_point::clock::now());
+  this->home = *chosen;
+  const std::string& attempt = step.ask.attempt;
+  this->parts.desk.open(attempt, this->home);
+  const auto reply = this->parts.homes.ask(this->home, step.ask);
+  const time_point now = time_point::clock::now();
+  if (!reply) {
+    this->parts.desk.close(attempt);
+    this->lost_homes.insert(this->home.id);
+    return this->flow.on_home_lost(now);
+  }
+  this->permit = reply.value();
+  if (this->permit.state == wire::permit_state::queued) {
+    this->parts.desk.mark_queued(attempt);
+    return this->flow.on_permit(this->permit, now);
+  }
+  this->parts.desk.close(attempt);
+  if (this->permit.state == wire::permit_state::not_home) {
+    this->lost_homes.insert(this->home.id);
+  }
+  return this->flow.on_permit(this->permit, now);
+}
+
+decide::flow_step request_driver::carry_out(const decide::await_permit& step) {
+  this->waited = true;
+  kernel::span wait(this->parts.traces, "router.wait", this->hop.context());
+  wait.tag("home", this->home.id);
+  const std::string attempt = step.attempt.to_string();
+  const auto told = this->parts.desk.await(attempt, step.until);
+  this->parts.desk.close(attempt);
+  const time_point now = time_point::clock::now();
+  if (told) {
+    this->permit = *told;
+    return this->flow.on_permit(*told, now);
+  }
+  // Off this thread: a frozen home must not cost the caller its time.
+  this->parts.calls.try_post(
+      [&owner = this->parts, home = this->home, attempt] {
+        owner.homes.withdraw(home, attempt);
+      });
+  if (now < step.until) this->lost_homes.insert(this->home.id);
+  return this->flow.on_home_lost(now);
+}
+
+decide::flow_step request_driver::carry_out(const decide::write_claim& step) {
+  const auto code = this->parts.once.claim(this->ticket, this->request,
+                                           step.attempt, step.permit);
+  const time_point now = time_point::clock::now();
+  if (code != result_code::ok) {
+    const decide::dispatch unused{step.attempt, step.permit};
+    report_end(this->parts, this->home, this->request, unused,
+               {.ending = decide::attempt_ending::refused, .code = code});
+  }
+  return this->flow.on_claim(code, now);
+}
+
+decide::flow_step request_driver::carry_out(const decide::dispatch& step) {
+  kernel::span hop_out(this->parts.traces, "router.attempt",
+                       this->hop.context());
+  hop_out.tag("server", step.permit.server);
+  hop_out.tag("attempt", step.attempt.to_string());
+  auto call = std::make_unique<attempt_call>(
+      this->request, step.attempt, step.permit, hop_out.context().to_string());
+  if (this->request.streamed && this->ticket.row_key.empty()) {
+    const auto first = call->next(this->request.deadline);
+    const auto* head = first ? std::get_if<wire::frame_head>(&*first) : nullptr;
+    if (head != nullptr && head->status == 200) {
+      // The answer outlives this driver.
+      const auto at_end = [&owner = this->parts, at = this->home, step,
+                           asked = this->request](const auto& result) {
+        report_end(owner, at, asked, step, result);
+      };
+      this->live = std::make_shared<live_answer>(std::move(call),
+                                                 head->content_type, at_end);
+      return decide::delivered{};
+    }
+    if (head != nullptr) {
+      this->answer = whole_answer{head->status, head->content_type, {}};
+    }
+  }
+  const auto result = this->receive(*call, step);
+  report_end(this->parts, this->home, this->request, step, result);
+  return this->flow.on_attempt(result, time_point::clock::now());
+}
+
+decide::flow_step request_driver::carry_out(const decide::ask_fate& step) {
+  const auto fate =
+      this->parts.once.fate(step.attempt.to_string(), step.permit.control,
+                            step.permit.fence, step.permit.permit_end_ms);
+  return this->flow.on_fate(fate, time_point::clock::now());
+}
+
+decide::flow_step request_driver::carry_out(const decide::fetch_kept& step) {
+  this->answer = this->parts.once.fetch_kept(
+      step.attempt.to_string(), step.permit.data, this->request.deadline);
+  return this->flow.on_kept(this->answer.has_value(), time_point::clock::now());
+}
+
+decide::flow_step request_driver::carry_out(const decide::pause_until& step) {
+  std::this_thread::sleep_until(step.until);
+  return this->flow.on_pause_over(time_point::clock::now());
+}
+
+decide::flow_step request_driver::carry_out(const decide::delivered& step) {
+  return step;
+}
+
+decide::flow_step request_driver::carry_out(const decide::give_up& step) {
+  return step;
+}
+
+std::optional<vm_info> request_driver::pick_home() {
+  const auto homes = this->parts.members.homes(
+      this->request.target, homes_considered, time_point::clock::now());
+  const auto found = std::find_if(
+      homes.begin(), homes.end(),
+      [this](const vm_info& vm) { return !this->lost_homes.contains(vm.id); });
+  if (found == homes.end()) return std::nullopt;
+  return *found;
+}
+
+decide::attempt_result request_driver::receive(attempt_call& call,
+                                               const decide::dispatch& step) {
+  whole_answer collected = this->answer.value_or(whole_answer{});
+  this->answer.reset();
+  int unanswered = 0;
+  while (!call.ended()) {
+    const time_point now = time_point::clock::now();
+    if (now >= this->request.deadline) {
+      if (!this->request.non_idempotent) this->cancel_at_agent(step);
+      return {.ending = decide::attempt_ending::broken,
+              .code = result_code::deadline_passed};
+    }
+    const auto frame =
+        call.next(std::min(this->request.deadline, now + silence));
+    if (!frame) {
+      if (call.ended() || this->agent_answers(step)) continue;
+      // A frozen agent keeps its connections open and says nothing.
+      if (++unanswered < unanswered_probes) continue;
+      return {.ending = decide::attempt_ending::broken,
+              .code = result_code::outcome_unknown};
+    }
+    unanswered = 0;
+    if (const auto* head = std::get_if<wire::frame_head>(&*frame)) {
+      collected.status = head->status;
+      collected.content_type = head->content_type;
+    }
+    if (const auto* piece = std::get_if<wire::frame_piece>(&*frame)) {
+      collected.body += piece->bytes;
+    }
+  }
+  auto result = call.result();
+  if (result.ending == decide::attempt_ending::whole) {
+    this->answer = std::move(collected);
+  }
+  const bool cut = result.ending == decide::attempt_ending::broken &&
+                   result.code == result_code::outcome_unknown;
+  // The whole VM went down with the request in flight.
+  if (cut && !this->agent_answers(step)) result.crashed = true;
+  return result;
+}
+
+bool request_driver::agent_answers(const decide::dispatch& step) {
+  const wire::attempt_query query{.attempt = step.attempt.to_string(),
+                                  .fence = step.permit.fence,
+                                  .permit_end_ms = step.permit.permit_end_ms};
+  return this->parts.rpc
+      .call(step.permit.control, "agent.attempt", wire::to_json(query),
+            this->parts.call_timeout)
+      .has_value();
+}
+
+void request_driver::cancel_at_agent(const decide::dispatch& step) {
+  const wire::attempt_query query{.attempt = step.attempt.to_string(),
+                                  .fence = step.permit.fence,
+                                  .permit_end_ms = step.permit.permit_end_ms};
+  this->parts.calls.try_post(
+      [&owner = this->parts, control = step.permit.control, query] {
+        (void)owner.rpc.call(control, "agent.cancel", wire::to_json(query),
+                             owner.call_timeout);
+      });
+}
+
+request_driver::outcome request_driver::conclude(
+    const decide::flow_step& last) {
+  if (this->live) return this->live;
+  const time_point now = time_point::clock::now();
+  if (const auto* refused = std::get_if<decide::give_up>(&last)) {
+    this->hop.tag("refused", name_of(refused->answer.code));
+    return refused->answer;
+  }
+  if (!this->ticket.row_key.empty()) {
+    this->parts.once.settle(this->ticket, this->request, this->flow.attempt(),
+                            this->permit, *this->answer);
+  }
+  this->parts.metrics.on_answered(
+      std::chrono::duration_cast<milliseconds>(now - this->request.accepted_at),
+      this->waited);
+  return *std::move(this->answer);
+}
+
+}  // namespace boragehill::router
--- /dev/null
+++ b/test/decide-test/membership_test.cpp
@@ -0,0 +1,119 @@
+#include "decide/membership.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace boragehill::decide {
+namespace {
+
+using names = std::vector<std::string>;
+
+const time_point start{milliseconds{100000}};
+
+time_point at(int ms) {
+  return start + milliseconds{ms};
+}
+
+vm_info router(const std::string& id, const std::string& region = "texas") {
+  return {.id = id, .role = vm_role::router, .region = region};
+}
+
+vm_info server(const std::string& id) {
+  return {.id = id, .role = vm_role::model_server, .region = "texas"};
+}
+
+names ids_of(const std::vector<vm_info>& vms) {
+  names ids;
+  ids.reserve(vms.size());
+  for (const vm_info& vm : vms) ids.push_back(vm.id);
+  return ids;
+}
+
+TEST(membership_test, lists_routers_by_region_and_servers) {
+  membership view({});
+  view.on_list({router("r2"), router("r1"), router("r3", "north"), server("s")},
+               start);
+  EXPECT_EQ(ids_of(view.live_routers("texas", start)), (names{"r1", "r2"}));
+  EXPECT_EQ(ids_of(view.live_routers("", start)), (names{"r1", "r2", "r3"}));
+  EXPECT_EQ(ids_of(view.usable_servers(start)), names{"s"});
+  EXPECT_EQ(view.find("r3"), router("r3", "north"));
+}
+
+TEST(membership_test, keeps_the_old_list_when_an_empty_one_arrives) {
+  // The list service restarts and answers with nothing for a while. All grants
+  // would be freed and given again while the servers still hold their models.
+  membership view({});
+  view.on_list({server("s")}, start);
+  for (int ms = 0; ms < 100000; ms += 1000) view.on_list({}, at(ms));
+  EXPECT_EQ(ids_of(view.usable_servers(at(100000))), names{"s"});
+  EXPECT_FALSE(view.is_gone("s", at(100000)));
+}
+
+TEST(membership_test, suspects_after_a_failed_call_until_it_expires) {
+  membership view({});
+  view.on_list({server("s")}, start);
+  view.on_call_failed("s", start);
+  view.on_heartbeat(server("s"), at(1));
+  EXPECT_TRUE(view.usable_servers(at(4999)).empty());
+  EXPECT_FALSE(view.usable_servers(at(5000)).empty());
+  view.on_call_failed("s", at(6000));
+  view.on_call_answered("s");
+  EXPECT_FALSE(view.is_suspected("s", at(6000)));
+}
+
+TEST(membership_test, never_takes_a_leaving_mark_back) {
+  // A VM that is being reclaimed gets new work: it said that it leaves, but
+  // the list lags and shows it as live for seconds more.
+  membership view({});
+  view.on_leaving("s");
+  view.on_list({server("s")}, start);
+  view.on_heartbeat(server("s"), start);
+  EXPECT_TRUE(view.usable_servers(start).empty());
+  vm_info leaving = server("t");
+  leaving.state = vm_state::leaving;
+  view.on_list({leaving}, at(1));
+  view.on_list({server("t")}, at(2));
+  EXPECT_TRUE(view.is_leaving("t"));
+  EXPECT_TRUE(view.usable_servers(at(2)).empty());
+}
+
+TEST(membership_test, counts_an_unlisted_process_while_it_speaks) {
+  membership view({});
+  view.on_list({router("r1")}, start);
+  view.on_heartbeat(router("r2"), at(100));
+  EXPECT_EQ(ids_of(view.live_routers("texas", at(5100))), (names{"r1", "r2"}));
+  EXPECT_EQ(ids_of(view.live_routers("texas", at(5101))), names{"r1"});
+}
+
+TEST(membership_test, is_gone_only_by_successful_reads_over_long_enough) {
+  membership view({});
+  view.on_list({server("s"), server("t")}, start);
+  view.on_list({server("t")}, at(1000));
+  EXPECT_FALSE(view.is_gone("s", at(99000)));
+  view.on_list({server("t")}, at(30999));
+  EXPECT_FALSE(view.is_gone("s", at(99000)));
+  view.on_list({server("t")}, at(31000));
+  EXPECT_TRUE(view.is_gone("s", at(31000)));
+  EXPECT_FALSE(view.is_gone("t", at(31000)));
+  view.on_heartbeat(server("s"), at(31000));
+  EXPECT_FALSE(view.is_gone("s", at(31001)));
+}
+
+TEST(membership_test, watches_a_server_that_only_a_row_names) {
+  // A home that started after a server died finds its grant in the row. It
+  // must free the grant in the end, but not that of a server newer than the
+  // list.
+  membership view({});
+  view.on_list({server("t")}, start);
+  view.on_list({server("t")}, at(90000));
+  EXPECT_FALSE(view.is_gone("s", at(90000)));
+  view.on_list({server("t")}, at(91000));
+  view.on_list({server("t")}, at(121000));
+  EXPECT_TRUE(view.is_gone("s", at(121000)));
+  EXPECT_EQ(view.find("s"), std::nullopt);
+  EXPECT_EQ(ids_of(view.live_routers("", at(121000))), names{});
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/placement_choice_test.cpp
@@ -0,0 +1,141 @@
+#include "decide/placement_choice.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "invariants/grants_spread.hpp"
+
+namespace boragehill::decide {
+namespace {
+
+using names = std::vector<std::string>;
+
+server_view server_in(const std::string& id, const std::string& domain) {
+  return {.id = id,
+          .failure_domain = domain,
+          .region = "texas",
+          .capacity_bytes = 100,
+          .free_bytes = 100};
+}
+
+TEST(placement_choice_test, spreads_before_it_follows_the_checkpoint) {
+  server_view cached = server_in("s2", "a");
+  cached.tier = checkpoint_tier::memory;
+  const placement_request request{
+      .model = "m",
+      .bytes = 60,
+      .wanted = 2,
+      .current = {"s1"},
+      .servers = {server_in("s1", "a"), cached, server_in("s3", "b")}};
+  EXPECT_EQ(choose_servers(request), names{"s3"});
+}
+
+TEST(placement_choice_test, prefers_the_checkpoint_then_the_least_granted) {
+  server_view granted = server_in("s1", "a");
+  granted.granted_bytes = 300;
+  server_view cached = granted;
+  cached.id = "s2";
+  cached.tier = checkpoint_tier::disk;
+  placement_request request{.model = "m",
+                            .bytes = 60,
+                            .servers = {server_in("s3", "a"), granted, cached}};
+  EXPECT_EQ(choose_servers(request), names{"s2"});
+  request.servers.pop_back();
+  EXPECT_EQ(choose_servers(request), names{"s3"});
+}
+
+TEST(placement_choice_test, replaces_a_suspected_server_within_the_most) {
+  // A server stops answering; its replica may still be loaded, so its grant
+  // stands and a further one brings the model back, up to the operator's most.
+  server_view silent = server_in("s1", "a");
+  silent.suspected = true;
+  placement_request request{.model = "m",
+                            .bytes = 60,
+                            .wanted = 1,
+                            .most = 2,
+                            .current = {"s1"},
+                            .servers = {silent, server_in("s2", "b")}};
+  EXPECT_EQ(choose_servers(request), names{"s2"});
+  request.most = 1;
+  EXPECT_TRUE(choose_servers(request).empty());
+}
+
+TEST(placement_choice_test, stays_even_and_takes_no_unfit_server) {
+  for (unsigned seed = 0; seed < 300; ++seed) {
+    std::mt19937 random(seed);
+    placement_request request{
+        .model = "m",
+        .bytes = 60,
+        .wanted = static_cast<std::uint32_t>(1 + random() % 12)};
+    std::map<std::string, std::size_t> grants;
+    std::map<std::string, std::size_t> room;
+    for (unsigned i = 0; i < 20; ++i) {
+      const std::string domain(1, static_cast<char>('a' + random() % 4));
+      server_view server = server_in("s" + std::to_string(i), domain);
+      server.granted_bytes = random() % 500;
+      server.draining = random() % 5 == 0;
+      server.suspected = random() % 5 == 0;
+      if (random() % 5 == 0) server.capacity_bytes = 59;
+      grants[domain] += 0;
+      const bool fit = !server.draining && !server.suspected &&
+                       server.capacity_bytes >= request.bytes;
+      room[domain] += fit ? 1 : 0;
+      request.servers.push_back(server);
+    }
+    const std::size_t fit_servers =
+        room["a"] + room["b"] + room["c"] + room["d"];
+    const names chosen = choose_servers(request);
+    ASSERT_EQ(chosen.size(),
+              std::min<std::size_t>(request.wanted, fit_servers));
+    for (const std::string& id : chosen) {
+      const auto& server =
+          *std::ranges::find(request.servers, id, &server_view::id);
+      ASSERT_FALSE(server.draining || server.suspected);
+      ASSERT_GE(server.capacity_bytes, request.bytes);
+      grants[server.failure_domain] += 1;
+      room[server.failure_domain] -= 1;
+    }
+    ASSERT_TRUE(invariants::grants_spread(grants, room)) << "seed " << seed;
+    std::ranges::shuffle(request.servers, random);
+    ASSERT_EQ(choose_servers(request), chosen) << "seed " << seed;
+  }
+}
+
+TEST(placement_choice_test, wakes_the_replica_that_is_ready_soonest) {
+  using wire::replica_state;
+  // From best to worst.
+  const std::vector<wake_view> ranked{
+      {.server = "ready", .state = replica_state::ready},
+      {.server = "soon",
+       .state = replica_state::loading,
+       .ready_in = milliseconds{10}},
+      {.server = "later",
+       .state = replica_state::loading,
+       .ready_in = milliseconds{20}},
+      {.server = "memory", .tier = checkpoint_tier::memory, .free_bytes = 60},
+      {.server = "disk", .tier = checkpoint_tier::disk, .free_bytes = 60},
+      {.server = "evict",
+       .tier = checkpoint_tier::disk,
+       .free_bytes = 10,
+       .evictable_bytes = 50},
+      {.server = "remote", .free_bytes = 60},
+      {.server = "busy", .tier = checkpoint_tier::memory, .free_bytes = 59}};
+  wake_request request{.model = "m", .bytes = 60, .servers = ranked};
+  std::ranges::reverse(request.servers);
+  for (const wake_view& best : ranked) {
+    EXPECT_EQ(choose_replica_to_wake(request), best.server);
+    request.servers.pop_back();
+  }
+  EXPECT_EQ(choose_replica_to_wake(request), std::nullopt);
+  request.servers = {{.server = "down", .usable = false}};
+  EXPECT_EQ(choose_replica_to_wake(request), std::nullopt);
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/residency_property_test.cpp
@@ -0,0 +1,92 @@
+#include <gtest/gtest.h>
+
+#include "decide/residency.hpp"
+#include "residency_world.hpp"
+
+namespace boragehill::decide {
+namespace {
+
+constexpr milliseconds longest_delivery{1500};
+constexpr int steps = 1500;
+
+residency_settings settings_with(milliseconds wait_out) {
+  return {.engine_checks_fence = false,
+          .wait_out = wait_out,
+          .state_poll = milliseconds(300),
+          .grants_poll = milliseconds(2000),
+          .protect_fresh = milliseconds(500)};
+}
+
+residency_verdict play(std::uint32_t seed, milliseconds wait_out) {
+  residency_world<residency> world(
+      seed, longest_delivery, [wait_out](time_point now) {
+        return std::make_unique<residency>(settings_with(wait_out), now);
+      });
+  return world.run(steps);
+}
+
+class residency_property_test : public testing::TestWithParam<std::uint32_t> {};
+
+TEST_P(residency_property_test, keeps_memory_grants_and_order_of_orders) {
+  const auto verdict = play(this->GetParam(), longest_delivery);
+  EXPECT_GT(verdict.loads, 10);
+  EXPECT_TRUE(verdict.memory);
+  EXPECT_TRUE(verdict.grants);
+  EXPECT_TRUE(verdict.orders);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, residency_property_test,
+                         testing::Range(1U, 101U));
+
+/// Loads whatever it is asked for, at once, without looking.
+class hasty_residency {
+ public:
+  void on_fence_taken(std::uint64_t, time_point) {}
+  void on_engine_state(const engine_state&, time_point) {}
+  void on_engine_lost(time_point) {}
+  void on_grants(const server_record&, time_point, time_point) {}
+  void on_grants_hint(time_point) {}
+  void on_retire(const std::string& model, time_point) {
+    this->given.insert(model);
+  }
+  void on_order_done(const engine_order&, std::error_code, time_point) {}
+  void tick(time_point) {}
+  void on_wake(const residency_wake& wake, time_point) {
+    this->actions.emplace_back(
+        send_order{{.model = wake.model, .bytes = wake.bytes}});
+  }
+  std::vector<residency_action> take_actions() {
+    return std::exchange(this->actions, {});
+  }
+  const std::set<std::string>& given_up() const { return this->given; }
+  const memory_ledger& ledger() const { return this->memory; }
+
+ private:
+  std::set<std::string> given;
+  std::vector<residency_action> actions;
+  memory_ledger memory{100};
+};
+
+TEST(residency_checker_test, each_one_fires_on_a_hasty_decision) {
+  residency_world<hasty_residency> world(1, longest_delivery, [](time_point) {
+    return std::make_unique<hasty_residency>();
+  });
+  const auto verdict = world.run(steps);
+  EXPECT_FALSE(verdict.memory);
+  EXPECT_FALSE(verdict.grants);
+  EXPECT_FALSE(verdict.orders);
+}
+
+// An agent restarts while a load of its former life is under way, and does not
+// wait: the old load comes on top of its own. The wait-out time is what keeps
+// the memory whole, so without it the checker must fire.
+TEST(residency_checker_test, memory_fires_when_old_orders_are_not_waited_out) {
+  bool fired = false;
+  for (std::uint32_t seed = 1; seed <= 100 && !fired; ++seed) {
+    fired = !play(seed, milliseconds(0)).memory;
+  }
+  EXPECT_TRUE(fired);
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/retry_budget_test.cpp
@@ -0,0 +1,30 @@
+#include "decide/retry_budget.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+TEST(retry_budget_test, bounds_retries_when_every_attempt_fails) {
+  // A fault fails every attempt, and each failure asks for a retry. Without a
+  // budget the load doubles; callers of healthy servers wait behind it.
+  retry_budget budget(0.1, 5.0);
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.on_first_attempt();
+    while (budget.take_retry()) retries += 1;
+  }
+  EXPECT_GE(retries, 100);
+  EXPECT_LE(retries, 105);
+}
+
+TEST(retry_budget_test, keeps_no_more_than_its_burst) {
+  retry_budget budget(1.0, 2.0);
+  for (int i = 0; i < 100; ++i) budget.on_first_attempt();
+  EXPECT_TRUE(budget.take_retry());
+  EXPECT_TRUE(budget.take_retry());
+  EXPECT_FALSE(budget.take_retry());
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/revision_view_test.cpp
@@ -0,0 +1,157 @@
+#include "decide/revision_view.hpp"
+
+#include <cstdint>
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "invariants/revisions_rise.hpp"
+
+namespace boragehill::decide {
+namespace {
+
+using names = std::vector<std::string>;
+
+const time_point start{milliseconds{100000}};
+
+time_point at(int ms) {
+  return start + milliseconds{ms};
+}
+
+/// A router with revision 5, confirmed with the table at the start; its
+/// confirmations count for 10 s, and it ticks without a pause.
+class revision_view_test : public ::testing::Test {
+ protected:
+  revision_view_test() {
+    this->view.apply(5);
+    this->view.on_table_read(5, start);
+  }
+
+  revision_readiness readiness(const names& peers, int ms) {
+    for (; this->ticked < ms; this->ticked += 1000) {
+      this->view.on_tick(at(this->ticked));
+    }
+    return this->view.readiness(peers, at(ms));
+  }
+
+  revision_view view{{}, start};
+  int ticked = 0;
+};
+
+TEST_F(revision_view_test, is_unready_once_the_confirmation_is_old) {
+  EXPECT_EQ(this->readiness({"r2"}, 10000), revision_readiness::ready);
+  EXPECT_EQ(this->readiness({"r2"}, 10001), revision_readiness::unconfirmed);
+  EXPECT_FALSE(this->view.on_table_read(5, at(10000)));
+  EXPECT_EQ(this->readiness({"r2"}, 10001), revision_readiness::ready);
+}
+
+TEST_F(revision_view_test, takes_the_confirmation_of_a_peer_with_its_age) {
+  this->view.on_peer_answer("r2", {5, milliseconds{4000}}, at(9000));
+  EXPECT_EQ(this->view.confirmed_age(at(9000)), milliseconds{4000});
+  EXPECT_EQ(this->readiness({"r2"}, 15000), revision_readiness::ready);
+  EXPECT_EQ(this->readiness({"r2"}, 15001), revision_readiness::unconfirmed);
+}
+
+TEST_F(revision_view_test, is_not_confirmed_by_a_newer_revision) {
+  EXPECT_TRUE(this->view.on_table_read(6, at(9000)));
+  EXPECT_TRUE(this->view.on_peer_answer("r2", {6, milliseconds{0}}, at(9000)));
+  EXPECT_EQ(this->readiness({"r2"}, 10001), revision_readiness::unconfirmed);
+  EXPECT_TRUE(this->view.apply(6));
+  this->view.on_table_read(6, at(9000));
+  EXPECT_EQ(this->readiness({"r2"}, 10001), revision_readiness::ready);
+}
+
+TEST_F(revision_view_test, stays_ready_when_no_router_reaches_the_table) {
+  // The table is down for an hour. Every router's last confirmation expires;
+  // if all turned unready, nobody would be served though nothing can change.
+  for (int ms = 1000; ms <= 30000; ms += 1000) {
+    const milliseconds age{ms};
+    this->view.on_peer_answer("r2", {5, age}, at(ms));
+    this->view.on_peer_answer("r3", {5, std::nullopt}, at(ms));
+    // Also just before the next heartbeat's answer.
+    ASSERT_EQ(this->readiness({"r2", "r3"}, ms + 900),
+              revision_readiness::ready);
+  }
+  this->view.on_peer_answer("r3", {6, std::nullopt}, at(30000));
+  EXPECT_EQ(this->readiness({"r2", "r3"}, 30001),
+            revision_readiness::unconfirmed);
+}
+
+TEST_F(revision_view_test, is_unready_when_a_peer_may_reach_the_table) {
+  // A caller gets a replaced profile. This router lost the table and r3; an
+  // operator publishes through r3, which still reaches the table.
+  this->view.on_peer_answer("r2", {5, std::nullopt}, at(11000));
+  EXPECT_EQ(this->readiness({"r2"}, 11000), revision_readiness::ready);
+  EXPECT_EQ(this->readiness({"r2", "r3"}, 11000),
+            revision_readiness::unconfirmed);
+  EXPECT_EQ(this->readiness({"r2"}, 14001), revision_readiness::unconfirmed);
+  EXPECT_EQ(this->readiness({}, 14001), revision_readiness::ready);
+}
+
+TEST_F(revision_view_test, is_unready_when_cut_off_with_half_of_the_fleet) {
+  // Two regions lose each other and this one loses the table too. Operators
+  // publish in the other; callers here would get the replaced profile.
+  const names peers{"r2", "r3", "r4", "r5", "r6"};
+  for (const char* near : {"r2", "r3", "r4"}) {
+    this->view.on_peer_answer(near, {5, std::nullopt}, at(11000));
+  }
+  EXPECT_EQ(this->readiness(peers, 11000), revision_readiness::ready);
+  this->view.on_peer_silent("r5", at(11000));
+  EXPECT_EQ(this->readiness(peers, 11000), revision_readiness::ready);
+  this->view.on_peer_silent("r6", at(11000));
+  EXPECT_EQ(this->readiness(peers, 11000), revision_readiness::unconfirmed);
+}
+
+TEST_F(revision_view_test, confirms_again_after_a_pause) {
+  // A router VM is frozen for a minute while an operator publishes. It goes on
+  // with requests in its sockets and an answer of the table from before the
+  // freeze, and must not admit them under the old profile.
+  EXPECT_EQ(this->readiness({"r2"}, 1000), revision_readiness::ready);
+  EXPECT_EQ(this->view.readiness({"r2"}, at(4001)), revision_readiness::paused);
+  this->view.on_tick(at(4001));
+  this->view.on_table_read(5, at(900));
+  EXPECT_EQ(this->view.readiness({"r2"}, at(4001)), revision_readiness::paused);
+  this->view.on_peer_answer("r2", {5, milliseconds{100}}, at(4050));
+  EXPECT_EQ(this->view.readiness({"r2"}, at(4060)), revision_readiness::paused);
+  this->view.on_table_read(5, at(4050));
+  EXPECT_EQ(this->view.readiness({"r2"}, at(4060)), revision_readiness::ready);
+}
+
+TEST_F(revision_view_test, trusts_no_peers_word_from_before_a_pause) {
+  // As above, but the table was down for the peers before the freeze. It came
+  // back meanwhile, so their old word no longer shows that nothing changed.
+  revision_view frozen({.pause_limit = milliseconds{1000}}, start);
+  frozen.apply(5);
+  frozen.on_peer_answer("r2", {5, std::nullopt}, at(900));
+  EXPECT_EQ(frozen.readiness({"r2"}, at(1000)), revision_readiness::ready);
+  frozen.on_tick(at(1500));
+  EXPECT_NE(frozen.readiness({"r2"}, at(1500)), revision_readiness::ready);
+}
+
+TEST_F(revision_view_test, admits_nothing_without_a_catalog) {
+  const revision_view fresh({}, start);
+  EXPECT_EQ(fresh.readiness({}, start), revision_readiness::no_catalog);
+  EXPECT_EQ(fresh.confirmed_age(start), std::nullopt);
+}
+
+TEST_F(revision_view_test, never_goes_back_whatever_arrives_late) {
+  for (unsigned seed = 0; seed < 100; ++seed) {
+    std::mt19937 random(seed);
+    revision_view late({}, start);
+    std::vector<std::uint64_t> in_force;
+    for (int i = 0; i < 100; ++i) {
+      const std::uint64_t revision = random() % 50;
+      const time_point began = at(static_cast<int>(random() % 9000));
+      const bool newer = random() % 2 == 0
+                             ? late.on_table_read(revision, began)
+                             : late.on_peer_answer("r2", {revision}, began);
+      if (newer || random() % 4 == 0) late.apply(revision);
+      in_force.push_back(late.revision());
+    }
+    ASSERT_TRUE(invariants::revisions_rise(in_force)) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/store_pacing_test.cpp
@@ -0,0 +1,109 @@
+#include "decide/store_pacing.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace boragehill::decide {
+namespace {
+
+const time_point start{milliseconds{100000}};
+
+store_pacing two_at_once() {
+  return store_pacing({.parallel = 2,
+                       .load_time = milliseconds{1000},
+                       .slot_limit = milliseconds{5000},
+                       .capacity = 4});
+}
+
+paced_load load_by(const std::string& model, int deadline_ms) {
+  return {.server = "s1",
+          .model = model,
+          .deadline = start + milliseconds{deadline_ms}};
+}
+
+std::vector<std::string> models_of(const std::vector<paced_load>& loads) {
+  std::vector<std::string> models;
+  models.reserve(loads.size());
+  for (const paced_load& load : loads) models.push_back(load.model);
+  return models;
+}
+
+using names = std::vector<std::string>;
+
+TEST(store_pacing_test, starts_the_earliest_feasible_deadlines_first) {
+  store_pacing pacing = two_at_once();
+  pacing.ask(load_by("late", 500));
+  pacing.ask(load_by("last", 9000));
+  pacing.ask(load_by("second", 3000));
+  pacing.ask(load_by("first", 2000));
+  EXPECT_EQ(models_of(pacing.start(start)), (names{"first", "second"}));
+  EXPECT_TRUE(pacing.start(start).empty());
+  pacing.finish("s1", "first", milliseconds{1000});
+  EXPECT_EQ(models_of(pacing.start(start)), names{"last"});
+  pacing.finish("s1", "second", milliseconds{0});
+  EXPECT_EQ(models_of(pacing.start(start)), names{"late"});
+}
+
+TEST(store_pacing_test, lets_cached_checkpoints_pass_a_full_store) {
+  store_pacing pacing = two_at_once();
+  pacing.ask(load_by("a", 2000));
+  pacing.ask(load_by("b", 2000));
+  pacing.start(start);
+  paced_load cached = load_by("cached", 9000);
+  cached.tier = checkpoint_tier::disk;
+  pacing.ask(load_by("c", 2000));
+  pacing.ask(cached);
+  EXPECT_EQ(models_of(pacing.start(start)), names{"cached"});
+  EXPECT_EQ(pacing.running(), 2U);
+}
+
+TEST(store_pacing_test, takes_back_the_slot_of_a_load_that_never_ended) {
+  // No cold model wakes any more though the weight store is idle: agents died
+  // in the middle of their loads, and their slots were never given back.
+  store_pacing pacing = two_at_once();
+  pacing.ask(load_by("a", 2000));
+  pacing.ask(load_by("b", 2000));
+  pacing.start(start);
+  pacing.ask(load_by("c", 9000));
+  EXPECT_TRUE(pacing.start(start + milliseconds{5000}).empty());
+  EXPECT_EQ(models_of(pacing.start(start + milliseconds{5001})), names{"c"});
+}
+
+TEST(store_pacing_test, refuses_when_full_and_merges_a_load_asked_for_twice) {
+  store_pacing pacing = two_at_once();
+  for (const char* model : {"a", "b", "c", "d"}) {
+    EXPECT_TRUE(pacing.ask(load_by(model, 9000)));
+  }
+  EXPECT_FALSE(pacing.ask(load_by("e", 1000)));
+  EXPECT_TRUE(pacing.ask(load_by("d", 2000)));
+  EXPECT_EQ(models_of(pacing.start(start)), (names{"d", "a"}));
+  EXPECT_TRUE(pacing.ask(load_by("d", 2000)));
+  EXPECT_EQ(pacing.waiting(), 2U);
+}
+
+TEST(store_pacing_test, estimates_the_start_from_slots_and_queue) {
+  const milliseconds load{1000};
+  using list = std::vector<milliseconds>;
+  EXPECT_EQ(expected_start(0, list{}, 2, load), milliseconds{0});
+  EXPECT_EQ(expected_start(0, list{load}, 2, load), milliseconds{0});
+  EXPECT_EQ(expected_start(1, list{load}, 2, load), load);
+  const list both{milliseconds{700}, milliseconds{200}};
+  EXPECT_EQ(expected_start(0, both, 2, load), milliseconds{200});
+  EXPECT_EQ(expected_start(3, both, 2, load), milliseconds{1700});
+  const list extra{milliseconds{-5}, milliseconds{200}, milliseconds{700}};
+  EXPECT_EQ(expected_start(0, extra, 2, load), milliseconds{200});
+}
+
+TEST(store_pacing_test, follows_the_measured_load_time) {
+  store_pacing pacing = two_at_once();
+  for (int i = 0; i < 50; ++i) {
+    pacing.ask(load_by("a", 9000));
+    pacing.start(start);
+    pacing.finish("s1", "a", milliseconds{4000});
+  }
+  EXPECT_NEAR(static_cast<double>(pacing.load_time().count()), 4000, 100);
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- /dev/null
+++ b/test/standin/fault_switch.cpp
@@ -0,0 +1,90 @@
+#include "standin/fault_switch.hpp"
+
+#include <cstdlib>
+#include <thread>
+
+namespace boragehill::standin {
+
+namespace {
+
+constexpr int crash_status = 86;
+
+bool take(std::uint32_t& count) {
+  if (count == 0) return false;
+  --count;
+  return true;
+}
+
+}  // namespace
+
+bool fault_switch::set(const Json::Value& fault) {
+  const std::scoped_lock lock(this->mutex);
+  const bool known = this->set_kind(fault.get("kind", "").asString(), fault);
+  this->thawed.notify_all();
+  return known;
+}
+
+bool fault_switch::set_kind(const std::string& kind, const Json::Value& fault) {
+  if (kind == "none") {
+    this->clear();
+  } else if (kind == "down") {
+    this->down = true;
+  } else if (kind == "freeze") {
+    this->frozen = true;
+  } else if (kind == "slow") {
+    this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
+  } else if (kind == "lose_answers") {
+    this->lost_answers = fault.get("count", 1).asUInt();
+  } else if (kind == "cut_stream") {
+    this->cut_streams = fault.get("count", 1).asUInt();
+  } else if (kind == "crash_on") {
+    this->marker = fault.get("marker", "").asString();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void fault_switch::clear() {
+  this->down = false;
+  this->frozen = false;
+  this->slow = std::chrono::milliseconds{0};
+  this->lost_answers = 0;
+  this->cut_streams = 0;
+  this->marker.clear();
+}
+
+void fault_switch::wait_while_frozen() {
+  std::unique_lock lock(this->mutex);
+  this->thawed.wait(lock, [this] { return !this->frozen; });
+}
+
+void fault_switch::delay() {
+  std::unique_lock lock(this->mutex);
+  const auto pause = this->slow;
+  lock.unlock();
+  std::this_thread::sleep_for(pause);
+}
+
+void fault_switch::crash_if_marked(const std::string& body) {
+  const std::scoped_lock lock(this->mutex);
+  if (this->marker.empty()) return;
+  if (body.find(this->marker) != std::string::npos) std::_Exit(crash_status);
+}
+
+bool fault_switch::is_down() {
+  const std::scoped_lock lock(this->mutex);
+  return this->down;
+}
+
+bool fault_switch::take_lost_answer() {
+  const std::scoped_lock lock(this->mutex);
+  return take(this->lost_answers);
+}
+
+bool fault_switch::take_cut_stream() {
+  const std::scoped_lock lock(this->mutex);
+  return take(this->cut_streams);
+}
+
+}  // namespace boragehill::standin
--- /dev/null
+++ b/test/standin/fault_switch.hpp
@@ -0,0 +1,55 @@
+#ifndef BORAGEHILL_STANDIN_FAULT_SWITCH_HPP
+#define BORAGEHILL_STANDIN_FAULT_SWITCH_HPP
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <json/json.h>
+#include <mutex>
+#include <string>
+
+namespace boragehill::standin {
+
+/// The faults that a test has set on a stand-in. Kinds add up until "none"
+/// clears them all. Thread safe.
+class fault_switch {
+ public:
+  /// Sets a fault from the body of `POST /standin/fault`.
+  ///
+  /// \return False if the kind is unknown.
+  bool set(const Json::Value& fault);
+
+  /// Waits while frozen.
+  void wait_while_frozen();
+
+  /// Sleeps for as long as "slow" says.
+  void delay();
+
+  /// Ends the process at once if the body holds the marker of "crash_on".
+  void crash_if_marked(const std::string& body);
+
+  bool is_down();
+
+  /// Uses up one of the answers that "lose_answers" loses.
+  bool take_lost_answer();
+
+  /// Uses up one of the streams that "cut_stream" cuts.
+  bool take_cut_stream();
+
+ private:
+  bool set_kind(const std::string& kind, const Json::Value& fault);
+  void clear();
+
+  std::mutex mutex;
+  std::condition_variable thawed;
+  bool down = false;
+  bool frozen = false;
+  std::chrono::milliseconds slow{0};
+  std::uint32_t lost_answers = 0;
+  std::uint32_t cut_streams = 0;
+  std::string marker;
+};
+
+}  // namespace boragehill::standin
+
+#endif  // BORAGEHILL_STANDIN_FAULT_SWITCH_HPP
