--- a/src/router/attempt_call.cpp
+++ b/src/router/attempt_call.cpp
@@ -62,6 +62,8 @@
   this->client->set_write_timeout(left_of(request.deadline));
   this->reader = std::thread([this, request, attempt, permit, traceparent] {
     this->send(request, attempt, permit, traceparent);
+    this->ring.close();
+    this->reader_ended.set_value();
   });
 }
 
