Run struck requests alone, pace the weight store, and place grants at start

Cause, struck requests: two homes could each run a struck request on one server, and one crash there would convict both, an innocent one included. Change: a struck attempt is offered as exclusive; the agent runs it with nothing beside it, keeps others out for 1.5 s after it had to turn one away, and a home leaves one server to empty. Only a crash while it ran alone convicts. Ruled out: strikes shared among homes (a message on the path of every permit). Cause, pacing: nothing bounded remote loads over all homes. Change: the home of one fixed target lets loads go by deadline, at most parallel_loads at once; soft, a load goes ahead if it does not answer. Cause, grants: at a start the VM list was first read after 2 s, so the first grant of each model was called unplaceable and tried again 3 s later. Change: the list is read at once. Also: a home that never heard of a granted server counts it as lost after twice the report silence (before: never, so a new home kept waiting on a dead server); a leaving home calls waiting requests unknown, so they ask the next one; the agent's data listener uses the kernel's bounded task queue (two copies stood).

--- a/include/boragehill/result_code.hpp
+++ b/include/boragehill/result_code.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_RESULT_CODE_HPP
 #define BORAGEHILL_RESULT_CODE_HPP
 
+#include <span>
 #include <string_view>
 #include <system_error>
 
@@ -95,6 +96,9 @@
 /// Returns the HTTP status that a caller gets with a code.
 int http_status_of(result_code code) noexcept;
 
+/// Returns all codes, by number.
+std::span<const result_code> all_result_codes() noexcept;
+
 /// Returns the category of all `result_code` values.
 const std::error_category& result_category() noexcept;
 
--- a/src/agent/agent_settings.hpp
+++ b/src/agent/agent_settings.hpp
@@ -16,7 +16,8 @@
 /// What stands beside an agent.
 enum class server_kind { model, plain };
 
-/// Everything that an agent's settings file says; docs/SETTINGS.md lists it.
+/// Everything that an agent's settings file says; docs/OPERATIONS.md
+/// lists each key.
 struct agent_settings {
   std::string id;
   std::string failure_domain;
--- a/src/agent/attempt_request.cpp
+++ b/src/agent/attempt_request.cpp
@@ -55,7 +55,9 @@
   return attempt_request{
       .offer = {.id = *id,
                 .fence = *fence,
-                .permit_end = time_of_ms(*permit_end)},
+                .permit_end = time_of_ms(*permit_end),
+                .exclusive =
+                    request.get_header_value("Boragehill-Exclusive") == "1"},
       .target = *target,
       .non_idempotent =
           request.get_header_value("Boragehill-Non-Idempotent") == "1",
--- a/src/agent/data_server.cpp
+++ b/src/agent/data_server.cpp
@@ -8,8 +8,8 @@
 #include <boragehill/result_code.hpp>
 
 #include "agent/attempt_runner.hpp"
-#include "agent/bounded_pool.hpp"
 #include "agent/kept_answers.hpp"
+#include "kernel/bounded_task_queue.hpp"
 
 namespace boragehill::agent {
 
@@ -96,7 +96,8 @@
  private:
   void configure() {
     this->server.new_task_queue = [] {
-      return new bounded_pool(pool_threads, pool_waiting);
+      return new kernel::bounded_task_queue("attempts", pool_threads,
+                                            pool_waiting);
     };
     // One request a connection: a kept one would hold a thread while idle.
     this->server.set_keep_alive_max_count(1);
@@ -119,7 +120,7 @@
 
   void take_attempt(const httplib::Request& request,
                     httplib::Response& response) {
-    if (bounded_pool::refusing()) {
+    if (kernel::bounded_task_queue::overloaded()) {
       return refuse(response, result_code::server_busy);
     }
     auto attempt = read_attempt(request);
--- a/src/app/admin_client.cpp
+++ b/src/app/admin_client.cpp
@@ -65,11 +65,19 @@
     return {exit_code::unreachable,
             {},
             "router " + router.to_string() +
-                " does not answer: " + httplib::to_string(result.error())};
+                " does not answer: " + httplib::to_string(result.error()) +
+                "\nTry another router, or see whether this one runs."};
   }
   admin_answer answer;
   answer.body = parse(result->body);
   if (result->status == 200) return answer;
+  if (!answer.body.isObject() || !answer.body["error"].isObject()) {
+    return {exit_code::unreachable,
+            {},
+            router.to_string() + " answers with status " +
+                std::to_string(result->status) +
+                ": it is not a router's operators' listener"};
+  }
   const Json::Value error = answer.body["error"];
   const int number = error["code"].asInt();
   answer.code = code_for(number);
@@ -110,14 +118,17 @@
 std::optional<admin_client> client_of_flags() {
   const auto router = endpoint::parse(absl::GetFlag(FLAGS_router));
   if (!router) {
-    std::cerr << "boragehill: --router is not IP:port\n";
+    std::cerr << "boragehill: --router is missing or not IP:port; it takes a "
+                 "router's operators' listener (router.admin)\n";
     return std::nullopt;
   }
   std::ifstream file(absl::GetFlag(FLAGS_token_file));
   std::string token;
   file >> token;
   if (token.empty()) {
-    std::cerr << "boragehill: --token_file holds no token\n";
+    std::cerr << "boragehill: no token in --token_file \""
+              << absl::GetFlag(FLAGS_token_file)
+              << "\"; it takes a copy of the router's admin_token_file\n";
     return std::nullopt;
   }
   return admin_client(*router, token);
--- a/src/app/command.hpp
+++ b/src/app/command.hpp
@@ -17,6 +17,8 @@
   std::string usage;
   /// What it does, in a line, for `help`.
   std::string summary;
+  /// The flags that it takes, without dashes.
+  std::vector<std::string> flags;
   /// Runs it with the arguments after its name.
   std::function<exit_code(const std::vector<std::string>&)> run;
 };
--- a/src/app/command_registry.cpp
+++ b/src/app/command_registry.cpp
@@ -1,5 +1,6 @@
 #include "app/command_registry.hpp"
 
+#include <absl/flags/reflection.h>
 #include <utility>
 
 namespace boragehill::app {
@@ -27,4 +28,18 @@
   return text;
 }
 
+std::string command_registry::help_of(const command& chosen) const {
+  std::string text =
+      "boragehill " + chosen.usage + "\n\n  " + chosen.summary + "\n";
+  if (!chosen.flags.empty()) text += "\nFlags:\n";
+  for (const auto& name : chosen.flags) {
+    const auto* flag = absl::FindCommandLineFlag(name);
+    if (flag == nullptr) continue;
+    text += "  --" + name + "\n      " + flag->Help();
+    const std::string standard = flag->DefaultValue();
+    text += standard.empty() ? "\n" : " (default: " + standard + ")\n";
+  }
+  return text;
+}
+
 }  // namespace boragehill::app
--- a/src/app/command_registry.hpp
+++ b/src/app/command_registry.hpp
@@ -22,6 +22,10 @@
   /// Returns what `help` prints.
   std::string help() const;
 
+  /// Returns what `help <command>` prints: its usage and each of its flags
+  /// with the default.
+  std::string help_of(const command& chosen) const;
+
  private:
   std::map<std::string, command> commands;
 };
--- a/src/app/output.cpp
+++ b/src/app/output.cpp
@@ -5,12 +5,39 @@
 #include <iostream>
 #include <json/json.h>
 
-ABSL_FLAG(std::string, output, "table", "table for people, json for scripts");
+namespace boragehill::app {
+
+namespace {
+
+enum class output_format { table, json };
+
+// The names under which Abseil looks for a type's conversions.
+// NOLINTBEGIN(readability-identifier-naming)
+bool AbslParseFlag(absl::string_view text, output_format* format,
+                   std::string* error) {
+  *format = text == "json" ? output_format::json : output_format::table;
+  if (text == "json" || text == "table") return true;
+  *error = "it takes table or json";
+  return false;
+}
+
+std::string AbslUnparseFlag(output_format format) {
+  return format == output_format::json ? "json" : "table";
+}
+// NOLINTEND(readability-identifier-naming)
+
+}  // namespace
+
+}  // namespace boragehill::app
+
+ABSL_FLAG(boragehill::app::output_format, output,
+          boragehill::app::output_format::table,
+          "table for people, json for scripts");
 
 namespace boragehill::app {
 
 bool wants_json() {
-  return absl::GetFlag(FLAGS_output) == "json";
+  return absl::GetFlag(FLAGS_output) == output_format::json;
 }
 
 void print_json(const Json::Value& json) {
--- a/src/app/profile_command.cpp
+++ b/src/app/profile_command.cpp
@@ -209,6 +209,8 @@
               "history NAME | diff NAME, with --router IP:PORT --token_file "
               "FILE [--output json]",
      .summary = "publishes and reads profiles",
+     .flags = {"router", "token_file", "output", "base", "publish_id", "wait",
+               "wait_seconds"},
      .run = run_profile}};
 
 }  // namespace
--- a/src/app/run_commands.cpp
+++ b/src/app/run_commands.cpp
@@ -53,7 +53,16 @@
   return exit_code::failed;
 }
 
-exit_code run_router(const std::vector<std::string>&) {
+/// Two words after --set would otherwise start a process without the second.
+bool has_stray(const std::vector<std::string>& arguments) {
+  if (arguments.empty()) return false;
+  std::cerr << "boragehill: \"" << arguments.front()
+            << "\" is not expected here; --set takes a list with commas\n";
+  return true;
+}
+
+exit_code run_router(const std::vector<std::string>& arguments) {
+  if (has_stray(arguments)) return exit_code::usage;
   block_stop_signals();
   auto settings = checked_router_settings();
   if (!settings) return exit_code::usage;
@@ -76,7 +85,8 @@
   return exit_code::ok;
 }
 
-exit_code run_agent(const std::vector<std::string>&) {
+exit_code run_agent(const std::vector<std::string>& arguments) {
+  if (has_stray(arguments)) return exit_code::usage;
   block_stop_signals();
   const auto settings = checked_agent_settings();
   if (!settings) return exit_code::usage;
@@ -116,18 +126,21 @@
     {.name = "router",
      .usage = "router --settings FILE [--set section.key=value,...]",
      .summary = "runs the process of an entry VM until SIGTERM",
+     .flags = {"settings", "set"},
      .run = run_router}};
 
 const command_registrar agent_command{
     {.name = "agent",
      .usage = "agent --settings FILE [--set section.key=value,...]",
      .summary = "runs the process beside a backend server until SIGTERM",
+     .flags = {"settings", "set"},
      .run = run_agent}};
 
 const command_registrar check_command{
     {.name = "check-settings",
      .usage = "check-settings router|agent --settings FILE",
      .summary = "reads a settings file, names every problem, starts nothing",
+     .flags = {"settings", "set"},
      .run = check_settings}};
 
 }  // namespace
--- a/src/app/status_command.cpp
+++ b/src/app/status_command.cpp
@@ -123,6 +123,7 @@
     {.name = "status",
      .usage = "status --router IP:PORT --token_file FILE [--output json]",
      .summary = "shows routers, models, queues and servers at a glance",
+     .flags = {"router", "token_file", "output"},
      .run = run_status}};
 
 const command_registrar explain_command{
@@ -130,6 +131,7 @@
      .usage = "explain MODEL|pool:NAME|REQUEST_ID --router IP:PORT "
               "--token_file FILE [--output json]",
      .summary = "shows each decision about it with its reason",
+     .flags = {"router", "token_file", "output"},
      .run = run_explain}};
 
 }  // namespace
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -17,19 +17,31 @@
   if (verdict.code != result_code::ok) return verdict;
   if (this->is_draining) return {.code = result_code::draining};
   if (target != result_code::ok) return {.code = target};
-  if (this->running_count >= this->slot_count) {
-    return {.code = result_code::server_busy};
-  }
+  if (!this->may_begin(offer, now)) return {.code = result_code::server_busy};
   ++this->running_count;
+  if (offer.exclusive) this->alone = offer.id;
   return this->memory.begin(offer.id, offer.permit_end, now);
 }
 
+bool admission::may_begin(const attempt_offer& offer, time_point now) {
+  if (this->running_count >= this->slot_count) return false;
+  if (this->alone) return false;
+  if (!offer.exclusive) return now >= this->held_until;
+  if (this->running_count == 0) {
+    this->held_until = now;
+    return true;
+  }
+  this->held_until = now + exclusive_hold;
+  return false;
+}
+
 void admission::end(const attempt_id& id, bool whole) {
   if (this->memory.state_of(id, time_point::max()) != attempt_state::running) {
     return;
   }
   this->memory.end(id, whole);
   --this->running_count;
+  if (this->alone == id) this->alone.reset();
 }
 
 attempt_state admission::state_of(const attempt_offer& asked) const {
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_DECIDE_ADMISSION_HPP
 
 #include <cstdint>
+#include <optional>
 
 #include <boragehill/attempt_id.hpp>
 #include <boragehill/result_code.hpp>
@@ -18,11 +19,18 @@
   std::uint64_t fence = 0;
   /// On the agent's clock.
   time_point permit_end{};
+  /// Runs only with nothing beside it; see `admission`.
+  bool exclusive = false;
 
   bool operator==(const attempt_offer&) const = default;
 };
 
 /// Decides which offered attempts run; the only keeper of the slots.
+///
+/// A request that was in flight when a backend server crashed is offered as
+/// exclusive: it runs with nothing beside it, whichever homes the others come
+/// from, so that another crash names just the one that caused it. While one
+/// waits for the running ones to end, no other begins for `exclusive_hold`.
 class admission {
  public:
   explicit admission(attempt_memory_settings settings);
@@ -65,12 +73,20 @@
   /// Returns how many ids are remembered.
   std::size_t remembered() const { return this->memory.size(); }
 
+  /// How long others are kept out for an exclusive attempt that was turned
+  /// away; its router comes back well within that.
+  static constexpr milliseconds exclusive_hold{1500};
+
  private:
+  bool may_begin(const attempt_offer& offer, time_point now);
+
   attempt_memory memory;
   std::uint64_t own_fence = 0;
   std::uint32_t slot_count = 0;
   std::uint32_t running_count = 0;
   bool is_draining = false;
+  std::optional<attempt_id> alone;
+  time_point held_until{};
 };
 
 }  // namespace boragehill::decide
--- a/src/decide/home.cpp
+++ b/src/decide/home.cpp
@@ -146,11 +146,7 @@
 void home::on_wake_answer(const order_wake& wake,
                           const wire::wake_answer& answer, time_point now) {
   home_target& target = this->target_of(model_target(wake.order.model));
-  const auto ordered = std::find_if(
-      target.wakes.begin(), target.wakes.end(), [&](const auto& pending) {
-        return pending.server == wake.server &&
-               pending.adapter == wake.order.adapter;
-      });
+  const auto ordered = this->find_wake(target, wake);
   if (ordered == target.wakes.end()) return;
   if (answer.code == static_cast<int>(result_code::ok)) {
     ordered->accepted = true;
@@ -158,6 +154,9 @@
     return;
   }
   target.wakes.erase(ordered);
+  if (wake.remote) {
+    this->actions.emplace_back(load_ended{wake.server, wake.order.model});
+  }
   const auto code = static_cast<result_code>(answer.code);
   this->note(
       target, {},
@@ -168,6 +167,27 @@
   this->pump(target, now);
 }
 
+void home::on_wake_paced(const order_wake& wake, milliseconds wait,
+                         time_point now) {
+  constexpr milliseconds shortest{100};
+  constexpr milliseconds longest{500};
+  home_target& target = this->target_of(model_target(wake.order.model));
+  const auto ordered = this->find_wake(target, wake);
+  if (ordered == target.wakes.end()) return;
+  ordered->paced = true;
+  ordered->again_at = now + std::clamp(wait, shortest, longest);
+  ordered->expected_ready = now + wait + this->load_time(ordered->tier);
+}
+
+std::vector<pending_wake>::iterator home::find_wake(home_target& target,
+                                                    const order_wake& wake) {
+  return std::find_if(target.wakes.begin(), target.wakes.end(),
+                      [&](const pending_wake& pending) {
+                        return pending.server == wake.server &&
+                               pending.adapter == wake.order.adapter;
+                      });
+}
+
 void home::on_wake_lost(const order_wake& wake, time_point now) {
   this->on_wake_answer(wake,
                        {.code = static_cast<int>(result_code::peer_unreachable),
@@ -180,6 +200,12 @@
   home_target& target = this->target_of(name);
   target.servers = std::move(servers);
   target.servers_known = true;
+  std::map<std::string, time_point> since;
+  for (const auto& id : target.servers) {
+    const auto before = target.servers_since.find(id);
+    since[id] = before == target.servers_since.end() ? now : before->second;
+  }
+  target.servers_since = std::move(since);
   if (target.servers.size() >= target.wanted_grants) target.wanted_grants = 0;
   this->pump(target, now);
 }
@@ -274,6 +300,9 @@
     home_target& target, std::set<waiting_request, by_deadline>::iterator at) {
   this->waiting_at.erase(at->ask.attempt);
   --this->waiting_total;
+  std::erase_if(this->reserved, [&](const auto& entry) {
+    return entry.second == at->ask.attempt;
+  });
   return target.queue.erase(at);
 }
 
--- a/src/decide/home.hpp
+++ b/src/decide/home.hpp
@@ -67,6 +67,9 @@
   void on_wake_answer(const order_wake& wake, const wire::wake_answer& answer,
                       time_point now);
 
+  /// Takes note that a wake has to wait for the weight store.
+  void on_wake_paced(const order_wake& wake, milliseconds wait, time_point now);
+
   /// Takes note that a wake could not be delivered.
   void on_wake_lost(const order_wake& wake, time_point now);
 
@@ -158,6 +161,11 @@
   void wake_adapters(home_target& target, time_point now);
   void order(home_target& target, const std::string& server,
              const std::string& adapter, time_point now);
+  order_wake make_order(const home_target& target, const pending_wake& wake,
+                        time_point now) const;
+  void order_paced(home_target& target, time_point now);
+  std::vector<pending_wake>::iterator find_wake(home_target& target,
+                                                const order_wake& wake);
   void ask_grants(home_target& target, std::uint32_t number,
                   const std::string& reason, time_point now);
   std::uint32_t lost_grants(const home_target& target, time_point now) const;
@@ -187,6 +195,8 @@
   /// Servers and targets with a struck request in flight; one each.
   std::set<std::string> struck_servers;
   std::set<std::string> struck_targets;
+  /// Servers kept free for a struck request that waits for them to empty.
+  std::map<std::string, std::string> reserved;
   /// Load times by checkpoint tier, as seen.
   std::array<running_mean, 3> load_means;
   std::vector<home_action> actions;
--- a/src/decide/home_action.hpp
+++ b/src/decide/home_action.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boragehill/endpoint.hpp>
+#include <boragehill/time_point.hpp>
 
 #include "wire/permit_answer.hpp"
 #include "wire/wake_order.hpp"
@@ -26,10 +27,24 @@
   std::string server;
   endpoint control;
   wire::wake_order order;
+  /// It loads from the weight store, which is paced.
+  bool remote = false;
+  /// The earliest deadline among the requests that wait for it.
+  milliseconds time_left{0};
 
   bool operator==(const order_wake&) const = default;
 };
 
+/// A load from the weight store ended, well or not.
+struct load_ended {
+  std::string server;
+  std::string model;
+  /// 0 for a load that failed.
+  milliseconds took{0};
+
+  bool operator==(const load_ended&) const = default;
+};
+
 /// Bring a model's grants to a number by conditional writes.
 struct want_grants {
   std::string model;
@@ -49,8 +64,8 @@
 };
 
 /// What a home asks its surroundings to do.
-using home_action =
-    std::variant<tell_entry, order_wake, want_grants, share_conviction>;
+using home_action = std::variant<tell_entry, order_wake, want_grants,
+                                 share_conviction, load_ended>;
 
 }  // namespace boragehill::decide
 
--- a/src/decide/home_dispatch.cpp
+++ b/src/decide/home_dispatch.cpp
@@ -43,7 +43,11 @@
   if (exclusive && this->struck_targets.contains(target.name)) return false;
   const chosen_server chosen = this->choose_server(target, waiting, now);
   if (chosen.server == nullptr) return false;
-  if (exclusive && this->in_flight(chosen.id) > 0) return false;
+  if (exclusive && this->in_flight(chosen.id) > 0) {
+    // Others would keep every server busy for ever; this one is left to empty.
+    this->reserved.emplace(chosen.id, waiting.ask.attempt);
+    return false;
+  }
   this->issue(target, waiting, chosen, exclusive, now);
   return true;
 }
@@ -61,6 +65,10 @@
     if (!server.usable(now, this->limits.report_silence)) continue;
     if (!this->can_run(target, server, waiting.ask)) continue;
     if (this->struck_servers.contains(id)) continue;
+    const auto kept = this->reserved.find(id);
+    const bool kept_for_other =
+        kept != this->reserved.end() && kept->second != waiting.ask.attempt;
+    if (kept_for_other) continue;
     // Reports lag, so permits given since the last one count as running.
     const std::uint32_t load =
         std::max(server.report().running, this->in_flight(id));
--- a/src/decide/home_target.hpp
+++ b/src/decide/home_target.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -28,6 +29,8 @@
   std::set<waiting_request, by_deadline> queue;
   /// Backend servers with a grant; for a pool, its servers.
   std::vector<std::string> servers;
+  /// When each of them was first named to this home.
+  std::map<std::string, time_point> servers_since;
   /// Whether `servers` was ever read from the table or the VM list.
   bool servers_known = false;
   std::vector<pending_wake> wakes;
--- a/src/decide/home_wakes.cpp
+++ b/src/decide/home_wakes.cpp
@@ -29,6 +29,7 @@
         lost == 0 ? "grants ahead of need" : "granted servers not heard of",
         now);
   }
+  this->order_paced(target, now);
   this->wake_base(target, now);
   this->wake_adapters(target, now);
 }
@@ -49,15 +50,20 @@
   const bool held =
       replica != nullptr && replica->state == wire::replica_state::ready;
   if (held && wake.adapter.empty()) {
-    this->load_means[static_cast<std::size_t>(wake.tier)].add(
-        std::chrono::duration_cast<milliseconds>(now - wake.ordered_at));
+    const auto took =
+        std::chrono::duration_cast<milliseconds>(now - wake.ordered_at);
+    this->load_means[static_cast<std::size_t>(wake.tier)].add(took);
+    if (wake.tier == checkpoint_tier::remote) {
+      this->actions.emplace_back(
+          load_ended{wake.server, model_of_target(target.name), took});
+    }
     return true;
   }
   if (held && contains(replica->adapters, wake.adapter)) return true;
   // A wake whose order or load was lost is forgotten, and so ordered again.
   const bool loading =
       replica != nullptr && replica->state == wire::replica_state::loading;
-  if (loading) return false;
+  if (loading || wake.paced) return false;
   return now > wake.expected_ready + this->limits.wake_confirm;
 }
 
@@ -124,12 +130,6 @@
   const checkpoint_tier tier =
       adapter.empty() ? server.tier(model) : checkpoint_tier::memory;
   const milliseconds load = this->load_time(tier);
-  const break_even_rule rule{target.spec->cold_start_weight,
-                             target.spec->idle_weight};
-  milliseconds keep = keep_warm_time(rule, load, {});
-  if (this->active_replicas(target, now) < target.spec->warm) {
-    keep = milliseconds(-1);
-  }
   target.wakes.push_back({.server = server_id,
                           .adapter = adapter,
                           .ordered_at = now,
@@ -141,13 +141,40 @@
                  std::to_string(target.queue.size()) + " waiting",
              now);
   this->actions.emplace_back(
-      order_wake{.server = server_id,
-                 .control = server.report().control,
-                 .order = {.model = model,
-                           .adapter = adapter,
-                           .bytes = target.spec->bytes,
-                           .adapter_bytes = target.spec->adapter_bytes,
-                           .keep_warm_ms = keep.count()}});
+      this->make_order(target, target.wakes.back(), now));
+}
+
+order_wake home::make_order(const home_target& target, const pending_wake& wake,
+                            time_point now) const {
+  const break_even_rule rule{target.spec->cold_start_weight,
+                             target.spec->idle_weight};
+  milliseconds keep = keep_warm_time(rule, this->load_time(wake.tier), {});
+  if (this->active_replicas(target, now) <= target.spec->warm) {
+    keep = milliseconds(-1);
+  }
+  milliseconds left{0};
+  if (!target.queue.empty()) {
+    left = std::chrono::duration_cast<milliseconds>(
+        target.queue.begin()->deadline - now);
+  }
+  return {.server = wake.server,
+          .control = this->known_servers.at(wake.server).report().control,
+          .order = {.model = model_of_target(target.name),
+                    .adapter = wake.adapter,
+                    .bytes = target.spec->bytes,
+                    .adapter_bytes = target.spec->adapter_bytes,
+                    .keep_warm_ms = keep.count()},
+          .remote = wake.tier == checkpoint_tier::remote,
+          .time_left = left};
+}
+
+void home::order_paced(home_target& target, time_point now) {
+  for (auto& wake : target.wakes) {
+    if (!wake.paced || now < wake.again_at) continue;
+    wake.paced = false;
+    wake.ordered_at = now;
+    this->actions.emplace_back(this->make_order(target, wake, now));
+  }
 }
 
 void home::ask_grants(home_target& target, std::uint32_t number,
@@ -174,12 +201,16 @@
 
 std::uint32_t home::lost_grants(const home_target& target,
                                 time_point now) const {
+  const milliseconds limit = this->limits.report_silence * 2;
   const auto silent = [&](const std::string& id) {
     const auto known = this->known_servers.find(id);
-    if (known == this->known_servers.end()) return false;
-    const home_server& server = known->second;
-    if (server.report().server.empty()) return false;
-    return !server.heard(now, this->limits.report_silence * 2);
+    if (known != this->known_servers.end() && known->second.heard(now, limit)) {
+      return false;
+    }
+    // A server granted just now, or named to a home that just took over, gets
+    // the time to report here first.
+    const auto since = target.servers_since.find(id);
+    return since != target.servers_since.end() && now - since->second > limit;
   };
   return static_cast<std::uint32_t>(
       std::count_if(target.servers.begin(), target.servers.end(), silent));
--- a/src/decide/pending_wake.hpp
+++ b/src/decide/pending_wake.hpp
@@ -18,6 +18,10 @@
   checkpoint_tier tier = checkpoint_tier::remote;
   /// Set once the agent took the order.
   bool accepted = false;
+  /// Set while the weight store's pacing keeps it waiting; it is ordered again
+  /// at `again_at`.
+  bool paced = false;
+  time_point again_at;
 
   bool operator==(const pending_wake&) const = default;
 };
--- a/src/router/admin_listener.cpp
+++ b/src/router/admin_listener.cpp
@@ -25,6 +25,7 @@
 namespace {
 
 constexpr std::size_t max_profile_bytes = 4u << 20;
+constexpr int too_large_status = 413;
 constexpr std::size_t admin_threads = 4;
 constexpr milliseconds come_back{1000};
 
@@ -47,7 +48,12 @@
                   httplib::Response& response) {
   if (found) return write_json(found.value(), response);
   const auto code = code_of(found.error());
-  write_error(code, std::string(name_of(code)), response);
+  const bool unknown = code == result_code::unknown_path ||
+                       code == result_code::platform_not_found;
+  write_error(unknown ? result_code::unknown_path : code,
+              unknown ? "no model, pool or recent request is called so"
+                      : "the home router does not answer",
+              response);
 }
 
 std::uint64_t number_of(const std::string& text) {
@@ -112,6 +118,14 @@
                     response);
         return httplib::Server::HandlerResponse::Handled;
       });
+  this->server->set_error_handler([](const httplib::Request&,
+                                     httplib::Response& response) {
+    if (!response.body.empty()) return;
+    const bool large = response.status == too_large_status;
+    write_error(large ? result_code::body_too_large : result_code::unknown_path,
+                large ? "the profile is too large" : "there is no such path",
+                response);
+  });
   this->server->Put("/admin/v1/profiles",
                     [this](const auto& raw, auto& response) {
                       this->publish(raw, response);
@@ -167,7 +181,7 @@
     if (code == result_code::profile_conflict) {
       kernel::log_event(kernel::event::profile_conflict, {{"profile", name}});
     }
-    return write_error(code, "profile " + name + " was not accepted", response);
+    return write_error(code, this->why_not_accepted(code, name), response);
   }
   kernel::log_event(kernel::event::profile_published,
                     {{"profile", name}, {"revision", published.value()}});
@@ -178,6 +192,21 @@
   write_json(json, response);
 }
 
+std::string admin_listener::why_not_accepted(result_code code,
+                                             const std::string& name) {
+  if (code == result_code::profile_unconfirmed) {
+    return "the table's answer was lost; profile " + name +
+           " may have been accepted";
+  }
+  const std::string refused = "profile " + name + " was not accepted";
+  if (code != result_code::profile_conflict) return refused;
+  const auto standing = this->parts.published.read_profile(name);
+  if (!standing) return refused;
+  const std::uint64_t revision =
+      standing.value() ? standing.value()->published.revision : 0;
+  return refused + ": it stands at revision " + std::to_string(revision);
+}
+
 void admin_listener::list(httplib::Response& response) {
   const auto rows = this->parts.published.read_profiles();
   if (!rows) {
@@ -278,7 +307,7 @@
                                             this->parts.call_timeout);
     if (found) json = found.value();
   }
-  if (json.isNull()) return make_error_code(result_code::platform_not_found);
+  if (json.isNull()) return make_error_code(result_code::unknown_path);
   const auto target = this->explain_target(json["target"].asString());
   if (!target) return json;
   json["home"] = target.value()["home"];
--- a/src/router/admin_listener.hpp
+++ b/src/router/admin_listener.hpp
@@ -8,6 +8,7 @@
 
 #include <boragehill/endpoint.hpp>
 #include <boragehill/result.hpp>
+#include <boragehill/result_code.hpp>
 #include <boragehill/time_point.hpp>
 
 namespace httplib {
@@ -58,6 +59,7 @@
   void add_routes();
   bool allowed(const httplib::Request& raw) const;
   void publish(const httplib::Request& raw, httplib::Response& response);
+  std::string why_not_accepted(result_code code, const std::string& name);
   void list(httplib::Response& response);
   void show(const std::string& name, httplib::Response& response);
   void history(const std::string& name, httplib::Response& response);
--- a/src/router/catalog_duty.cpp
+++ b/src/router/catalog_duty.cpp
@@ -1,6 +1,5 @@
 #include "router/catalog_duty.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include "decide/catalog.hpp"
@@ -84,17 +83,10 @@
   if (!row) return;
   const std::uint64_t revision = row.value().revision;
   if (!this->config.on_table_read(revision, began)) return;
-  auto rows = this->published.read_profiles();
-  if (!rows) return;
-  // A publish between the two reads brings profiles newer than the row; the
-  // newest of them names the revision that these rows make up.
-  std::vector<profile> profiles;
-  std::uint64_t newest = revision;
-  for (auto& each : rows.value()) {
-    newest = std::max(newest, each.published.revision);
-    profiles.push_back(std::move(each.published));
-  }
-  this->apply(newest, std::move(profiles), "table");
+  auto newer = this->published.read_published();
+  if (!newer) return;
+  this->apply(newer.value().revision, std::move(newer.value().profiles),
+              "table");
   this->config.on_table_read(revision, began);
 }
 
--- a/src/router/control_methods.cpp
+++ b/src/router/control_methods.cpp
@@ -8,6 +8,7 @@
 #include "router/fleet.hpp"
 #include "router/heartbeat_duty.hpp"
 #include "router/home_duty.hpp"
+#include "router/load_pacer.hpp"
 #include "router/permit_desk.hpp"
 #include "router/placement_duty.hpp"
 #include "router/published_config.hpp"
@@ -51,6 +52,16 @@
   return wire::to_json(parts.home.ask(ask, parts.call_timeout));
 }
 
+result<Json::Value> renew(control_parts& parts,
+                          const wire::permit_renewal& renewal) {
+  wire::renewal_answer answer;
+  // A leaving home calls all of them unknown, so they go to the next one now.
+  answer.unknown = parts.draining
+                       ? renewal.attempts
+                       : parts.home.renew(renewal.attempts, parts.call_timeout);
+  return wire::to_json(answer);
+}
+
 result<Json::Value> report(control_parts& parts,
                            const wire::agent_report& from) {
   for (const auto& model : from.given_up) {
@@ -99,9 +110,7 @@
   server.add("home.renew",
              reading<wire::permit_renewal>(
                  [&parts](const auto& renewal) -> result<Json::Value> {
-                   const wire::renewal_answer answer{
-                       parts.home.renew(renewal.attempts, parts.call_timeout)};
-                   return wire::to_json(answer);
+                   return renew(parts, renewal);
                  }));
   server.add("home.withdraw",
              reading<wire::attempt_query>(
@@ -118,6 +127,12 @@
   server.add("home.report",
              reading<wire::agent_report>(
                  [&parts](const auto& from) { return report(parts, from); }));
+  server.add("home.pace",
+             reading<wire::pace_request>(
+                 [&parts](const auto& asked) -> result<Json::Value> {
+                   return wire::to_json(
+                       parts.pacer.ask(asked, time_point::clock::now()));
+                 }));
   server.add("home.explain",
              [&parts](const Json::Value& params) -> result<Json::Value> {
                return explain_here(parts.home, params["target"].asString(),
--- a/src/router/control_methods.hpp
+++ b/src/router/control_methods.hpp
@@ -14,6 +14,7 @@
 class fleet;
 class heartbeat_duty;
 class home_duty;
+class load_pacer;
 class permit_desk;
 class placement_duty;
 class published_config;
@@ -24,6 +25,7 @@
   fleet& members;
   published_config& config;
   home_duty& home;
+  load_pacer& pacer;
   permit_desk& desk;
   placement_duty& placement;
   heartbeat_duty& heartbeats;
--- a/src/router/heartbeat_duty.cpp
+++ b/src/router/heartbeat_duty.cpp
@@ -104,6 +104,7 @@
                         {{"peer", peer.id}, {"error", answer.error()}});
     }
     this->members.on_call_failed(peer.id, time_point::clock::now());
+    this->config.on_peer_silent(peer.id, began);
     return;
   }
   const auto read = wire::from_json<wire::peer_heartbeat>(answer.value());
--- a/src/router/home_duty.cpp
+++ b/src/router/home_duty.cpp
@@ -102,6 +102,10 @@
   this->decisions.on_wake_lost(message.wake, now);
 }
 
+void home_duty::handle(paced_message& message, time_point now) {
+  this->decisions.on_wake_paced(message.wake, message.wait, now);
+}
+
 void home_duty::handle(servers_message& message, time_point now) {
   this->decisions.on_servers(message.target, std::move(message.servers), now);
 }
--- a/src/router/home_duty.hpp
+++ b/src/router/home_duty.hpp
@@ -65,6 +65,7 @@
   void handle(withdraw_message& message, time_point now);
   void handle(report_message& message, time_point now);
   void handle(wake_message& message, time_point now);
+  void handle(paced_message& message, time_point now);
   void handle(servers_message& message, time_point now);
   void handle(server_trouble_message& message, time_point now);
   void handle(entry_gone_message& message, time_point now);
--- a/src/router/home_message.hpp
+++ b/src/router/home_message.hpp
@@ -59,6 +59,12 @@
   std::optional<wire::wake_answer> answer;
 };
 
+/// A wake that the weight store's pacing keeps waiting.
+struct paced_message {
+  decide::order_wake wake;
+  milliseconds wait;
+};
+
 /// The servers that may run a target.
 struct servers_message {
   std::string target;
@@ -94,7 +100,7 @@
 /// What the home duty's ring carries.
 using home_message =
     std::variant<permit_message, renewal_message, done_message,
-                 withdraw_message, report_message, wake_message,
+                 withdraw_message, report_message, wake_message, paced_message,
                  servers_message, server_trouble_message, entry_gone_message,
                  catalog_message, conviction_message, question_message>;
 
--- a/src/router/home_outbox.hpp
+++ b/src/router/home_outbox.hpp
@@ -15,6 +15,7 @@
   virtual void carry_out(const decide::order_wake& action) = 0;
   virtual void carry_out(const decide::want_grants& action) = 0;
   virtual void carry_out(const decide::share_conviction& action) = 0;
+  virtual void carry_out(const decide::load_ended& action) = 0;
 };
 
 }  // namespace boragehill::router
--- a/src/router/profile_row.hpp
+++ b/src/router/profile_row.hpp
@@ -12,7 +12,7 @@
 struct profile_row {
   profile published;
   /// Chosen by the publisher, so that a write whose answer was lost is told
-  /// from another operator's.
+  /// from another operator's; never empty in the table.
   std::string publish_id;
   /// The profile as the operator wrote it.
   std::string source;
--- a/src/router/published_config.cpp
+++ b/src/router/published_config.cpp
@@ -33,6 +33,12 @@
   return this->view.on_peer_answer(peer, answer, began);
 }
 
+void published_config::on_peer_silent(const std::string& peer,
+                                      time_point began) {
+  const std::lock_guard lock(this->mutex);
+  this->view.on_peer_silent(peer, began);
+}
+
 void published_config::on_tick(time_point now) {
   const std::lock_guard lock(this->mutex);
   this->view.on_tick(now);
--- a/src/router/published_config.hpp
+++ b/src/router/published_config.hpp
@@ -33,6 +33,8 @@
   /// Takes a peer's answer to a heartbeat; see `revision_view`.
   bool on_peer_answer(const std::string& peer,
                       const decide::peer_revision& answer, time_point began);
+  /// Notes that a peer did not answer; see `revision_view`.
+  void on_peer_silent(const std::string& peer, time_point began);
   void on_tick(time_point now);
 
   decide::revision_readiness readiness(const std::vector<std::string>& peers,
--- a/src/router/publisher.cpp
+++ b/src/router/publisher.cpp
@@ -6,6 +6,7 @@
 #include <boragehill/table_service.hpp>
 #include <boragehill/table_write.hpp>
 
+#include "kernel/random.hpp"
 #include "wire/row_fields.hpp"
 
 namespace boragehill::router {
@@ -20,6 +21,8 @@
 /// catalog row only; that race is won by trying again.
 constexpr int catalog_tries = 20;
 constexpr int read_back_tries = 5;
+constexpr int read_published_tries = 5;
+constexpr std::size_t publish_id_digits = 16;
 
 std::string history_key(const std::string& name, std::uint64_t revision) {
   char digits[24];
@@ -56,6 +59,11 @@
 
 result<std::uint64_t> publisher::publish(profile_row wanted,
                                          std::uint64_t base) {
+  // Two publishes without an id could not be told apart when one's answer is
+  // lost: each would take the other's row for its own.
+  if (wanted.publish_id.empty()) {
+    wanted.publish_id = kernel::random_hex(publish_id_digits);
+  }
   for (int attempt = 0; attempt < catalog_tries; ++attempt) {
     auto done = this->try_once(wanted, base);
     if (done) return done;
@@ -77,7 +85,7 @@
   const profile_row& standing = current.value();
   // An earlier try of this very publish took effect though its answer was
   // lost; publishing twice would make the operator's own change a conflict.
-  if (!wanted.publish_id.empty() && standing.publish_id == wanted.publish_id) {
+  if (standing.publish_id == wanted.publish_id) {
     return standing.published.revision;
   }
   if (standing.published.revision != base) {
@@ -131,6 +139,28 @@
   return decode<catalog_row>(row.value());
 }
 
+result<published_profiles> publisher::read_published() {
+  // The table may read the rows one by one. A publish in between could then
+  // show with its later change and without its earlier one, which would stay
+  // out of force until the next publish. Rows read after the catalog row and
+  // none newer than it are the profiles at just its revision.
+  for (int attempt = 0; attempt < read_published_tries; ++attempt) {
+    const auto catalog = this->read_catalog();
+    if (!catalog) return catalog.error();
+    const auto rows = this->read_profiles();
+    if (!rows) return rows.error();
+    published_profiles read{.revision = catalog.value().revision,
+                            .profiles = {}};
+    bool torn = false;
+    for (const auto& row : rows.value()) {
+      torn = torn || row.published.revision > read.revision;
+      read.profiles.push_back(row.published);
+    }
+    if (!torn) return read;
+  }
+  return make_error_code(result_code::platform_conflict);
+}
+
 result<std::vector<profile_row>> publisher::read_profiles() {
   return decode_all(this->table.read_prefix(profile_prefix));
 }
--- a/src/router/publisher.hpp
+++ b/src/router/publisher.hpp
@@ -18,6 +18,14 @@
 
 namespace boragehill::router {
 
+/// All profiles as they stood together at one revision.
+struct published_profiles {
+  std::uint64_t revision = 0;
+  std::vector<profile> profiles;
+
+  bool operator==(const published_profiles&) const = default;
+};
+
 /// Reads and writes published configuration in the platform's table. Holds no
 /// state; thread safe.
 class publisher {
@@ -40,7 +48,11 @@
   /// Reads the catalog row; revision 0 if nothing was ever published.
   result<catalog_row> read_catalog();
 
-  /// Reads all profiles.
+  /// Reads what is in force. Errors: platform_conflict (publishes kept coming
+  /// in between; ask again), and those of reading.
+  result<published_profiles> read_published();
+
+  /// Reads all profiles, which may be of different revisions.
   result<std::vector<profile_row>> read_profiles();
 
   /// Reads one profile; nothing if there is none.
--- a/src/router/pulse_duty.cpp
+++ b/src/router/pulse_duty.cpp
@@ -45,12 +45,22 @@
   if (now >= this->next_sweep) this->sweep(now);
 }
 
+void pulse_duty::note_confirmation(bool missing) {
+  if (missing == this->unconfirmed) return;
+  this->unconfirmed = missing;
+  kernel::log_event(missing ? kernel::event::revision_unconfirmed
+                            : kernel::event::revision_confirmed,
+                    {{"revision", this->parts.config.current()->revision()}});
+}
+
 void pulse_duty::set_gauges() {
   router_metrics& metrics = this->parts.metrics;
   metrics.set_in_flight(static_cast<double>(this->parts.callers.in_flight()));
   metrics.set_revision(
       static_cast<double>(this->parts.config.current()->revision()));
-  metrics.set_ready(!this->parts.callers.unready().has_value());
+  const auto refused = this->parts.callers.unready();
+  metrics.set_ready(!refused.has_value());
+  this->note_confirmation(refused && refused->code == result_code::not_ready);
   metrics.set_ring_depth("home", static_cast<double>(this->parts.home.depth()));
   metrics.set_ring_depth("placement",
                          static_cast<double>(this->parts.placement.depth()));
--- a/src/router/pulse_duty.hpp
+++ b/src/router/pulse_duty.hpp
@@ -50,11 +50,14 @@
  private:
   void beat();
   void set_gauges();
+  void note_confirmation(bool missing);
   void sweep(time_point now);
 
   pulse_parts parts;
   time_point next_sweep;
   std::uint8_t shard = 0;
+  /// As last logged; a router starts without a confirmed revision.
+  bool unconfirmed = true;
   kernel::duty<std::monostate> worker;
 };
 
--- a/src/router/request_reader.cpp
+++ b/src/router/request_reader.cpp
@@ -115,11 +115,19 @@
   return read_deadline(raw, *owner, fallback, request);
 }
 
-std::string target_with_query(const httplib::Request& raw,
-                              const std::string& path) {
-  const auto query = raw.target.find('?');
-  if (query == std::string::npos) return path;
-  return path + raw.target.substr(query);
+/// Returns the path and query below the pool as the caller escaped them:
+/// unescaped, "%3F" in a file's name would begin a query at the backend server.
+///
+/// \return Nothing if the pool's own name is escaped, since then it can't be
+///   told where the rest begins.
+std::optional<std::string> path_below(const std::string& pool,
+                                      const httplib::Request& raw) {
+  const std::string prefix = "/services/" + pool;
+  if (!raw.target.starts_with(prefix)) return std::nullopt;
+  const std::string rest = raw.target.substr(prefix.size());
+  if (rest.empty() || rest.front() == '?') return "/" + rest;
+  if (rest.front() != '/') return std::nullopt;
+  return rest;
 }
 
 }  // namespace
@@ -133,7 +141,10 @@
                              request, owner)) {
     return *bad;
   }
+  // Strict, since the engine parses the body again: of two "model" members it
+  // might run the one that was not checked here.
   Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
   builder["stackLimit"] = 64;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value body;
@@ -186,8 +197,12 @@
         result_code::unknown_path,
         "profile " + owner->name + " does not allow the pool \"" + pool + "\"");
   }
+  const auto below = path_below(pool, raw);
+  if (!below) {
+    return refuse(result_code::unknown_path, "the pool's name is escaped");
+  }
   request.target = decide::pool_target(pool);
-  request.path = target_with_query(raw, path.empty() ? "/" : path);
+  request.path = *below;
   request.body = raw.body;
   request.non_idempotent =
       decide::is_non_idempotent(*owner, raw.method, path.empty() ? "/" : path);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,6 +29,7 @@
 #include "router/heartbeat_duty.hpp"
 #include "router/home_duty.hpp"
 #include "router/home_link.hpp"
+#include "router/load_pacer.hpp"
 #include "router/once_desk.hpp"
 #include "router/permit_desk.hpp"
 #include "router/placement_duty.hpp"
@@ -118,7 +119,9 @@
         log(requests_explained),
         budget(settings.retry_share, settings.retry_burst),
         calls("calls", call_threads, call_waiting),
-        outbox(settings.control, desk, rpc, calls, settings.call_timeout),
+        pacer({.parallel = settings.home.parallel_loads,
+               .load_time = settings.home.load_time.back()}),
+        outbox(members, pacer, desk, rpc, calls, settings.call_timeout),
         home(settings.home, settings.strikes, home_ring, outbox),
         homes(members, home, rpc, settings.call_timeout),
         done(homes),
@@ -160,6 +163,7 @@
         methods{.members = members,
                 .config = config,
                 .home = home,
+                .pacer = pacer,
                 .desk = desk,
                 .placement = placement,
                 .heartbeats = heartbeats,
@@ -215,6 +219,7 @@
   shared_retry_budget budget;
   std::atomic<bool> draining{false};
   kernel::task_pool calls;
+  load_pacer pacer;
   router_outbox outbox;
   home_duty home;
   home_link homes;
--- a/src/router/router_outbox.cpp
+++ b/src/router/router_outbox.cpp
@@ -2,8 +2,11 @@
 
 #include <utility>
 
+#include "kernel/event_log.hpp"
 #include "router/conviction_book.hpp"
+#include "router/fleet.hpp"
 #include "router/home_duty.hpp"
+#include "router/load_pacer.hpp"
 #include "router/permit_desk.hpp"
 #include "router/placement_duty.hpp"
 #include "wire/field_codec.hpp"
@@ -11,10 +14,11 @@
 
 namespace boragehill::router {
 
-router_outbox::router_outbox(endpoint control, permit_desk& places,
-                             wire::rpc_client& client, kernel::task_pool& pool,
-                             milliseconds timeout)
-    : own_control(std::move(control)),
+router_outbox::router_outbox(fleet& all, load_pacer& own_pacer,
+                             permit_desk& places, wire::rpc_client& client,
+                             kernel::task_pool& pool, milliseconds timeout)
+    : members(all),
+      pacer(own_pacer),
       desk(places),
       rpc(client),
       calls(pool),
@@ -28,7 +32,7 @@
 }
 
 void router_outbox::carry_out(const decide::tell_entry& action) {
-  if (action.entry == this->own_control) {
+  if (action.entry == this->members.self().control) {
     const bool taken = this->desk.bring(action.answer);
     if (!taken) this->home->post(withdraw_message{action.answer.attempt});
     return;
@@ -60,10 +64,47 @@
 }
 
 void router_outbox::carry_out(const decide::share_conviction& action) {
+  kernel::log_event(kernel::event::convicted,
+                    {{"fingerprint", action.fingerprint}});
   this->convictions->add_own(action.fingerprint);
 }
 
+void router_outbox::carry_out(const decide::load_ended& action) {
+  this->calls.try_post([this, action] {
+    (void)this->ask_pace({.server = action.server,
+                          .model = action.model,
+                          .ended = true,
+                          .took_ms = action.took.count()});
+  });
+}
+
+wire::pace_answer router_outbox::ask_pace(const wire::pace_request& request) {
+  const time_point now = time_point::clock::now();
+  const auto homes = this->members.homes(pacing_target, 1, now);
+  // Without an answer the load goes ahead: a slower load is better than none.
+  if (homes.empty()) return {};
+  if (homes.front().id == this->members.self().id) {
+    return this->pacer.ask(request, now);
+  }
+  const auto answer =
+      this->rpc.call(homes.front().control, "home.pace", wire::to_json(request),
+                     this->call_timeout);
+  if (!answer) return {};
+  const auto read = wire::from_json<wire::pace_answer>(answer.value());
+  return read ? read.value() : wire::pace_answer{};
+}
+
 void router_outbox::wake(const decide::order_wake& action) {
+  if (action.remote) {
+    const auto pace =
+        this->ask_pace({.server = action.server,
+                        .model = action.order.model,
+                        .time_left_ms = action.time_left.count()});
+    if (!pace.start) {
+      this->home->post(paced_message{action, milliseconds(pace.wait_ms)});
+      return;
+    }
+  }
   const auto answer =
       this->rpc.call(action.control, "agent.wake", wire::to_json(action.order),
                      this->call_timeout);
--- a/src/router/router_outbox.hpp
+++ b/src/router/router_outbox.hpp
@@ -9,6 +9,8 @@
 
 #include "kernel/task_pool.hpp"
 #include "router/home_outbox.hpp"
+#include "wire/pace_answer.hpp"
+#include "wire/pace_request.hpp"
 #include "wire/permit_answer.hpp"
 
 namespace boragehill::wire {
@@ -18,7 +20,9 @@
 namespace boragehill::router {
 
 class conviction_book;
+class fleet;
 class home_duty;
+class load_pacer;
 class permit_desk;
 class placement_duty;
 
@@ -26,8 +30,9 @@
 /// the control protocol from a few threads, grants to the placement duty.
 class router_outbox final : public home_outbox {
  public:
-  router_outbox(endpoint own_control, permit_desk& desk, wire::rpc_client& rpc,
-                kernel::task_pool& calls, milliseconds call_timeout);
+  router_outbox(fleet& members, load_pacer& pacer, permit_desk& desk,
+                wire::rpc_client& rpc, kernel::task_pool& calls,
+                milliseconds call_timeout);
 
   /// Names the duties that the outbox hands work to; once, before any action.
   void connect(home_duty& home, placement_duty& placement,
@@ -37,11 +42,14 @@
   void carry_out(const decide::order_wake& action) override;
   void carry_out(const decide::want_grants& action) override;
   void carry_out(const decide::share_conviction& action) override;
+  void carry_out(const decide::load_ended& action) override;
 
  private:
   void wake(const decide::order_wake& action);
+  wire::pace_answer ask_pace(const wire::pace_request& request);
 
-  endpoint own_control;
+  fleet& members;
+  load_pacer& pacer;
   permit_desk& desk;
   wire::rpc_client& rpc;
   kernel::task_pool& calls;
--- a/src/router/vm_duty.cpp
+++ b/src/router/vm_duty.cpp
@@ -15,8 +15,11 @@
       members(all),
       home(own_home),
       worker(
-          "vms", 1, interval, [](std::monostate&) {},
-          [this] { this->poll(); }) {}
+          "vms", 1, interval, [this](std::monostate&) { this->poll(); },
+          [this] { this->poll(); }) {
+  // Grants can't be placed before the list was read once.
+  this->worker.post(std::monostate{});
+}
 
 void vm_duty::poll() {
   const auto read = this->list.list();
--- a/src/value/result_code.cpp
+++ b/src/value/result_code.cpp
@@ -81,6 +81,13 @@
     code_entry{rc::address_in_use, "address_in_use", 500},
 };
 
+constexpr auto codes = [] {
+  std::array<result_code, code_table.size()> all{};
+  std::transform(code_table.begin(), code_table.end(), all.begin(),
+                 [](const code_entry& entry) { return entry.code; });
+  return all;
+}();
+
 const code_entry* find_entry(result_code code) noexcept {
   const auto* found =
       std::find_if(code_table.begin(), code_table.end(),
@@ -109,6 +116,10 @@
   return entry == nullptr ? 500 : entry->http_status;
 }
 
+std::span<const result_code> all_result_codes() noexcept {
+  return codes;
+}
+
 const std::error_category& result_category() noexcept {
   static const result_category_type category;
   return category;
