Notice a caller that hangs up and an agent that freezes while an answer is due

Cause: a request's thread saw neither before a byte came, so it waited to its deadline; and a streamed request waited for its head without looking at all. Change: one follower of an attempt looks each 500 ms at the deadline, the caller's socket and, after 2 s of silence, the agent's control port. A waiting request is withdrawn from its home; an idempotent run is cancelled at the agent; a non-idempotent one goes on, since its answer is kept for the resend.

--- a/src/decide/flow_limits.hpp
+++ b/src/decide/flow_limits.hpp
@@ -10,7 +10,8 @@
 
 /// The limits of one request's flow.
 struct flow_limits {
-  /// Attempts for one request, the first included.
+  /// Attempts for one request, the first included; those that their agent
+  /// refused as busy, or for a like reason, are not counted.
   std::uint32_t max_attempts = 8;
   /// Homes asked in turn before the request is refused.
   std::size_t max_homes = 3;
--- a/src/decide/request_flow.cpp
+++ b/src/decide/request_flow.cpp
@@ -171,6 +171,11 @@
                       "it ran and its answer could not be fetched");
 }
 
+flow_step request_flow::on_caller_gone() const {
+  return this->refuse(result_code::caller_gone, milliseconds{0},
+                      "the caller hung up");
+}
+
 flow_step request_flow::on_pause_over(time_point now) {
   if (this->asking_fate) return ask_fate{this->current, this->permit};
   if (now >= this->request.deadline) return this->out_of_time(now);
@@ -202,7 +207,12 @@
 }
 
 flow_step request_flow::retry(bool charged, result_code code, time_point now) {
-  if (this->current.number >= this->limits.max_attempts) {
+  // A refusal that passes soon counts as no attempt: a server that other homes
+  // fill too may refuse one request many times within its deadline, and only
+  // the backoff and the deadline bound that. Seen as `server_busy` given to a
+  // caller with most of its time left.
+  if (charged) ++this->failures;
+  if (this->failures >= this->limits.max_attempts) {
     return this->refuse(code, this->limits.default_retry_after,
                         "no attempt succeeded");
   }
--- a/src/decide/request_flow.hpp
+++ b/src/decide/request_flow.hpp
@@ -59,6 +59,9 @@
   /// Takes the result of fetching a kept answer.
   flow_step on_kept(bool whole, time_point now);
 
+  /// Takes note that the caller hung up before an attempt was sent.
+  flow_step on_caller_gone() const;
+
   /// Goes on after a pause.
   flow_step on_pause_over(time_point now);
 
@@ -87,6 +90,8 @@
   wire::permit_answer permit;
   std::size_t rank = 0;
   std::size_t homes_lost = 0;
+  /// Attempts that failed in a way that may not pass soon.
+  std::uint32_t failures = 0;
   std::uint32_t crashes = 0;
   std::uint32_t fate_asks = 0;
   std::vector<std::string> excluded;
--- a/src/router/answer_collector.hpp
+++ b/src/router/answer_collector.hpp
@@ -23,6 +23,9 @@
   /// Takes the next frame.
   void take(const wire::answer_frame& frame);
 
+  /// Returns what came so far, for a caller that checked the whole itself.
+  const whole_answer& so_far() const { return this->answer; }
+
   /// Returns the answer; nothing unless its end frame matched.
   std::optional<whole_answer> whole() const;
 
--- a/src/router/caller_listener.cpp
+++ b/src/router/caller_listener.cpp
@@ -163,10 +163,11 @@
   if (const auto* refused = std::get_if<refusal>(&request)) {
     return this->write(*refused, response);
   }
-  this->serve(std::get<accepted_request>(std::move(request)), response);
+  this->serve(std::get<accepted_request>(std::move(request)),
+              caller_watch(raw.remote_addr, raw.remote_port), response);
 }
 
-void caller_listener::serve(accepted_request request,
+void caller_listener::serve(accepted_request request, caller_watch caller,
                             httplib::Response& response) {
   if (this->convictions.contains(request.fingerprint)) {
     return this->write(
@@ -184,7 +185,8 @@
       .ending = "answered"};
   response.set_header("Boragehill-Request", record.id);
   const time_point began = request.accepted_at;
-  request_driver driver(this->parts, std::move(request), sequence);
+  request_driver driver(this->parts, std::move(request), sequence,
+                        std::move(caller));
   auto outcome = driver.run();
   if (const auto* refused = std::get_if<refusal>(&outcome)) {
     record.ending = std::string(name_of(refused->code));
--- a/src/router/caller_listener.hpp
+++ b/src/router/caller_listener.hpp
@@ -77,7 +77,8 @@
   void add_service_routes();
   void serve(const httplib::Request& raw, httplib::Response& response,
              const reader& read);
-  void serve(accepted_request request, httplib::Response& response);
+  void serve(accepted_request request, caller_watch caller,
+             httplib::Response& response);
   void list_models(const httplib::Request& raw, httplib::Response& response);
   void write(const whole_answer& answer, httplib::Response& response);
   void write(std::shared_ptr<live_answer> answer, httplib::Response& response);
--- a/src/router/request_driver.cpp
+++ b/src/router/request_driver.cpp
@@ -9,6 +9,7 @@
 #include "kernel/task_pool.hpp"
 #include "router/answer_collector.hpp"
 #include "router/attempt_call.hpp"
+#include "router/attempt_follower.hpp"
 #include "router/done_duty.hpp"
 #include "router/fleet.hpp"
 #include "router/home_link.hpp"
@@ -16,18 +17,14 @@
 #include "router/permit_desk.hpp"
 #include "router/router_metrics.hpp"
 #include "router/shared_retry_budget.hpp"
-#include "wire/attempt_query.hpp"
-#include "wire/field_codec.hpp"
-#include "wire/rpc_client.hpp"
 
 namespace boragehill::router {
 
 namespace {
 
 constexpr std::size_t homes_considered = 8;
-/// An agent that sends nothing for so long is asked whether it lives.
-constexpr milliseconds silence{2000};
-constexpr int unanswered_probes = 2;
+/// How often a waiting request looks whether its caller hung up.
+constexpr milliseconds hang_up_poll{500};
 
 decide::flow_request facts_of(const driver_parts& parts,
                               const accepted_request& request,
@@ -85,9 +82,10 @@
 }  // namespace
 
 request_driver::request_driver(driver_parts& owner, accepted_request accepted,
-                               std::uint64_t sequence)
+                               std::uint64_t sequence, caller_watch watched)
     : parts(owner),
       request(std::move(accepted)),
+      caller(std::move(watched)),
       hop(owner.traces, "router.request", request.trace),
       flow(
           facts_of(owner, request, sequence), owner.limits,
@@ -152,7 +150,7 @@
   kernel::span wait(this->parts.traces, "router.wait", this->hop.context());
   wait.tag("home", this->home.id);
   const std::string attempt = step.attempt.to_string();
-  const auto told = this->parts.desk.await(attempt, step.until);
+  const auto told = this->await(attempt, step.until);
   this->parts.desk.close(attempt);
   const time_point now = time_point::clock::now();
   if (told) {
@@ -164,6 +162,7 @@
       [&owner = this->parts, home = this->home, attempt] {
         owner.homes.withdraw(home, attempt);
       });
+  if (this->caller.gone()) return this->flow.on_caller_gone();
   if (now < step.until) this->lost_homes.insert(this->home.id);
   return this->flow.on_home_lost(now);
 }
@@ -187,28 +186,53 @@
   hop_out.tag("attempt", step.attempt.to_string());
   auto call = std::make_unique<attempt_call>(
       this->request, step.attempt, step.permit, hop_out.context().to_string());
-  if (this->request.streamed && this->ticket.row_key.empty()) {
-    const auto first = call->next(this->request.deadline);
-    const auto* head = first ? std::get_if<wire::frame_head>(&*first) : nullptr;
-    if (head != nullptr && head->status == 200) {
-      // The answer outlives this driver.
-      const auto at_end = [&owner = this->parts, at = this->home, step,
-                           asked = this->request](const auto& result) {
-        report_end(owner, at, asked, step, result);
-      };
-      this->live = std::make_shared<live_answer>(std::move(call),
-                                                 head->content_type, at_end);
-      return decide::delivered{};
-    }
-    if (head != nullptr) {
-      this->answer = whole_answer{head->status, head->content_type, {}};
-    }
+  attempt_follower follower(this->parts, this->request, this->caller, step);
+  auto first = follower.next(*call);
+  if (this->becomes_stream(first)) {
+    this->begin_stream(std::move(call), first, step);
+    return decide::delivered{};
   }
-  const auto result = this->receive(*call, step);
+  const auto result = this->collect(*call, follower, std::move(first));
   report_end(this->parts, this->home, this->request, step, result);
   return this->flow.on_attempt(result, time_point::clock::now());
 }
 
+bool request_driver::becomes_stream(const received& first) const {
+  if (!this->request.streamed || !this->ticket.row_key.empty()) return false;
+  const auto* frame = std::get_if<wire::answer_frame>(&first);
+  if (frame == nullptr) return false;
+  const auto* head = std::get_if<wire::frame_head>(frame);
+  return head != nullptr && head->status == 200;
+}
+
+void request_driver::begin_stream(std::unique_ptr<attempt_call> call,
+                                  const received& first,
+                                  const decide::dispatch& step) {
+  const auto& frame = std::get<wire::answer_frame>(first);
+  // The answer outlives this driver.
+  const auto at_end = [&owner = this->parts, at = this->home, step,
+                       asked = this->request](const auto& result) {
+    report_end(owner, at, asked, step, result);
+  };
+  this->live = std::make_shared<live_answer>(
+      std::move(call), std::get<wire::frame_head>(frame).content_type, at_end);
+}
+
+decide::attempt_result request_driver::collect(attempt_call& call,
+                                               attempt_follower& follower,
+                                               received next) {
+  answer_collector collector;
+  while (const auto* frame = std::get_if<wire::answer_frame>(&next)) {
+    collector.take(*frame);
+    next = follower.next(call);
+  }
+  const auto result = std::get<decide::attempt_result>(next);
+  if (result.ending == decide::attempt_ending::whole) {
+    this->answer = collector.so_far();
+  }
+  return result;
+}
+
 decide::flow_step request_driver::carry_out(const decide::ask_fate& step) {
   const auto fate =
       this->parts.once.fate(step.attempt.to_string(), step.permit.control,
@@ -235,6 +259,18 @@
   return step;
 }
 
+std::optional<wire::permit_answer> request_driver::await(
+    const std::string& attempt, time_point until) {
+  while (true) {
+    const time_point look = time_point::clock::now() + hang_up_poll;
+    const auto told = this->parts.desk.await(attempt, std::min(until, look));
+    const time_point now = time_point::clock::now();
+    // Before its time is up, the desk wakes a waiter only for good.
+    if (told || now < std::min(until, look) || now >= until) return told;
+    if (this->caller.gone()) return std::nullopt;
+  }
+}
+
 std::optional<vm_info> request_driver::pick_home() {
   const auto homes = this->parts.members.homes(
       this->request.target, homes_considered, time_point::clock::now());
@@ -245,68 +281,6 @@
   return *found;
 }
 
-decide::attempt_result request_driver::receive(attempt_call& call,
-                                               const decide::dispatch& step) {
-  whole_answer collected = this->answer.value_or(whole_answer{});
-  this->answer.reset();
-  int unanswered = 0;
-  while (!call.ended()) {
-    const time_point now = time_point::clock::now();
-    if (now >= this->request.deadline) {
-      if (!this->request.non_idempotent) this->cancel_at_agent(step);
-      return {.ending = decide::attempt_ending::broken,
-              .code = result_code::deadline_passed};
-    }
-    const auto frame =
-        call.next(std::min(this->request.deadline, now + silence));
-    if (!frame) {
-      if (call.ended() || this->agent_answers(step)) continue;
-      // A frozen agent keeps its connections open and says nothing.
-      if (++unanswered < unanswered_probes) continue;
-      return {.ending = decide::attempt_ending::broken,
-              .code = result_code::outcome_unknown};
-    }
-    unanswered = 0;
-    if (const auto* head = std::get_if<wire::frame_head>(&*frame)) {
-      collected.status = head->status;
-      collected.content_type = head->content_type;
-    }
-    if (const auto* piece = std::get_if<wire::frame_piece>(&*frame)) {
-      collected.body += piece->bytes;
-    }
-  }
-  auto result = call.result();
-  if (result.ending == decide::attempt_ending::whole) {
-    this->answer = std::move(collected);
-  }
-  const bool cut = result.ending == decide::attempt_ending::broken &&
-                   result.code == result_code::outcome_unknown;
-  // The whole VM went down with the request in flight.
-  if (cut && !this->agent_answers(step)) result.crashed = true;
-  return result;
-}
-
-bool request_driver::agent_answers(const decide::dispatch& step) {
-  const wire::attempt_query query{.attempt = step.attempt.to_string(),
-                                  .fence = step.permit.fence,
-                                  .permit_end_ms = step.permit.permit_end_ms};
-  return this->parts.rpc
-      .call(step.permit.control, "agent.attempt", wire::to_json(query),
-            this->parts.call_timeout)
-      .has_value();
-}
-
-void request_driver::cancel_at_agent(const decide::dispatch& step) {
-  const wire::attempt_query query{.attempt = step.attempt.to_string(),
-                                  .fence = step.permit.fence,
-                                  .permit_end_ms = step.permit.permit_end_ms};
-  this->parts.calls.try_post(
-      [&owner = this->parts, control = step.permit.control, query] {
-        (void)owner.rpc.call(control, "agent.cancel", wire::to_json(query),
-                             owner.call_timeout);
-      });
-}
-
 request_driver::outcome request_driver::conclude(
     const decide::flow_step& last) {
   if (this->live) return this->live;
--- a/src/router/request_driver.hpp
+++ b/src/router/request_driver.hpp
@@ -13,13 +13,16 @@
 #include "decide/request_flow.hpp"
 #include "kernel/span.hpp"
 #include "router/accepted_request.hpp"
+#include "router/caller_watch.hpp"
 #include "router/driver_parts.hpp"
 #include "router/once_desk.hpp"
 #include "router/whole_answer.hpp"
+#include "wire/answer_frame.hpp"
 
 namespace boragehill::router {
 
 class attempt_call;
+class attempt_follower;
 class live_answer;
 
 /// Carries one request through, on its caller's thread: it does the I/O that
@@ -27,7 +30,7 @@
 class request_driver {
  public:
   request_driver(driver_parts& parts, accepted_request request,
-                 std::uint64_t sequence);
+                 std::uint64_t sequence, caller_watch caller);
 
   /// The final answer: whole, its beginning, or a refusal.
   using outcome =
@@ -37,6 +40,9 @@
   outcome run();
 
  private:
+  /// A frame, or how the attempt ended.
+  using received = std::variant<wire::answer_frame, decide::attempt_result>;
+
   decide::flow_step carry_out(const decide::ask_home& step);
   decide::flow_step carry_out(const decide::await_permit& step);
   decide::flow_step carry_out(const decide::write_claim& step);
@@ -48,14 +54,18 @@
   decide::flow_step carry_out(const decide::give_up& step);
 
   std::optional<vm_info> pick_home();
-  decide::attempt_result receive(attempt_call& call,
-                                 const decide::dispatch& step);
-  bool agent_answers(const decide::dispatch& step);
-  void cancel_at_agent(const decide::dispatch& step);
+  bool becomes_stream(const received& first) const;
+  void begin_stream(std::unique_ptr<attempt_call> call, const received& first,
+                    const decide::dispatch& step);
+  decide::attempt_result collect(attempt_call& call, attempt_follower& follower,
+                                 received next);
+  std::optional<wire::permit_answer> await(const std::string& attempt,
+                                           time_point until);
   outcome conclude(const decide::flow_step& last);
 
   driver_parts& parts;
   accepted_request request;
+  caller_watch caller;
   kernel::span hop;
   decide::request_flow flow;
   once_ticket ticket;
