Let convictions end, and hand keys and priorities to backend servers

Cause: a conviction stood in the table and in every router for ever, though the engine may have been mended; and each router read all convictions with each poll of the catalog, 113 prefix reads a second at 340 routers. Change: a conviction stands as long as strikes are kept; heartbeats tell only of those learned within a minute, since two routers that told on would teach each other what each had just let off; the table is read each 30 s (11 reads a second at 340 routers, by arithmetic). Also: Idempotency-Key and the profile's priority reach the backend server.

--- a/include/boragehill/backend_request.hpp
+++ b/include/boragehill/backend_request.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_BACKEND_REQUEST_HPP
 #define BORAGEHILL_BACKEND_REQUEST_HPP
 
+#include <cstdint>
 #include <string>
 
 #include <boragehill/time_point.hpp>
@@ -17,6 +18,10 @@
   std::string content_type;
   std::string body;
   std::string traceparent;
+  /// The caller's key of a non-idempotent request; empty if there is none.
+  std::string idempotency_key;
+  /// Higher goes first where the backend server honours priorities.
+  std::int64_t priority = 0;
   /// The time left to the caller's deadline.
   milliseconds time_left{0};
 
--- a/src/agent/attempt_request.cpp
+++ b/src/agent/attempt_request.cpp
@@ -61,13 +61,17 @@
       .target = *target,
       .non_idempotent =
           request.get_header_value("Boragehill-Non-Idempotent") == "1",
-      .request = {.attempt = id->to_string(),
-                  .method = method,
-                  .target = path,
-                  .content_type = request.get_header_value("Content-Type"),
-                  .body = request.body,
-                  .traceparent = request.get_header_value("traceparent"),
-                  .time_left = milliseconds(*time_left)}};
+      .request = {
+          .attempt = id->to_string(),
+          .method = method,
+          .target = path,
+          .content_type = request.get_header_value("Content-Type"),
+          .body = request.body,
+          .traceparent = request.get_header_value("traceparent"),
+          .idempotency_key = request.get_header_value("Idempotency-Key"),
+          .priority = number_in<std::int64_t>(request, "Boragehill-Priority")
+                          .value_or(0),
+          .time_left = milliseconds(*time_left)}};
 }
 
 }  // namespace boragehill::agent
--- a/src/app/admin_client.cpp
+++ b/src/app/admin_client.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr int timeout_seconds = 15;
+constexpr int unconfirmed = static_cast<int>(result_code::profile_unconfirmed);
 
 Json::Value parse(const std::string& text) {
   Json::Value json;
@@ -51,6 +52,9 @@
              "--publish_id.";
     case result_code::unauthorized:
       return "Check --token_file against the router's admin_token_file.";
+    case result_code::unknown_path:
+      return "Check the name, and that --router is a router's operators' "
+             "address (router.admin).";
     case result_code::platform_down:
     case result_code::platform_throttled:
       return "The platform's table does not answer; nothing was changed. Try "
@@ -64,9 +68,9 @@
   if (!result) {
     return {exit_code::unreachable,
             {},
-            "router " + router.to_string() +
-                " does not answer: " + httplib::to_string(result.error()) +
-                "\nTry another router, or see whether this one runs."};
+            "router " + router.to_string() + " does not answer (" +
+                httplib::to_string(result.error()) +
+                " error)\nTry another router, or see whether this one runs."};
   }
   admin_answer answer;
   answer.body = parse(result->body);
@@ -112,7 +116,18 @@
   auto client = connect(this->router, this->token);
   const std::string path = "/admin/v1/profiles?base=" + std::to_string(base) +
                            "&publish_id=" + publish_id;
-  return read(client.Put(path, source, "application/toml"), this->router);
+  const auto result = client.Put(path, source, "application/toml");
+  // Once the request may have reached the router, silence does not say that
+  // the profile was not accepted; only a failed connection does.
+  const bool sent =
+      result || (result.error() != httplib::Error::Connection &&
+                 result.error() != httplib::Error::ConnectionTimeout);
+  auto answer = read(result, this->router);
+  if (!result && sent) {
+    answer.code = exit_code::unconfirmed;
+    answer.error += "\n" + advice_for(unconfirmed);
+  }
+  return answer;
 }
 
 std::optional<admin_client> client_of_flags() {
--- a/src/app/profile_command.cpp
+++ b/src/app/profile_command.cpp
@@ -2,11 +2,14 @@
 
 #include <absl/flags/flag.h>
 #include <chrono>
+#include <ctime>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <random>
 #include <sstream>
 #include <thread>
+#include <variant>
 
 #include "app/admin_client.hpp"
 #include "app/command_registry.hpp"
@@ -88,8 +91,10 @@
   return exit_code::failed;
 }
 
-std::optional<std::uint64_t> base_revision(const admin_client& client,
-                                           const std::string& name) {
+/// The revision to start from, or why it can't be told.
+using base_answer = std::variant<std::uint64_t, exit_code>;
+
+base_answer base_revision(const admin_client& client, const std::string& name) {
   const auto given = absl::GetFlag(FLAGS_base);
   if (given >= 0) return static_cast<std::uint64_t>(given);
   const auto standing = client.get("profiles/" + name);
@@ -98,9 +103,8 @@
   }
   const bool absent =
       standing.body["error"]["name"].asString() == "unknown_profile";
-  if (absent) return 0;
-  fail(standing);
-  return std::nullopt;
+  if (absent) return std::uint64_t{0};
+  return fail(standing);
 }
 
 exit_code publish(const admin_client& client, const std::string& path) {
@@ -112,12 +116,15 @@
   }
   if (!draft.problems.empty()) return exit_code::usage;
   const auto base = base_revision(client, draft.draft.name);
-  if (!base) return exit_code::unreachable;
+  if (const auto* failed = std::get_if<exit_code>(&base)) return *failed;
   std::string publish_id = absl::GetFlag(FLAGS_publish_id);
   if (publish_id.empty()) publish_id = random_id();
-  const auto answer = client.publish(*source, *base, publish_id);
+  const auto answer =
+      client.publish(*source, std::get<std::uint64_t>(base), publish_id);
   if (answer.code == exit_code::unconfirmed) {
-    std::cerr << "boragehill: publish id " << publish_id << "\n";
+    std::cerr << "boragehill: ask again with --base "
+              << std::get<std::uint64_t>(base) << " --publish_id " << publish_id
+              << "\n";
   }
   if (answer.code != exit_code::ok) return fail(answer);
   if (wants_json()) {
@@ -130,12 +137,23 @@
   return wait_in_force(client, answer.body["revision"].asUInt64());
 }
 
+std::string date_of(std::int64_t wall_clock_ms) {
+  constexpr std::int64_t ms_per_second = 1000;
+  const std::time_t seconds = wall_clock_ms / ms_per_second;
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  std::ostringstream text;
+  text << std::put_time(&utc, "%Y-%m-%dT%H:%M:%SZ");
+  return text.str();
+}
+
 std::vector<std::string> row_of(const Json::Value& profile) {
   return {profile["name"].asString(),
           std::to_string(profile["revision"].asUInt64()),
           std::to_string(profile["models"].size()),
           std::to_string(profile["pools"].size()),
-          std::to_string(profile["max_wait_ms"].asInt64())};
+          std::to_string(profile["max_wait_ms"].asInt64()),
+          date_of(profile["published_at_ms"].asInt64())};
 }
 
 exit_code list(const admin_client& client, const std::string& path) {
@@ -146,7 +164,7 @@
     return exit_code::ok;
   }
   std::vector<std::vector<std::string>> rows{
-      {"NAME", "REVISION", "MODELS", "POOLS", "MAX_WAIT_MS"}};
+      {"NAME", "REVISION", "MODELS", "POOLS", "MAX_WAIT_MS", "PUBLISHED"}};
   for (const auto& profile : answer.body) rows.push_back(row_of(profile));
   print_table(rows);
   return exit_code::ok;
@@ -179,12 +197,14 @@
   return exit_code::ok;
 }
 
+exit_code wrong_verb() {
+  std::cerr << "boragehill: profile takes publish, show, list, history or "
+               "diff\n";
+  return exit_code::usage;
+}
+
 exit_code run_profile(const std::vector<std::string>& arguments) {
-  if (arguments.empty()) {
-    std::cerr << "boragehill: profile takes publish, show, list, history or "
-                 "diff\n";
-    return exit_code::usage;
-  }
+  if (arguments.empty()) return wrong_verb();
   const auto client = client_of_flags();
   if (!client) return exit_code::usage;
   const std::string& verb = arguments.front();
@@ -199,8 +219,7 @@
     return list(*client, "profiles/" + arguments[1] + "/history");
   }
   if (verb == "diff") return diff(*client, arguments[1]);
-  std::cerr << "boragehill: no verb \"" << verb << "\" of profile\n";
-  return exit_code::usage;
+  return wrong_verb();
 }
 
 const command_registrar profile_command{
--- a/src/app/settings_flags.cpp
+++ b/src/app/settings_flags.cpp
@@ -20,6 +20,10 @@
 }
 
 bool report_problems(const std::vector<kernel::settings_problem>& problems) {
+  if (absl::GetFlag(FLAGS_settings).empty()) {
+    std::cerr << "boragehill: --settings is missing; it takes a TOML file\n";
+    return false;
+  }
   for (const auto& problem : problems) {
     std::cerr << "boragehill: " << problem.to_string() << "\n";
   }
--- a/src/app/status_command.cpp
+++ b/src/app/status_command.cpp
@@ -33,7 +33,7 @@
 }
 
 void print_targets(const Json::Value& status) {
-  table rows{{"TARGET", "HOME", "WAITING", "SERVERS"}};
+  table rows{{"TARGET", "SEEN_BY", "WAITING", "SERVERS"}};
   for (const auto& router : status["routers"]) {
     for (const auto& target : router["targets"]) {
       std::string servers;
@@ -112,8 +112,9 @@
   const bool of_request = answer.body.isMember("decisions");
   for (const char* key : {"id", "service", "target", "home", "waiting",
                           "estimate_ms", "ending", "took_ms", "message"}) {
-    if (!answer.body.isMember(key)) continue;
-    std::cout << key << ": " << text_of(answer.body[key]) << "\n";
+    const Json::Value& value = answer.body[key];
+    if (value.isNull() || value.asString().empty()) continue;
+    std::cout << key << ": " << value.asString() << "\n";
   }
   print_notes(answer.body[of_request ? "decisions" : "notes"]);
   return exit_code::ok;
--- a/src/decide/home_wakes.cpp
+++ b/src/decide/home_wakes.cpp
@@ -302,13 +302,19 @@
 milliseconds home::queue_time(const home_target& target, std::size_t ahead,
                               time_point now) const {
   std::uint32_t slots = 0;
+  std::uint32_t cold_slots = 0;
   for (const auto& id : target.servers) {
     const auto known = this->known_servers.find(id);
     if (known == this->known_servers.end()) continue;
     if (!known->second.usable(now, this->limits.report_silence)) continue;
-    if (!this->can_run(target, known->second, {})) continue;
-    slots += known->second.report().slots;
+    const std::uint32_t own = known->second.report().slots;
+    cold_slots = std::max(cold_slots, own);
+    if (this->can_run(target, known->second, {})) slots += own;
   }
+  // Before the first replica is ready the queue will run on the one that
+  // wakes. Counted as one slot, the first burst for a cold model would be
+  // refused as too late although a replica takes many requests at once.
+  if (slots == 0) slots = cold_slots;
   const auto rounds =
       static_cast<std::int64_t>(ahead / std::max<std::uint32_t>(slots, 1));
   return target.run_time.value() * rounds;
--- a/src/engine/running_request.cpp
+++ b/src/engine/running_request.cpp
@@ -50,7 +50,8 @@
   return is_token(request.method) && is_token(request.target) &&
          request.target.front() == '/' && is_header_value(request.attempt) &&
          is_header_value(request.content_type) &&
-         is_header_value(request.traceparent);
+         is_header_value(request.traceparent) &&
+         is_header_value(request.idempotency_key);
 }
 
 httplib::Request request_of(const backend_request& request) {
@@ -67,6 +68,12 @@
   if (!request.traceparent.empty()) {
     sent.set_header("traceparent", request.traceparent);
   }
+  if (!request.idempotency_key.empty()) {
+    sent.set_header("Idempotency-Key", request.idempotency_key);
+  }
+  if (request.priority != 0) {
+    sent.set_header("X-Priority", std::to_string(request.priority));
+  }
   return sent;
 }
 
--- a/src/router/attempt_call.cpp
+++ b/src/router/attempt_call.cpp
@@ -40,6 +40,12 @@
       {"Content-Type", request.content_type},
       {"traceparent", traceparent},
   };
+  if (request.priority != 0) {
+    headers.emplace("Boragehill-Priority", std::to_string(request.priority));
+  }
+  if (!request.idempotency_key.empty()) {
+    headers.emplace("Idempotency-Key", request.idempotency_key);
+  }
   if (request.non_idempotent) headers.emplace("Boragehill-Non-Idempotent", "1");
   if (permit.exclusive) headers.emplace("Boragehill-Exclusive", "1");
   return headers;
--- a/src/router/catalog_duty.cpp
+++ b/src/router/catalog_duty.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::size_t ring_capacity = 64;
+constexpr milliseconds conviction_interval{30000};
 
 }  // namespace
 
@@ -71,8 +72,19 @@
   if (this->outage && this->config.current()->revision() == 0) {
     this->ask_any_peer();
   }
-  for (const auto& fingerprint : this->convictions.sync(this->table)) {
-    this->home.post(conviction_message{fingerprint});
+  this->keep_convictions();
+}
+
+void catalog_duty::keep_convictions() {
+  const time_point now = time_point::clock::now();
+  this->convictions.expire(now);
+  this->convictions.write_down(this->table);
+  // Heartbeats spread them within seconds; the table is for routers that start
+  // later, so it is read seldom.
+  if (now < this->next_convictions) return;
+  this->next_convictions = now + conviction_interval;
+  for (const auto& each : this->convictions.read_all(this->table, now)) {
+    this->home.post(conviction_message{each});
   }
 }
 
--- a/src/router/catalog_duty.hpp
+++ b/src/router/catalog_duty.hpp
@@ -59,6 +59,7 @@
   void handle(const ask_peer& order);
   void poll();
   void poll_table();
+  void keep_convictions();
   void ask_any_peer();
   void note_outage(bool failed);
   void apply(std::uint64_t revision, std::vector<profile> profiles,
@@ -74,6 +75,7 @@
   wire::rpc_client& rpc;
   milliseconds call_timeout;
   bool outage = false;
+  time_point next_convictions;
   kernel::duty<message> worker;
 };
 
--- a/src/router/heartbeat_duty.cpp
+++ b/src/router/heartbeat_duty.cpp
@@ -57,7 +57,8 @@
           [this] { this->send_round(); }) {}
 
 wire::peer_heartbeat heartbeat_duty::own() const {
-  const auto age = this->config.confirmed_age(time_point::clock::now());
+  const time_point now = time_point::clock::now();
+  const auto age = this->config.confirmed_age(now);
   return {.router = this->members.self().id,
           .incarnation = this->incarnation,
           .control = this->members.self().control,
@@ -65,7 +66,7 @@
           .revision = this->config.current()->revision(),
           .confirmed_ms = age ? age->count() : -1,
           .draining = this->draining,
-          .convictions = this->convictions.latest(convictions_told)};
+          .convictions = this->convictions.latest(convictions_told, now)};
 }
 
 void heartbeat_duty::receive(const wire::peer_heartbeat& from) {
@@ -122,8 +123,9 @@
 
 void heartbeat_duty::learn(const wire::peer_heartbeat& from) {
   if (from.draining) this->members.on_leaving(from.router);
+  const time_point now = time_point::clock::now();
   for (const auto& fingerprint : from.convictions) {
-    if (!this->convictions.add(fingerprint)) continue;
+    if (!this->convictions.add(fingerprint, now)) continue;
     this->home.post(conviction_message{fingerprint});
   }
 }
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t ring_capacity = 4096;
 /// How old the servers' rows may be for choosing where a grant goes; the write
 /// itself is guarded by rows read just before it.
-constexpr milliseconds servers_keep{10000};
+constexpr milliseconds servers_keep{2000};
 constexpr int conflict_tries = 4;
 
 std::uint64_t granted_bytes(const server_record& record) {
@@ -78,6 +78,8 @@
       continue;
     }
     ++this->added;
+    this->count_grant(chosen.front(),
+                      {.model = wanted.model, .bytes = spec->bytes});
     kernel::log_event(kernel::event::grant_added, {{"model", wanted.model},
                                                    {"server", chosen.front()},
                                                    {"reason", wanted.reason}});
@@ -216,6 +218,16 @@
   return true;
 }
 
+void placement_duty::count_grant(const std::string& server,
+                                 const grant& added) {
+  // Many models ask within the time that the rows are kept. Chosen by rows as
+  // they were read, all would crowd onto the servers that were emptiest then
+  // and evict each other while the rest stands idle.
+  for (server_record& record : this->servers) {
+    if (record.id == server) record.grants.push_back(added);
+  }
+}
+
 void placement_duty::show(const placement& current) {
   this->known[current.model] = current;
   this->home.post(
--- a/src/router/placement_duty.hpp
+++ b/src/router/placement_duty.hpp
@@ -67,6 +67,7 @@
                                   const decide::model_spec& spec,
                                   const placement& current);
   bool refresh_servers(bool force);
+  void count_grant(const std::string& server, const grant& added);
   void show(const placement& current);
   void hint(const std::string& server);
   void call_agent(const std::string& server, const std::string& method,
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -115,7 +115,7 @@
                                           settings.call_timeout}),
         members(own_vm(settings), settings.members),
         config(settings.revision, time_point::clock::now()),
-        convictions(convictions_kept),
+        convictions(convictions_kept, settings.strikes.keep),
         log(requests_explained),
         budget(settings.retry_share, settings.retry_burst),
         calls("calls", call_threads, call_waiting),
--- a/src/router/router_outbox.cpp
+++ b/src/router/router_outbox.cpp
@@ -66,7 +66,7 @@
 void router_outbox::carry_out(const decide::share_conviction& action) {
   kernel::log_event(kernel::event::convicted,
                     {{"fingerprint", action.fingerprint}});
-  this->convictions->add_own(action.fingerprint);
+  this->convictions->add_own(action.fingerprint, time_point::clock::now());
 }
 
 void router_outbox::carry_out(const decide::load_ended& action) {
