--- a/src/agent/control_methods.cpp
+++ b/src/agent/control_methods.cpp
@@ -72,8 +72,7 @@
     return attempt_asked{attempt.value(), tombstone, std::move(reply)};
   });
   if (!state) return result_code::server_busy;
-  return wire::to_json(wire::attempt_answer{
-      .status = static_cast<wire::attempt_status>(*state)});
+  return wire::to_json(wire::attempt_answer{.status = *state});
 }
 
 result<Json::Value> cancel(const brain_link& brain, backend& engine,
--- a/src/decide/attempt_memory.hpp
+++ b/src/decide/attempt_memory.hpp
@@ -11,20 +11,12 @@
 #include <boragehill/result_code.hpp>
 #include <boragehill/time_point.hpp>
 
+#include "wire/attempt_status.hpp"
+
 namespace boragehill::decide {
 
-/// What an agent knows of an attempt id; numbered as `wire::attempt_status`.
-enum class attempt_state {
-  /// Never seen and tombstoned: it will now never run.
-  never_ran = 0,
-  running = 1,
-  /// Its whole answer left the backend server.
-  ended = 2,
-  /// It began and its answer is not whole.
-  broken = 3,
-  /// It may have run.
-  forgotten = 4,
-};
+/// What an agent knows of an attempt id.
+using attempt_state = wire::attempt_status;
 
 /// An answer to an offered attempt.
 struct admission_verdict {
--- a/src/router/admin_listener.cpp
+++ b/src/router/admin_listener.cpp
@@ -9,6 +9,7 @@
 #include "decide/catalog.hpp"
 #include "decide/target_name.hpp"
 #include "kernel/event_log.hpp"
+#include "kernel/wall_clock.hpp"
 #include "router/catalog_duty.hpp"
 #include "router/fleet.hpp"
 #include "router/profile_toml.hpp"
@@ -62,12 +63,6 @@
   return number;
 }
 
-std::int64_t wall_clock_ms() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 Json::Value summary(const profile_row& row) {
   Json::Value json = wire::to_json(row.published);
   json["published_at_ms"] = static_cast<Json::Int64>(row.published_at_ms);
@@ -174,7 +169,7 @@
       {.published = std::move(read.draft),
        .publish_id = raw.get_param_value("publish_id"),
        .source = raw.body,
-       .published_at_ms = wall_clock_ms()},
+       .published_at_ms = kernel::wall_clock_ms()},
       number_of(raw.get_param_value("base")));
   if (!published) {
     const auto code = code_of(published.error());
--- a/src/router/conviction_book.cpp
+++ b/src/router/conviction_book.cpp
@@ -9,6 +9,8 @@
 #include <boragehill/table_service.hpp>
 #include <boragehill/table_write.hpp>
 
+#include "kernel/wall_clock.hpp"
+
 namespace boragehill::router {
 
 namespace {
@@ -16,12 +18,6 @@
 const std::string conviction_prefix = "conviction/";
 constexpr milliseconds told_for{60000};
 
-std::int64_t wall_clock_ms() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 /// A row's value is the wall-clock time of its conviction, in milliseconds.
 std::int64_t time_of(const table_row& row) {
   std::int64_t at = 0;
@@ -74,7 +70,7 @@
     const auto written =
         table.transact({{.key = conviction_prefix + fingerprint,
                          .etag = {},
-                         .value = std::to_string(wall_clock_ms())}});
+                         .value = std::to_string(kernel::wall_clock_ms())}});
     const bool stands =
         written || written.error() == result_code::platform_conflict;
     if (stands) continue;
@@ -88,7 +84,7 @@
   std::vector<std::string> learned;
   const auto rows = table.read_prefix(conviction_prefix);
   if (!rows) return learned;
-  const std::int64_t oldest = wall_clock_ms() - this->keep.count();
+  const std::int64_t oldest = kernel::wall_clock_ms() - this->keep.count();
   for (const auto& row : rows.value()) {
     if (time_of(row) < oldest) {
       (void)table.transact(
--- a/src/router/once_desk.cpp
+++ b/src/router/once_desk.cpp
@@ -13,6 +13,7 @@
 #include <boragehill/table_write.hpp>
 
 #include "decide/once_claim.hpp"
+#include "kernel/wall_clock.hpp"
 #include "router/accepted_request.hpp"
 #include "router/answer_collector.hpp"
 #include "wire/attempt_answer.hpp"
@@ -45,12 +46,6 @@
   return shard_prefix(request.service, shard) + key;
 }
 
-std::int64_t wall_clock_ms() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 refusal not_run(result_code code, std::string message) {
   return {code, ran_state::no, retry_after, std::move(message)};
 }
@@ -240,7 +235,7 @@
                              milliseconds retention) {
   const auto rows = this->table.read_prefix(shard_prefix(service, shard));
   if (!rows) return 0;
-  const std::int64_t oldest = wall_clock_ms() - retention.count();
+  const std::int64_t oldest = kernel::wall_clock_ms() - retention.count();
   std::size_t removed = 0;
   for (const auto& row : rows.value()) {
     const auto read = wire::from_text<decide::once_row>(row.value);
@@ -266,7 +261,7 @@
           .fence = permit.fence,
           .permit_end_ms = permit.permit_end_ms,
           .state = decide::once_state::claimed,
-          .written_at_ms = wall_clock_ms()};
+          .written_at_ms = kernel::wall_clock_ms()};
 }
 
 }  // namespace boragehill::router
