End an order by its deadline, and call it not run only where that is sure

Cause, deadline: after an order's deadline its router still asked the frozen agent what had become of it; an order with 4,000 ms ended after 5,002 ms. Change: no question to an agent is begun that could end past the deadline. Cause, untrue not run: with the table unreadable a resent key was refused as not run though its first request may have run; the same where another router held the key's claim. Change: both say unknown. Ruled out: telling a first request from a resend (the caller alone knows).

--- a/src/decide/flow_limits.hpp
+++ b/src/decide/flow_limits.hpp
@@ -17,6 +17,9 @@
   std::size_t max_homes = 3;
   /// How often an agent that does not answer is asked about an attempt.
   std::uint32_t max_fate_asks = 3;
+  /// How long one question to an agent may take; none is asked that could end
+  /// after the deadline.
+  milliseconds fate_time{500};
   /// Backoff between attempts, before jitter, doubling up to the cap.
   milliseconds backoff_base{20};
   milliseconds backoff_cap{1000};
--- a/src/decide/request_flow.cpp
+++ b/src/decide/request_flow.cpp
@@ -71,7 +71,9 @@
   if (now >= this->request.deadline) return this->out_of_time(now);
   if (code == result_code::ok) return dispatch{this->current, this->permit};
   // Nothing was dispatched under this permit, and without the claim nothing
-  // may be: a resend at another router could not see it.
+  // may be: a resend at another router could not see it. Where another router
+  // holds the claim, the same key may run there.
+  if (code == result_code::platform_conflict) this->may_have_run = true;
   return this->refuse(code, this->limits.default_retry_after,
                       "the run could not be written down");
 }
@@ -117,6 +119,13 @@
       return this->refuse(result_code::outcome_unknown, milliseconds{0},
                           "its backend server went down while running it");
     }
+    // The final answer is due by the deadline, and a frozen agent answers no
+    // question before it is thawed.
+    if (now + this->limits.fate_time > this->request.deadline) {
+      this->may_have_run = true;
+      return this->refuse(result_code::outcome_unknown, milliseconds{0},
+                          "it was sent and its end is not known in time");
+    }
     this->asking_fate = true;
     return ask_fate{this->current, this->permit};
   }
@@ -132,8 +141,9 @@
     ++this->fate_asks;
     const auto wait = backoff(this->fate_asks, this->limits.backoff_base * 4,
                               this->limits.backoff_cap, this->random_bits());
-    const bool ask_again = this->fate_asks < this->limits.max_fate_asks &&
-                           now + wait < this->request.deadline;
+    const bool ask_again =
+        this->fate_asks < this->limits.max_fate_asks &&
+        now + wait + this->limits.fate_time < this->request.deadline;
     if (ask_again) {
       this->asking_fate = true;
       return pause_until{now + wait};
@@ -150,7 +160,7 @@
       return fetch_kept{this->current, this->permit};
     case wire::attempt_status::running: {
       const auto wait = this->limits.backoff_cap / 4;
-      if (now + wait >= this->request.deadline) break;
+      if (now + wait + this->limits.fate_time >= this->request.deadline) break;
       this->asking_fate = true;
       return pause_until{now + wait};
     }
--- a/src/router/attempt_follower.cpp
+++ b/src/router/attempt_follower.cpp
@@ -72,7 +72,9 @@
   const bool cut = result.ending == decide::attempt_ending::broken &&
                    result.code == result_code::outcome_unknown;
   // The whole VM went down with the request in flight.
-  if (cut && !this->agent_answers()) result.crashed = true;
+  const bool in_time = time_point::clock::now() + this->parts.call_timeout <=
+                       this->request.deadline;
+  if (cut && in_time && !this->agent_answers()) result.crashed = true;
   return result;
 }
 
@@ -92,6 +94,8 @@
 
 bool attempt_follower::seems_frozen(time_point now) {
   if (now - this->heard_at < silence) return false;
+  // The question could hold the final answer back past the deadline.
+  if (now + this->parts.call_timeout > this->request.deadline) return false;
   this->heard_at = now;
   if (this->agent_answers()) {
     this->unanswered = 0;
--- a/src/router/once_desk.cpp
+++ b/src/router/once_desk.cpp
@@ -72,8 +72,10 @@
   while (time_point::clock::now() < request.deadline) {
     const auto row = this->table.read(key);
     if (!row) {
-      return not_run(code_of(row.error()),
-                     "whether this key ran before can't be read");
+      // Nothing was sent now, yet an earlier request with this key may have
+      // run: to call it not run would have the caller order it again.
+      return refusal{code_of(row.error()), ran_state::unknown, retry_after,
+                     "whether this key ran before can't be read"};
     }
     std::optional<decide::once_row> standing;
     if (row.value()) {
--- a/src/router/router_settings.cpp
+++ b/src/router/router_settings.cpp
@@ -157,6 +157,7 @@
   read_polls(section, settings);
   read_home(document.section("home"), settings);
   read_flow(document.section("flow"), settings);
+  settings.flow.fate_time = settings.call_timeout;
   read_rest(document, settings);
   settings.table = read_service(document, "table");
   settings.objects = read_service(document, "object_store");
