Serve what the engine holds when an agent restarts in a table outage

Cause: attempts were named by the agent's fencing number, which comes from the table; an agent that restarted while the table was down refused every attempt, though its engine held warm models. Change: each process of an agent names itself by a random incarnation for permits and attempts; the fencing number stays what guards orders and acknowledgements. A home takes a report without a number by the VM's clock. Before: wrong_incarnation until the table answered. After: served meanwhile, no second load (a_restarted_agent_serves_what_the_engine_holds, which now asks for just that; before, it asked for service once the table was back). Ruled out: a made-up fencing number above all others (it would outrank the next real one).

--- a/src/agent/brain.cpp
+++ b/src/agent/brain.cpp
@@ -32,6 +32,9 @@
       admission({.retention = settings.retention}),
       residency(residency_settings_of(settings), now) {
   this->admission.set_slots(settings.slots);
+  // Attempts are named by this process, not by its fencing number: a restart
+  // while the table is down still serves what the engine holds.
+  this->admission.take_fence(this->incarnation);
 }
 
 void brain::handle(brain_message& message, time_point now) {
@@ -102,7 +105,6 @@
 
 void brain::take(fence_taken& message, time_point now) {
   this->fence = message.fence;
-  this->admission.take_fence(message.fence);
   log_event(event::agent_fenced_in, {{"fence", message.fence}});
   if (!this->plain) this->residency.on_fence_taken(message.fence, now);
   this->outlets.report();
@@ -231,6 +233,7 @@
 brain_view brain::view(time_point now) const {
   const auto& ledger = this->residency.ledger();
   brain_view view{.fence = this->fence,
+                  .incarnation = this->incarnation,
                   .capacity_bytes = ledger.capacity(),
                   .reserved_bytes = ledger.reserved(),
                   .free_bytes = ledger.free(),
--- a/src/agent/brain.hpp
+++ b/src/agent/brain.hpp
@@ -10,6 +10,7 @@
 #include "agent/brain_outlets.hpp"
 #include "decide/admission.hpp"
 #include "decide/residency.hpp"
+#include "kernel/random.hpp"
 
 namespace boragehill::agent {
 
@@ -66,6 +67,8 @@
   std::uint32_t slots_override;
   milliseconds state_poll;
   std::uint64_t fence = 0;
+  /// Never 0, and within what JSON carries exactly everywhere.
+  std::uint64_t incarnation = (kernel::random_bits() >> 12U) + 1;
   brain_outlets outlets;
   agent_metrics* metrics;
   decide::admission admission;
--- a/src/agent/brain_view.hpp
+++ b/src/agent/brain_view.hpp
@@ -13,6 +13,7 @@
 /// The agent's state at one moment, for reports, operators and metrics.
 struct brain_view {
   std::uint64_t fence = 0;
+  std::uint64_t incarnation = 0;
   std::uint64_t capacity_bytes = 0;
   std::uint64_t reserved_bytes = 0;
   std::uint64_t free_bytes = 0;
--- a/src/agent/control_methods.cpp
+++ b/src/agent/control_methods.cpp
@@ -89,6 +89,7 @@
   if (!view) return result_code::server_busy;
   Json::Value json = nothing();
   json["fence"] = Json::UInt64(view->fence);
+  json["incarnation"] = Json::UInt64(view->incarnation);
   json["capacity_bytes"] = Json::UInt64(view->capacity_bytes);
   json["reserved_bytes"] = Json::UInt64(view->reserved_bytes);
   json["evictable_bytes"] = Json::UInt64(view->evictable_bytes);
--- a/src/agent/report_work.cpp
+++ b/src/agent/report_work.cpp
@@ -92,6 +92,7 @@
   wire::agent_report report{
       .server = this->settings.id,
       .fence = view.fence,
+      .incarnation = view.incarnation,
       .now_ms = clock_ms(now),
       .control = this->settings.advertised_control,
       .data = this->settings.advertised_data,
--- a/src/decide/home_dispatch.cpp
+++ b/src/decide/home_dispatch.cpp
@@ -103,7 +103,7 @@
   answer.server = chosen.id;
   answer.data = report.data;
   answer.control = report.control;
-  answer.fence = report.fence;
+  answer.fence = report.incarnation != 0 ? report.incarnation : report.fence;
   answer.exclusive = exclusive;
   // On the agent's own clock, so that an attempt whose sender was paused is
   // refused there however late it arrives.
--- a/src/decide/home_server.hpp
+++ b/src/decide/home_server.hpp
@@ -24,9 +24,13 @@
   /// \return Whether it was taken.
   bool take(const wire::agent_report& report, std::uint32_t own_in_flight,
             time_point now) {
-    if (report.fence < this->last.fence) return false;
-    const bool same_agent = report.fence == this->last.fence;
-    if (same_agent && report.now_ms < this->last.now_ms) return false;
+    const bool numbered = report.fence != 0;
+    if (numbered && report.fence < this->last.fence) return false;
+    // A restart while the table is down has no number yet. One VM's clock goes
+    // on through restarts of its agent, so that tells it from an older report;
+    // only a reboot brings both a later number and an earlier clock.
+    const bool later = report.now_ms >= this->last.now_ms;
+    if (!later && report.fence <= this->last.fence) return false;
     this->last = report;
     this->received_at = now;
     this->others = report.running - std::min(report.running, own_in_flight);
--- a/src/router/request_driver.cpp
+++ b/src/router/request_driver.cpp
@@ -271,7 +271,7 @@
     const std::string& attempt, time_point until) {
   while (true) {
     const time_point look = time_point::clock::now() + hang_up_poll;
-    const auto told = this->parts.desk.await(attempt, std::min(until, look));
+    auto told = this->parts.desk.await(attempt, std::min(until, look));
     const time_point now = time_point::clock::now();
     // Before its time is up, the desk wakes a waiter only for good.
     if (told || now < std::min(until, look) || now >= until) return told;
--- a/src/wire/agent_report.hpp
+++ b/src/wire/agent_report.hpp
@@ -16,7 +16,10 @@
 /// home looks after.
 struct agent_report {
   std::string server;
+  /// The agent's fencing number; 0 until the table gave it one.
   std::uint64_t fence = 0;
+  /// This process of the agent, for permits; 0 takes the fence for it.
+  std::uint64_t incarnation = 0;
   /// The agent's monotonic clock when the report was made.
   std::int64_t now_ms = 0;
   endpoint control;
@@ -53,6 +56,7 @@
   static void each_field(Self& self, Visit&& visit) {
     visit("server", self.server);
     visit("fence", self.fence);
+    visit("incarnation", self.incarnation);
     visit("now_ms", self.now_ms);
     visit("control", self.control);
     visit("data", self.data);
--- a/src/wire/permit_answer.hpp
+++ b/src/wire/permit_answer.hpp
@@ -21,7 +21,7 @@
   endpoint data;
   /// Where to ask about the attempt.
   endpoint control;
-  /// The agent's fencing number; another incarnation refuses the attempt.
+  /// The agent's incarnation; another one refuses the attempt.
   std::uint64_t fence = 0;
   /// End of the permit on the agent's monotonic clock.
   std::int64_t permit_end_ms = 0;
--- a/test/agent-test/agent_bench.hpp
+++ b/test/agent-test/agent_bench.hpp
@@ -64,6 +64,11 @@
             .id = "s1", .fence = last.fence, .grants = std::move(grants)}));
   }
 
+  /// The agent's process, as its reports name it for permits.
+  std::uint64_t incarnation() {
+    return this->call("agent.status", {})["incarnation"].asUInt64();
+  }
+
   server_record row() {
     const std::lock_guard lock(this->rows.mutex);
     const auto found = this->rows.rows.find("server/s1");
@@ -132,7 +137,7 @@
 
   httplib::Headers headers(std::uint64_t sequence, bool non_idempotent) {
     return {{"Boragehill-Attempt", "r1-aa." + std::to_string(sequence) + ".1"},
-            {"Boragehill-Fence", std::to_string(this->row().fence)},
+            {"Boragehill-Fence", std::to_string(this->incarnation())},
             {"Boragehill-Permit-End", std::to_string(permit_end())},
             {"Boragehill-Target", this->as_plain ? this->target : "model:a"},
             {"Boragehill-Time-Left-Ms", "5000"},
@@ -155,11 +160,14 @@
   /// Sends an attempt and returns the frames of its answer.
   std::vector<wire::answer_frame> attempt(std::uint64_t sequence,
                                           bool non_idempotent = false) {
+    return this->send(this->headers(sequence, non_idempotent));
+  }
+
+  std::vector<wire::answer_frame> send(const httplib::Headers& headers) {
     httplib::Client http("127.0.0.1", this->own->data().port);
     http.set_read_timeout(10);
     const auto answer =
-        http.Post("/attempt", this->headers(sequence, non_idempotent), "{}",
-                  "application/json");
+        http.Post("/attempt", headers, "{}", "application/json");
     if (!answer) return {};
     return frames_in(answer->body);
   }
@@ -181,7 +189,7 @@
     const auto answer = this->call(
         method, wire::to_json(wire::attempt_query{
                     .attempt = "r1-aa." + std::to_string(sequence) + ".1",
-                    .fence = this->row().fence,
+                    .fence = this->incarnation(),
                     .permit_end_ms = permit_end()}));
     return wire::from_json<wire::attempt_answer>(answer).value().status;
   }
--- a/test/agent-test/agent_test.cpp
+++ b/test/agent-test/agent_test.cpp
@@ -51,18 +51,24 @@
 }
 
 // The agent process restarts while its model is loaded and the table is down.
-// Its callers shall be served again as soon as the table can name the new
-// incarnation, with no second load; permits of the old one are refused.
+// It gets no fencing number and may order nothing, but a warm model must not
+// stand idle until the table is back: its callers are served meanwhile, with no
+// second load. Permits of the process before are refused.
 TEST_F(agent_test, a_restarted_agent_serves_what_the_engine_holds) {
   this->wake_until_ready("a");
   const auto old_fence = this->row().fence;
+  const auto old_permit = this->headers(1, false);
   this->rows.set_down(true);
   this->start();
-  EXPECT_EQ(failure_in(this->attempt(1)).code, result_code::wrong_incarnation);
+  EXPECT_EQ(failure_in(this->send(old_permit)).code,
+            result_code::wrong_incarnation);
+  std::uint64_t sequence = 1;
+  ASSERT_TRUE(soon([&] {
+    return failure_in(this->attempt(++sequence)).code == result_code::ok;
+  }));
+  EXPECT_EQ(this->row().fence, old_fence);
   this->rows.set_down(false);
   ASSERT_TRUE(soon([&] { return this->row().fence > old_fence; }));
-  ASSERT_TRUE(soon(
-      [&] { return failure_in(this->attempt(2)).code == result_code::ok; }));
   EXPECT_EQ(this->engine.look([](auto& own) { return own.orders.size(); }), 1U);
 }
 
