--- a/test/router-test/publisher_test.cpp
+++ b/test/router-test/publisher_test.cpp
@@ -159,7 +159,7 @@
                                     : write_fate::lost_before_it_stood;
     table.fates.push_back(losses[i] ? lost : write_fate::answered);
   }
-  turns schedule(order);
+  turns schedule(std::move(order));
   turn_table first(table, schedule, false);
   turn_table second(table, schedule, true);
   std::vector<accepted_change> accepted;
