--- a/src/decide/home_wakes.cpp
+++ b/src/decide/home_wakes.cpp
@@ -151,7 +151,10 @@
                             time_point now) const {
   const break_even_rule rule{target.spec->cold_start_weight,
                              target.spec->idle_weight};
-  milliseconds keep = keep_warm_time(rule, this->load_time(wake.tier), {});
+  // What a reload would take, not what this load takes: an unloaded checkpoint
+  // stays in its server's memory for a while.
+  const milliseconds reload = this->load_time(checkpoint_tier::memory);
+  milliseconds keep = keep_warm_time(rule, reload, {});
   if (this->active_replicas(target, now) <= target.spec->warm) {
     keep = milliseconds(-1);
   }
