Give each grant a serial, so that no acknowledgement outlives its grant

Cause, found by the fault matrix in the cell 'wake ordered | freeze + kill': two replicas loaded under one grant. An acknowledgement carried the model and the agent's fencing number. Another home had removed the grant and given the server a new one under the same number; the late message then freed the new grant's place while its replica was loaded. Change: server/<id> numbers its grants; the acknowledgement names the number, and removal is refused for another. An agent that sees a later grant may use it. Ruled out: dropping late messages by time (clocks and pauses). Unit test: keeps_a_later_grant_from_an_earlier_acknowledgement. Cause, lost burst: one connection not taken within 500 ms excluded a model's only server for the request's whole life, and the HTTP library listens with a queue of five. Change: a server that was never reached is left alone by the home for a while, not excluded; a model's only server is used though excluded; listen queues hold 1,024.

--- a/include/boragehill/grant.hpp
+++ b/include/boragehill/grant.hpp
@@ -10,6 +10,8 @@
 struct grant {
   std::string model;
   std::uint64_t bytes = 0;
+  /// Numbers the grants given on one server; none is used twice there.
+  std::uint64_t serial = 0;
 
   bool operator==(const grant&) const = default;
 };
--- a/include/boragehill/server_record.hpp
+++ b/include/boragehill/server_record.hpp
@@ -19,6 +19,8 @@
   std::string failure_domain;
   std::string pool;
   std::vector<grant> grants;
+  /// The serial of the grant given last.
+  std::uint64_t last_serial = 0;
 
   bool operator==(const server_record&) const = default;
 };
--- a/src/agent/brain.cpp
+++ b/src/agent/brain.cpp
@@ -249,8 +249,7 @@
   for (const auto& [name, tier] : this->residency.engine().cached) {
     view.cached.emplace(name, static_cast<std::int32_t>(tier));
   }
-  const auto& given_up = this->residency.given_up();
-  view.given_up.assign(given_up.begin(), given_up.end());
+  view.given_up = this->residency.given_up();
   return view;
 }
 
--- a/src/agent/brain_view.hpp
+++ b/src/agent/brain_view.hpp
@@ -27,7 +27,7 @@
   bool order_unknown = false;
   std::vector<wire::replica_report> replicas;
   std::map<std::string, std::int32_t> cached;
-  std::vector<std::string> given_up;
+  std::map<std::string, std::uint64_t> given_up;
 
   bool operator==(const brain_view&) const = default;
 };
--- a/src/agent/data_server.cpp
+++ b/src/agent/data_server.cpp
@@ -10,6 +10,7 @@
 #include "agent/attempt_runner.hpp"
 #include "agent/kept_answers.hpp"
 #include "kernel/bounded_task_queue.hpp"
+#include "kernel/http_server.hpp"
 
 namespace boragehill::agent {
 
@@ -80,6 +81,7 @@
     } else if (!this->server.bind_to_port(this->listen.address, port)) {
       return result_code::address_in_use;
     }
+    this->server.widen_listen_queue();
     this->thread = std::thread([this] { this->server.listen_after_bind(); });
     this->server_started = true;
     return success();
@@ -152,7 +154,7 @@
   attempt_runner* runner;
   kept_answers* answers;
   std::function<std::string()> metrics;
-  httplib::Server server;
+  kernel::http_server server;
   std::thread thread;
   std::atomic<bool> server_started{false};
 };
--- a/src/agent/own_row.cpp
+++ b/src/agent/own_row.cpp
@@ -24,6 +24,7 @@
       .failure_domain = base.failure_domain,
       .pool = base.pool,
       .grants = last.grants,
+      .last_serial = last.last_serial,
   };
 }
 
--- a/src/agent/report_work.cpp
+++ b/src/agent/report_work.cpp
@@ -82,7 +82,9 @@
   for (const auto& replica : view.replicas) {
     targets.push_back("model:" + replica.name);
   }
-  for (const auto& model : view.given_up) targets.push_back("model:" + model);
+  for (const auto& [model, serial] : view.given_up) {
+    targets.push_back("model:" + model);
+  }
   return targets;
 }
 
@@ -113,8 +115,8 @@
       report.replicas.push_back(replica);
     }
   }
-  for (const auto& model : view.given_up) {
-    if (targets.contains("model:" + model)) report.given_up.push_back(model);
+  for (const auto& [model, serial] : view.given_up) {
+    if (targets.contains("model:" + model)) report.given_up[model] = serial;
   }
   return report;
 }
--- a/src/decide/grant_change.cpp
+++ b/src/decide/grant_change.cpp
@@ -1,6 +1,7 @@
 #include "decide/grant_change.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragehill::decide {
 
@@ -44,20 +45,31 @@
   if (named && held) return std::nullopt;
   grant_change change{model_row, server_row};
   if (!named) change.model_row.servers.push_back(server_row.id);
-  if (!held) change.server_row.grants.push_back(added);
+  if (!held) {
+    grant numbered = added;
+    numbered.serial = ++change.server_row.last_serial;
+    change.server_row.grants.push_back(std::move(numbered));
+  }
   return change;
 }
 
 std::optional<grant_change> remove_grant(const placement& model_row,
                                          const server_record& server_row,
                                          const std::string& model,
-                                         std::uint64_t fence) {
+                                         const grant_acknowledgement& given) {
   // An acknowledgement can outlive its agent: the agent gives the grant up,
   // restarts, reads the row where the grant still stands and loads again. If
   // the home then took the grant away, one replica too many would be loaded.
   // The restart raised the fence before it read, so the old number shows it;
   // a restart after this check fails the transaction by the row's etag.
-  if (server_row.fence != fence) return std::nullopt;
+  if (server_row.fence != given.fence) return std::nullopt;
+  // It can also outlive its grant: one home removed the grant and gave the same
+  // server a new one, and the message reaches another home late. Taken for the
+  // new grant's, it would free a replica's place while it is loaded.
+  const auto held = std::ranges::find(server_row.grants, model, &grant::model);
+  const bool other =
+      held != server_row.grants.end() && held->serial != given.serial;
+  if (other) return std::nullopt;
   return without(model_row, server_row, model);
 }
 
--- a/src/decide/grant_change.hpp
+++ b/src/decide/grant_change.hpp
@@ -9,6 +9,8 @@
 #include <boragehill/placement.hpp>
 #include <boragehill/server_record.hpp>
 
+#include "decide/grant_acknowledgement.hpp"
+
 namespace boragehill::decide {
 
 /// The new values of the two rows that one transaction writes, guarded by the
@@ -33,13 +35,13 @@
 
 /// Returns the rows without a grant that the server's agent gave up.
 ///
-/// \param fence The agent's fencing number in its acknowledgement.
-/// \return Nothing if the row's fence differs, or if neither row holds the
-///   grant.
+/// \param given_up The acknowledgement.
+/// \return Nothing if the row's fence or the grant's serial differs, or if
+///   neither row holds the grant.
 std::optional<grant_change> remove_grant(const placement& model_row,
                                          const server_record& server_row,
                                          const std::string& model,
-                                         std::uint64_t fence);
+                                         const grant_acknowledgement& given_up);
 
 /// Returns the rows without a grant of a VM that the platform's list no longer
 /// holds and that does not answer; no acknowledgement is asked for.
--- a/src/decide/home_dispatch.cpp
+++ b/src/decide/home_dispatch.cpp
@@ -57,8 +57,12 @@
                                         time_point now) const {
   chosen_server best;
   std::uint32_t best_load = 0;
+  // A model's only server is better than none until the deadline.
+  const bool all_excluded = std::all_of(
+      target.servers.begin(), target.servers.end(),
+      [&](const auto& id) { return contains(waiting.ask.excluded, id); });
   for (const auto& id : target.servers) {
-    if (contains(waiting.ask.excluded, id)) continue;
+    if (!all_excluded && contains(waiting.ask.excluded, id)) continue;
     const auto known = this->known_servers.find(id);
     if (known == this->known_servers.end()) continue;
     const home_server& server = known->second;
--- a/src/decide/request_flow.cpp
+++ b/src/decide/request_flow.cpp
@@ -86,7 +86,9 @@
     case attempt_ending::refused:
       return this->on_refused(result.code, now);
     case attempt_ending::never_sent:
-      this->exclude_server();
+      // The home leaves the server alone for a while. Excluded for good, the
+      // only server of a model would be out of this request's reach after one
+      // connection that was not taken in time.
       return this->retry(true, result.code, now);
     case attempt_ending::caller_gone:
       this->may_have_run = true;
--- a/src/decide/residency.cpp
+++ b/src/decide/residency.cpp
@@ -89,15 +89,20 @@
   }
   this->grants_known = true;
   this->grants.clear();
+  this->serials.clear();
   for (const grant& item : record.grants) {
     this->grants.emplace(item.model, item.bytes);
+    this->serials.emplace(item.model, item.serial);
   }
-  // A given-up grant stays unusable until the row no longer shows it: the
-  // home may act on the acknowledgement at any time.
-  std::erase_if(this->given_back, [this](const std::string& model) {
-    return !this->grants.contains(model);
+  // A given-up grant stays unusable until the row no longer shows it, or shows
+  // a later one: the home may act on the acknowledgement at any time.
+  std::erase_if(this->given_back, [this](const auto& given) {
+    const auto shown = this->serials.find(given.first);
+    return shown == this->serials.end() || shown->second != given.second;
   });
-  for (const auto& model : this->given_back) this->grants.erase(model);
+  for (const auto& [model, serial] : this->given_back) {
+    this->grants.erase(model);
+  }
   this->proceed(now);
 }
 
@@ -386,7 +391,7 @@
 
 void residency::give_up(const std::string& model, time_point now) {
   this->grants.erase(model);
-  this->given_back.insert(model);
+  this->given_back[model] = this->serials[model];
   this->last_give_up = now;
   this->holdings.erase(model);
   this->actions.emplace_back(note_given_up{model});
--- a/src/decide/residency.hpp
+++ b/src/decide/residency.hpp
@@ -107,7 +107,9 @@
   /// Returns every granted or held model, for reports.
   std::vector<wire::replica_report> replicas(time_point now) const;
   /// Returns the models given back whose grant may still stand in the row.
-  const std::set<std::string>& given_up() const { return this->given_back; }
+  const std::map<std::string, std::uint64_t>& given_up() const {
+    return this->given_back;
+  }
   /// Returns the memory that idle replicas hold and a wake may take.
   std::uint64_t evictable_bytes(time_point now) const;
   /// Returns how many models are loaded with nothing running on them.
@@ -206,7 +208,9 @@
   time_point next_grants_read{};
   time_point last_give_up = time_point::min();
   std::map<std::string, std::uint64_t> grants;
-  std::set<std::string> given_back;
+  /// Serials of the grants last read, and of those given up since.
+  std::map<std::string, std::uint64_t> serials;
+  std::map<std::string, std::uint64_t> given_back;
   std::map<std::string, residency_holding> holdings;
   memory_ledger memory;
   residency_load_time load_time;
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -18,7 +18,6 @@
     row{event::process_ready, "process_ready", severity::info},
     row{event::process_stopping, "process_stopping", severity::info},
     row{event::process_stopped, "process_stopped", severity::info},
-    row{event::settings_problem, "settings_problem", severity::error},
     row{event::duty_failed, "duty_failed", severity::error},
     row{event::duty_stuck, "duty_stuck", severity::error},
     row{event::ring_full, "ring_full", severity::warning},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -16,7 +16,6 @@
   process_ready = 102,
   process_stopping = 103,
   process_stopped = 104,
-  settings_problem = 105,
   duty_failed = 106,
   duty_stuck = 107,
   ring_full = 108,
--- a/src/router/caller_listener.cpp
+++ b/src/router/caller_listener.cpp
@@ -7,6 +7,7 @@
 #include "decide/catalog.hpp"
 #include "kernel/bounded_task_queue.hpp"
 #include "kernel/event_log.hpp"
+#include "kernel/http_server.hpp"
 #include "router/conviction_book.hpp"
 #include "router/fleet.hpp"
 #include "router/live_answer.hpp"
@@ -48,7 +49,7 @@
       convictions(book),
       log(records),
       requests(this->limits.default_deadline),
-      server(std::make_unique<httplib::Server>()) {
+      server(std::make_unique<kernel::http_server>()) {
   this->server->new_task_queue = [this] {
     return new kernel::bounded_task_queue("callers", this->limits.threads,
                                           this->limits.waiting);
@@ -69,6 +70,7 @@
   const bool bound = this->server->bind_to_port(this->limits.listen.address,
                                                 this->limits.listen.port);
   if (!bound) return make_error_code(result_code::address_in_use);
+  this->server->widen_listen_queue();
   this->listening = std::thread([this] { this->server->listen_after_bind(); });
   return success();
 }
@@ -195,6 +197,12 @@
   record.took_ms =
       std::chrono::duration_cast<milliseconds>(time_point::clock::now() - began)
           .count();
+  if (record.ending == "answered") {
+    kernel::log_event(kernel::event::request_answered,
+                      {{"request", record.id},
+                       {"target", record.target},
+                       {"took_ms", record.took_ms}});
+  }
   this->log.add(std::move(record));
   std::visit([&](auto&& each) { this->write(each, response); },
              std::move(outcome));
@@ -264,10 +272,12 @@
 void caller_listener::write(const refusal& refused,
                             httplib::Response& response) {
   this->parts.metrics.on_refused(refused.code);
-  kernel::log_event(kernel::event::request_refused,
-                    {{"code", make_error_code(refused.code)},
-                     {"ran", name_of(refused.ran)},
-                     {"reason", refused.message}});
+  const auto event = refused.ran == ran_state::unknown
+                         ? kernel::event::outcome_unknown
+                         : kernel::event::request_refused;
+  kernel::log_event(event, {{"code", make_error_code(refused.code)},
+                            {"ran", name_of(refused.ran)},
+                            {"reason", refused.message}});
   write_refusal(refused, response);
 }
 
--- a/src/router/caller_listener.hpp
+++ b/src/router/caller_listener.hpp
@@ -20,11 +20,14 @@
 #include "router/request_reader.hpp"
 
 namespace httplib {
-class Server;
 struct Request;
 struct Response;
 }  // namespace httplib
 
+namespace boragehill::kernel {
+class http_server;
+}
+
 namespace boragehill::router {
 
 class conviction_book;
@@ -93,7 +96,7 @@
   conviction_book& convictions;
   request_log& log;
   request_reader requests;
-  std::unique_ptr<httplib::Server> server;
+  std::unique_ptr<kernel::http_server> server;
   std::thread listening;
   std::atomic<bool> lame_duck{false};
   std::atomic<bool> draining{false};
--- a/src/router/control_methods.cpp
+++ b/src/router/control_methods.cpp
@@ -64,8 +64,9 @@
 
 result<Json::Value> report(control_parts& parts,
                            const wire::agent_report& from) {
-  for (const auto& model : from.given_up) {
-    parts.placement.post(given_up_message{from.server, model, from.fence});
+  for (const auto& [model, serial] : from.given_up) {
+    parts.placement.post(
+        given_up_message{from.server, model, {from.fence, serial}});
   }
   parts.members.on_heartbeat(
       {.id = from.server,
--- a/src/router/heartbeat_duty.cpp
+++ b/src/router/heartbeat_duty.cpp
@@ -111,6 +111,9 @@
   const auto read = wire::from_json<wire::peer_heartbeat>(answer.value());
   if (!read) return;
   const wire::peer_heartbeat& from = read.value();
+  if (this->members.is_suspected(peer.id, began)) {
+    kernel::log_event(kernel::event::peer_trusted, {{"peer", peer.id}});
+  }
   this->members.on_call_answered(peer.id);
   this->members.on_heartbeat(router_vm(from), time_point::clock::now());
   this->learn(from);
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -103,7 +103,7 @@
 
 void placement_duty::handle(const given_up_message& given) {
   const auto written =
-      this->store.remove(given.server, given.model, given.fence);
+      this->store.remove(given.server, given.model, given.given);
   if (!written) return;
   ++this->removed;
   kernel::log_event(kernel::event::grant_removed,
@@ -159,6 +159,8 @@
           this->rpc.call(vm->control, "agent.status", {}, this->call_timeout);
       if (alive) continue;
     }
+    kernel::log_event(kernel::event::vm_gone,
+                      {{"vm", server}, {"model", current.model}});
     const auto written = this->store.remove_gone(server, current.model);
     if (!written) continue;
     ++this->removed;
--- a/src/router/placement_message.hpp
+++ b/src/router/placement_message.hpp
@@ -1,10 +1,10 @@
 #ifndef BORAGEHILL_ROUTER_PLACEMENT_MESSAGE_HPP
 #define BORAGEHILL_ROUTER_PLACEMENT_MESSAGE_HPP
 
-#include <cstdint>
 #include <string>
 #include <variant>
 
+#include "decide/grant_acknowledgement.hpp"
 #include "decide/home_action.hpp"
 
 namespace boragehill::router {
@@ -13,7 +13,7 @@
 struct given_up_message {
   std::string server;
   std::string model;
-  std::uint64_t fence = 0;
+  decide::grant_acknowledgement given;
 };
 
 /// A new catalog is in force: look at all models now.
--- a/src/router/placement_store.cpp
+++ b/src/router/placement_store.cpp
@@ -62,14 +62,14 @@
   return this->write_both(now, change->model_row, change->server_row);
 }
 
-result<placement> placement_store::remove(const std::string& server,
-                                          const std::string& model,
-                                          std::uint64_t fence) {
+result<placement> placement_store::remove(
+    const std::string& server, const std::string& model,
+    const decide::grant_acknowledgement& given) {
   const auto before = this->read_both(server, model);
   if (!before) return before.error();
   const rows& now = before.value();
   const auto change =
-      decide::remove_grant(now.model_row, now.server_row, model, fence);
+      decide::remove_grant(now.model_row, now.server_row, model, given);
   if (!change) return make_error_code(result_code::order_fenced);
   return this->write_both(now, change->model_row, change->server_row);
 }
--- a/src/router/placement_store.hpp
+++ b/src/router/placement_store.hpp
@@ -14,6 +14,10 @@
 class table_service;
 }
 
+namespace boragehill::decide {
+struct grant_acknowledgement;
+}
+
 namespace boragehill::router {
 
 /// Reads and changes grants in the platform's table. Every change is one
@@ -38,11 +42,11 @@
 
   /// Removes a grant that its agent gave up.
   ///
-  /// \param fence The fencing number in the agent's acknowledgement.
+  /// \param given The agent's acknowledgement.
   /// \return The placement without it. Errors: order_fenced (the agent was
-  ///   restarted since, and may have loaded again), else as for `add`.
+  ///   restarted since, or has a later grant), else as for `add`.
   result<placement> remove(const std::string& server, const std::string& model,
-                           std::uint64_t fence);
+                           const decide::grant_acknowledgement& given);
 
   /// Removes a grant of a VM that is gone.
   result<placement> remove_gone(const std::string& server,
--- a/src/router/request_driver.cpp
+++ b/src/router/request_driver.cpp
@@ -75,6 +75,10 @@
   // would not know of the second crash yet when it permits the third run, and
   // a request that crashes every server would bring one more down.
   if (end.outcome == wire::attempt_outcome::crashed) {
+    kernel::log_event(kernel::event::striked,
+                      {{"attempt", end.attempt},
+                       {"server", end.server},
+                       {"fingerprint", end.fingerprint}});
     parts.done.tell(home, end);
   } else {
     parts.done.post(home, end);
@@ -255,6 +259,9 @@
 }
 
 decide::flow_step request_driver::carry_out(const decide::pause_until& step) {
+  kernel::log_event(kernel::event::retry,
+                    {{"attempt", this->flow.attempt().to_string()},
+                     {"target", this->request.target}});
   std::this_thread::sleep_until(step.until);
   return this->flow.on_pause_over(time_point::clock::now());
 }
--- a/src/router/vm_duty.cpp
+++ b/src/router/vm_duty.cpp
@@ -1,5 +1,7 @@
 #include "router/vm_duty.hpp"
 
+#include <utility>
+
 #include <boragehill/vm_list.hpp>
 
 #include "decide/target_name.hpp"
@@ -32,10 +34,21 @@
   }
   if (failed) return;
   this->members.on_list(read.value(), time_point::clock::now());
+  this->note_new(read.value());
   this->note_leaving(read.value());
   this->show_pools(read.value());
 }
 
+void vm_duty::note_new(const std::vector<vm_info>& vms) {
+  std::set<std::string> ids;
+  for (const auto& vm : vms) {
+    ids.insert(vm.id);
+    if (this->listed.contains(vm.id)) continue;
+    kernel::log_event(kernel::event::vm_listed, {{"vm", vm.id}});
+  }
+  this->listed = std::move(ids);
+}
+
 void vm_duty::note_leaving(const std::vector<vm_info>& vms) {
   for (const auto& vm : vms) {
     if (vm.state != vm_state::leaving) continue;
--- a/src/router/vm_duty.hpp
+++ b/src/router/vm_duty.hpp
@@ -32,6 +32,7 @@
 
  private:
   void poll();
+  void note_new(const std::vector<vm_info>& vms);
   void note_leaving(const std::vector<vm_info>& vms);
   void show_pools(const std::vector<vm_info>& vms);
 
@@ -39,6 +40,7 @@
   fleet& members;
   home_duty& home;
   bool outage = false;
+  std::set<std::string> listed;
   std::set<std::string> leaving;
   std::map<std::string, std::vector<std::string>> pools;
   kernel::duty<std::monostate> worker;
--- a/src/wire/agent_report.hpp
+++ b/src/wire/agent_report.hpp
@@ -45,9 +45,9 @@
   std::vector<replica_report> replicas;
   /// Checkpoints nearer than remote, as `checkpoint_tier` numbers.
   std::map<std::string, std::int32_t> cached;
-  /// Models whose grant the agent gives back: unloaded, and not to be loaded
-  /// again before the row was read anew.
-  std::vector<std::string> given_up;
+  /// Models whose grant, of this serial, the agent gives back: unloaded, and
+  /// not to be loaded again before the row was read anew.
+  std::map<std::string, std::uint64_t> given_up;
 
   bool operator==(const agent_report&) const = default;
 
--- a/src/wire/row_fields.hpp
+++ b/src/wire/row_fields.hpp
@@ -25,6 +25,7 @@
   static void visit(Self& self, Visit&& take) {
     take("model", self.model);
     take("bytes", self.bytes);
+    take("serial", self.serial);
   }
 };
 
@@ -38,6 +39,7 @@
     take("failure_domain", self.failure_domain);
     take("pool", self.pool);
     take("grants", self.grants);
+    take("last_serial", self.last_serial);
   }
 };
 
--- a/test/agent-test/agent_test.cpp
+++ b/test/agent-test/agent_test.cpp
@@ -206,7 +206,7 @@
   this->call("agent.retire", wire::to_json(wire::retire_order{.model = "a"}));
   EXPECT_TRUE(soon([&] {
     const std::lock_guard lock(mutex);
-    return last.given_up == std::vector<std::string>{"a"} &&
+    return last.given_up == std::map<std::string, std::uint64_t>{{"a", 0}} &&
            last.fence == this->row().fence;
   }));
   EXPECT_FALSE(this->ready("a"));
--- a/test/decide-test/grant_change_test.cpp
+++ b/test/decide-test/grant_change_test.cpp
@@ -8,8 +8,17 @@
 const grant valves{.model = "valves", .bytes = 70};
 const server_record empty_server{
     .id = "s1", .fence = 7, .capacity_bytes = 160, .grants = {}};
-const server_record holding_server{
-    .id = "s1", .fence = 7, .capacity_bytes = 160, .grants = {valves}};
+const grant first_valves{.model = "valves", .bytes = 70, .serial = 1};
+const server_record holding_server{.id = "s1",
+                                   .fence = 7,
+                                   .capacity_bytes = 160,
+                                   .grants = {first_valves},
+                                   .last_serial = 1};
+const server_record emptied_server{.id = "s1",
+                                   .fence = 7,
+                                   .capacity_bytes = 160,
+                                   .grants = {},
+                                   .last_serial = 1};
 const placement elsewhere{.model = "valves", .servers = {"s0"}};
 const placement granted{.model = "valves", .servers = {"s0", "s1"}};
 
@@ -18,16 +27,16 @@
   ASSERT_TRUE(added);
   EXPECT_EQ(*added, (grant_change{granted, holding_server}));
   const auto removed =
-      remove_grant(added->model_row, added->server_row, "valves", 7);
+      remove_grant(added->model_row, added->server_row, "valves", {7, 1});
   ASSERT_TRUE(removed);
-  EXPECT_EQ(*removed, (grant_change{elsewhere, empty_server}));
+  EXPECT_EQ(*removed, (grant_change{elsewhere, emptied_server}));
 }
 
 TEST(grant_change_test, adds_nothing_twice_too_large_or_of_another_model) {
   EXPECT_FALSE(add_grant(granted, holding_server, valves));
   EXPECT_FALSE(add_grant(elsewhere, empty_server, {"other", 70}));
   EXPECT_FALSE(add_grant(elsewhere, empty_server, {"valves", 161}));
-  EXPECT_FALSE(remove_grant(elsewhere, empty_server, "valves", 7));
+  EXPECT_FALSE(remove_grant(elsewhere, empty_server, "valves", {7, 0}));
 }
 
 TEST(grant_change_test, keeps_the_grant_when_the_agent_restarted_since) {
@@ -35,14 +44,28 @@
   // it reads the row where the grant still stands and loads the model again.
   // Only then the home takes in the old acknowledgement and grants elsewhere.
   const server_record restarted{.id = "s1", .fence = 8, .grants = {valves}};
-  EXPECT_FALSE(remove_grant(granted, restarted, "valves", 7));
-  EXPECT_TRUE(remove_grant(granted, restarted, "valves", 8));
+  EXPECT_FALSE(remove_grant(granted, restarted, "valves", {7, 0}));
+  EXPECT_TRUE(remove_grant(granted, restarted, "valves", {8, 0}));
+}
+
+TEST(grant_change_test, keeps_a_later_grant_from_an_earlier_acknowledgement) {
+  // One replica too many is loaded. A home removes a given-up grant and gives
+  // the server a new one, under which the model is loaded again. The agent's
+  // first acknowledgement reaches another home only then; if it counted, the
+  // new grant would go elsewhere while its replica is loaded here.
+  const auto again = add_grant(elsewhere, emptied_server, valves);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->server_row.grants.front().serial, 2U);
+  EXPECT_FALSE(
+      remove_grant(again->model_row, again->server_row, "valves", {7, 1}));
+  EXPECT_TRUE(
+      remove_grant(again->model_row, again->server_row, "valves", {7, 2}));
 }
 
 TEST(grant_change_test, removes_a_gone_server_whatever_its_fence) {
   const auto removed = remove_gone(granted, holding_server, "valves");
   ASSERT_TRUE(removed);
-  EXPECT_EQ(*removed, (grant_change{elsewhere, empty_server}));
+  EXPECT_EQ(*removed, (grant_change{elsewhere, emptied_server}));
   const auto half = remove_gone(granted, empty_server, "valves");
   ASSERT_TRUE(half);
   EXPECT_EQ(half->model_row, elsewhere);
--- a/test/decide-test/home_test.cpp
+++ b/test/decide-test/home_test.cpp
@@ -309,7 +309,10 @@
 
 TEST(home_test, orders_a_lost_wake_elsewhere_and_asks_grants_for_the_silent) {
   bench b({}, {.replicas = 2, .max_replicas = 2});
-  EXPECT_EQ(b.take<want_grants>().at(0).number, 2u);
+  b.h.on_servers(target, {}, b.now);
+  const auto ahead = b.take<want_grants>();
+  ASSERT_FALSE(ahead.empty());
+  EXPECT_EQ(ahead[0].number, 2u);
   b.h.on_servers(target, {"s1", "s2"}, b.now);
   b.report("s1", replica_state::cold);
   b.report("s2", replica_state::cold);
--- a/test/decide-test/residency_property_test.cpp
+++ b/test/decide-test/residency_property_test.cpp
@@ -47,7 +47,7 @@
   void on_grants(const server_record&, time_point, time_point) {}
   void on_grants_hint(time_point) {}
   void on_retire(const std::string& model, time_point) {
-    this->given.insert(model);
+    this->given.emplace(model, 0);
   }
   void on_order_done(const engine_order&, std::error_code, time_point) {}
   void tick(time_point) {}
@@ -58,11 +58,13 @@
   std::vector<residency_action> take_actions() {
     return std::exchange(this->actions, {});
   }
-  const std::set<std::string>& given_up() const { return this->given; }
+  const std::map<std::string, std::uint64_t>& given_up() const {
+    return this->given;
+  }
   const memory_ledger& ledger() const { return this->memory; }
 
  private:
-  std::set<std::string> given;
+  std::map<std::string, std::uint64_t> given;
   std::vector<residency_action> actions;
   memory_ledger memory{100};
 };
--- a/test/decide-test/residency_world.hpp
+++ b/test/decide-test/residency_world.hpp
@@ -116,7 +116,9 @@
   /// The home acts late on the acknowledgements of this start, and only on
   /// those.
   void take_grants_back() {
-    for (const auto& model : this->agent->given_up()) this->table.erase(model);
+    for (const auto& [model, serial] : this->agent->given_up()) {
+      this->table.erase(model);
+    }
   }
 
   void restart_engine() {
@@ -211,7 +213,9 @@
     if (order.kind == order_kind::load) ++this->verdict.loads;
     std::set<std::string> granted;
     for (const auto& [model, bytes] : this->table) granted.insert(model);
-    for (const auto& model : this->agent->given_up()) granted.erase(model);
+    for (const auto& [model, serial] : this->agent->given_up()) {
+      granted.erase(model);
+    }
     this->note(this->verdict.grants,
                invariants::loads_only_under_grant(order, granted));
     this->flying.push_back(
