--- a/src/decide/home.hpp
+++ b/src/decide/home.hpp
@@ -146,6 +146,7 @@
   chosen_server choose_server(const home_target& target,
                               const waiting_request& waiting,
                               time_point now) const;
+  const home_server* usable_server(const std::string& id, time_point now) const;
   bool can_run(const home_target& target, const home_server& server,
                const wire::permit_request& ask) const;
   std::uint32_t in_flight(const std::string& server) const;
--- a/src/decide/home_dispatch.cpp
+++ b/src/decide/home_dispatch.cpp
@@ -1,20 +1,13 @@
-// The half of home that gives permits: who goes to which backend server.
+// The part of home that gives permits: who goes to which backend server.
 
 #include <algorithm>
 
 #include "decide/home.hpp"
+#include "decide/name_list.hpp"
 #include "decide/target_name.hpp"
 
 namespace boragehill::decide {
 
-namespace {
-
-bool contains(const std::vector<std::string>& list, const std::string& item) {
-  return std::find(list.begin(), list.end(), item) != list.end();
-}
-
-}  // namespace
-
 void home::pump(home_target& target, time_point now) {
   auto at = target.queue.begin();
   std::size_t skipped = 0;
@@ -63,11 +56,9 @@
       [&](const auto& id) { return contains(waiting.ask.excluded, id); });
   for (const auto& id : target.servers) {
     if (!all_excluded && contains(waiting.ask.excluded, id)) continue;
-    const auto known = this->known_servers.find(id);
-    if (known == this->known_servers.end()) continue;
-    const home_server& server = known->second;
-    if (!server.usable(now, this->limits.report_silence)) continue;
-    if (!this->can_run(target, server, waiting.ask)) continue;
+    const home_server* server = this->usable_server(id, now);
+    if (server == nullptr) continue;
+    if (!this->can_run(target, *server, waiting.ask)) continue;
     if (this->struck_servers.contains(id)) continue;
     const auto kept = this->reserved.find(id);
     const bool kept_for_other =
@@ -76,15 +67,23 @@
     // Reports lag: one's own permits are counted as they stand, or a server
     // that was full when it reported would seem so, and stand idle, until its
     // next report.
-    const std::uint32_t load = server.others_running() + this->in_flight(id);
-    if (load >= server.report().slots) continue;
+    const std::uint32_t load = server->others_running() + this->in_flight(id);
+    if (load >= server->report().slots) continue;
     if (best.server != nullptr && load >= best_load) continue;
-    best = {id, &server};
+    best = {id, server};
     best_load = load;
   }
   return best;
 }
 
+const home_server* home::usable_server(const std::string& id,
+                                       time_point now) const {
+  const auto known = this->known_servers.find(id);
+  if (known == this->known_servers.end()) return nullptr;
+  const bool usable = known->second.usable(now, this->limits.report_silence);
+  return usable ? &known->second : nullptr;
+}
+
 bool home::can_run(const home_target& target, const home_server& server,
                    const wire::permit_request& ask) const {
   if (!is_model_target(target.name)) return true;
--- /dev/null
+++ b/src/decide/home_estimates.cpp
@@ -0,0 +1,101 @@
+// The part of home that reckons when a request would start, and refuses what
+// can no longer be in time.
+
+#include <algorithm>
+
+#include "decide/home.hpp"
+#include "decide/name_list.hpp"
+#include "decide/target_name.hpp"
+
+namespace boragehill::decide {
+
+milliseconds home::time_to_ready(const home_target& target,
+                                 const std::string& adapter,
+                                 time_point now) const {
+  if (!is_model_target(target.name)) return milliseconds{0};
+  const std::string model = model_of_target(target.name);
+  milliseconds best = this->load_time(checkpoint_tier::remote);
+  for (const auto& id : target.servers) {
+    const home_server* server = this->usable_server(id, now);
+    if (server == nullptr) continue;
+    const auto* replica = server->replica(model);
+    milliseconds wait = this->load_time(server->tier(model));
+    if (replica != nullptr && replica->state == wire::replica_state::ready) {
+      const bool has = adapter.empty() || contains(replica->adapters, adapter);
+      wait = has ? milliseconds{0} : this->load_time(checkpoint_tier::memory);
+    }
+    if (replica != nullptr && replica->state == wire::replica_state::loading) {
+      wait = milliseconds(replica->ready_in_ms);
+    }
+    best = std::min(best, wait);
+  }
+  for (const auto& wake : target.wakes) {
+    if (wake.adapter != adapter && !wake.adapter.empty()) continue;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(wake.expected_ready - now);
+    best = std::min(best, std::max(left, milliseconds{0}));
+  }
+  return best;
+}
+
+milliseconds home::queue_time(const home_target& target, std::size_t ahead,
+                              time_point now) const {
+  std::uint32_t slots = 0;
+  std::uint32_t cold_slots = 0;
+  for (const auto& id : target.servers) {
+    const home_server* server = this->usable_server(id, now);
+    if (server == nullptr) continue;
+    const std::uint32_t own = server->report().slots;
+    cold_slots = std::max(cold_slots, own);
+    if (this->can_run(target, *server, {})) slots += own;
+  }
+  // Before the first replica is ready the queue will run on the one that
+  // wakes. Counted as one slot, the first burst for a cold model would be
+  // refused as too late although a replica takes many requests at once.
+  if (slots == 0) slots = cold_slots;
+  const auto rounds =
+      static_cast<std::int64_t>(ahead / std::max<std::uint32_t>(slots, 1));
+  return target.run_time.value() * rounds;
+}
+
+milliseconds home::estimate(const std::string& name, const std::string& adapter,
+                            time_point now) const {
+  const home_target* target = this->target(name);
+  if (target == nullptr) return this->load_time(checkpoint_tier::remote);
+  return this->time_to_ready(*target, adapter, now) +
+         this->queue_time(*target, target->queue.size(), now);
+}
+
+bool home::load_measured(const home_target& target) const {
+  if (!is_model_target(target.name)) return true;
+  const std::string model = model_of_target(target.name);
+  return std::any_of(
+      target.servers.begin(), target.servers.end(), [&](const auto& id) {
+        const auto known = this->known_servers.find(id);
+        if (known == this->known_servers.end()) return false;
+        const auto tier = static_cast<std::size_t>(known->second.tier(model));
+        return this->load_means[tier].measured();
+      });
+}
+
+void home::refuse_hopeless(home_target& target, time_point now) {
+  // A first guess refuses nobody: only what was seen here says that a load
+  // takes too long.
+  if (!this->load_measured(target)) return;
+  std::size_t ahead = 0;
+  auto at = target.queue.begin();
+  while (at != target.queue.end()) {
+    const auto start = this->time_to_ready(target, at->ask.adapter, now) +
+                       this->queue_time(target, ahead, now);
+    if (now + start <= at->deadline) {
+      ++ahead;
+      ++at;
+      continue;
+    }
+    const auto hopeless = at++;
+    this->refuse_waiting(target, hopeless, result_code::deadline_unreachable,
+                         "the earliest start is past its deadline", now);
+  }
+}
+
+}  // namespace boragehill::decide
--- a/src/decide/home_wakes.cpp
+++ b/src/decide/home_wakes.cpp
@@ -1,10 +1,11 @@
-// The half of home that wakes models and estimates when a request would start.
+// The part of home that wakes models and asks for grants.
 
 #include <algorithm>
 #include <set>
 
 #include "decide/home.hpp"
 #include "decide/keep_warm.hpp"
+#include "decide/name_list.hpp"
 #include "decide/placement_choice.hpp"
 #include "decide/target_name.hpp"
 
@@ -12,8 +13,12 @@
 
 namespace {
 
-bool contains(const std::vector<std::string>& list, const std::string& item) {
-  return std::find(list.begin(), list.end(), item) != list.end();
+/// Returns whether the base model was ordered at a server and is not yet ready.
+bool is_waking(const home_target& target, const std::string& server) {
+  return std::any_of(target.wakes.begin(), target.wakes.end(),
+                     [&](const pending_wake& wake) {
+                       return wake.server == server && wake.adapter.empty();
+                     });
 }
 
 }  // namespace
@@ -226,15 +231,10 @@
                                     time_point now) const {
   const std::string model = model_of_target(target.name);
   const auto active = [&](const std::string& id) {
-    const bool ordered = std::any_of(
-        target.wakes.begin(), target.wakes.end(), [&](const auto& wake) {
-          return wake.server == id && wake.adapter.empty();
-        });
-    if (ordered) return true;
-    const auto known = this->known_servers.find(id);
-    if (known == this->known_servers.end()) return false;
-    if (!known->second.usable(now, this->limits.report_silence)) return false;
-    const auto* replica = known->second.replica(model);
+    if (is_waking(target, id)) return true;
+    const home_server* server = this->usable_server(id, now);
+    if (server == nullptr) return false;
+    const auto* replica = server->replica(model);
     if (replica == nullptr) return false;
     return replica->state == wire::replica_state::ready ||
            replica->state == wire::replica_state::loading;
@@ -257,11 +257,7 @@
         replica == nullptr ? wire::replica_state::cold : replica->state;
     if (state == wire::replica_state::ready) continue;
     if (state == wire::replica_state::loading) continue;
-    const bool ordered = std::any_of(
-        target.wakes.begin(), target.wakes.end(), [&](const auto& wake) {
-          return wake.server == id && wake.adapter.empty();
-        });
-    if (ordered) continue;
+    if (is_waking(target, id)) continue;
     request.servers.push_back(
         {.server = id,
          .state = state,
@@ -274,96 +270,4 @@
   return choose_replica_to_wake(request).value_or(std::string{});
 }
 
-milliseconds home::time_to_ready(const home_target& target,
-                                 const std::string& adapter,
-                                 time_point now) const {
-  if (!is_model_target(target.name)) return milliseconds{0};
-  const std::string model = model_of_target(target.name);
-  milliseconds best = this->load_time(checkpoint_tier::remote);
-  for (const auto& id : target.servers) {
-    const auto known = this->known_servers.find(id);
-    if (known == this->known_servers.end()) continue;
-    const home_server& server = known->second;
-    if (!server.usable(now, this->limits.report_silence)) continue;
-    const auto* replica = server.replica(model);
-    milliseconds wait = this->load_time(server.tier(model));
-    if (replica != nullptr && replica->state == wire::replica_state::ready) {
-      const bool has = adapter.empty() || contains(replica->adapters, adapter);
-      wait = has ? milliseconds{0} : this->load_time(checkpoint_tier::memory);
-    }
-    if (replica != nullptr && replica->state == wire::replica_state::loading) {
-      wait = milliseconds(replica->ready_in_ms);
-    }
-    best = std::min(best, wait);
-  }
-  for (const auto& wake : target.wakes) {
-    if (wake.adapter != adapter && !wake.adapter.empty()) continue;
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(wake.expected_ready - now);
-    best = std::min(best, std::max(left, milliseconds{0}));
-  }
-  return best;
-}
-
-milliseconds home::queue_time(const home_target& target, std::size_t ahead,
-                              time_point now) const {
-  std::uint32_t slots = 0;
-  std::uint32_t cold_slots = 0;
-  for (const auto& id : target.servers) {
-    const auto known = this->known_servers.find(id);
-    if (known == this->known_servers.end()) continue;
-    if (!known->second.usable(now, this->limits.report_silence)) continue;
-    const std::uint32_t own = known->second.report().slots;
-    cold_slots = std::max(cold_slots, own);
-    if (this->can_run(target, known->second, {})) slots += own;
-  }
-  // Before the first replica is ready the queue will run on the one that
-  // wakes. Counted as one slot, the first burst for a cold model would be
-  // refused as too late although a replica takes many requests at once.
-  if (slots == 0) slots = cold_slots;
-  const auto rounds =
-      static_cast<std::int64_t>(ahead / std::max<std::uint32_t>(slots, 1));
-  return target.run_time.value() * rounds;
-}
-
-milliseconds home::estimate(const std::string& name, const std::string& adapter,
-                            time_point now) const {
-  const home_target* target = this->target(name);
-  if (target == nullptr) return this->load_time(checkpoint_tier::remote);
-  return this->time_to_ready(*target, adapter, now) +
-         this->queue_time(*target, target->queue.size(), now);
-}
-
-bool home::load_measured(const home_target& target) const {
-  if (!is_model_target(target.name)) return true;
-  const std::string model = model_of_target(target.name);
-  return std::any_of(
-      target.servers.begin(), target.servers.end(), [&](const auto& id) {
-        const auto known = this->known_servers.find(id);
-        if (known == this->known_servers.end()) return false;
-        const auto tier = static_cast<std::size_t>(known->second.tier(model));
-        return this->load_means[tier].measured();
-      });
-}
-
-void home::refuse_hopeless(home_target& target, time_point now) {
-  // A first guess refuses nobody: only what was seen here says that a load
-  // takes too long.
-  if (!this->load_measured(target)) return;
-  std::size_t ahead = 0;
-  auto at = target.queue.begin();
-  while (at != target.queue.end()) {
-    const auto start = this->time_to_ready(target, at->ask.adapter, now) +
-                       this->queue_time(target, ahead, now);
-    if (now + start <= at->deadline) {
-      ++ahead;
-      ++at;
-      continue;
-    }
-    const auto hopeless = at++;
-    this->refuse_waiting(target, hopeless, result_code::deadline_unreachable,
-                         "the earliest start is past its deadline", now);
-  }
-}
-
 }  // namespace boragehill::decide
