--- a/src/app/run_commands.cpp
+++ b/src/app/run_commands.cpp
@@ -15,6 +15,10 @@
 #include "kernel/event_log.hpp"
 #include "router/router.hpp"
 #include "router/router_settings.hpp"
+#include "serve/entry.hpp"
+#include "serve/entry_settings.hpp"
+#include "sidecar/sidecar.hpp"
+#include "sidecar/sidecar_settings.hpp"
 
 namespace boragehill::app {
 
@@ -61,9 +65,87 @@
   return true;
 }
 
+/// A file with a [store] table is for the platform's store of rows.
+bool is_for_store(kernel::settings_document& document) {
+  return document.section("store").present();
+}
+
+std::optional<serve::entry_settings> checked_entry_settings() {
+  auto document = read_settings_file();
+  auto settings = serve::read_entry_settings(document);
+  if (!report_problems(document.finish())) return std::nullopt;
+  return settings;
+}
+
+std::optional<sidecar::sidecar_settings> checked_sidecar_settings() {
+  auto document = read_settings_file();
+  auto settings = sidecar::read_sidecar_settings(document);
+  if (!report_problems(document.finish())) return std::nullopt;
+  return settings;
+}
+
+bool settings_are_for_store() {
+  auto document = read_settings_file();
+  return is_for_store(document);
+}
+
+void log_started(const char* role, const std::string& id) {
+  kernel::start_event_log("boragehill", true);
+  kernel::log_to_standard_output();
+  kernel::log_event(kernel::event::process_started,
+                    {{"role", role}, {"id", id}});
+}
+
+/// Says what a reload came to. Addresses are bound and bounds are in use, so a
+/// changed file takes effect with the process that is started next.
+template <class Settings>
+void note_reload(const std::optional<Settings>& news, const Settings& known) {
+  kernel::log_event(
+      kernel::event::settings_changed,
+      {{"readable", news.has_value()}, {"differs", news && !(*news == known)}});
+}
+
+exit_code run_entry() {
+  const auto settings = checked_entry_settings();
+  if (!settings) return exit_code::usage;
+  log_started("router", settings->id);
+  serve::entry own(*settings);
+  if (const auto started = own.start(); !started) {
+    return not_started("router " + settings->id, started.error());
+  }
+  kernel::log_event(kernel::event::process_ready, {{"id", settings->id}});
+  while (!wait_for_stop(signal_poll)) {
+    if (take_reload()) note_reload(checked_entry_settings(), *settings);
+  }
+  kernel::log_event(kernel::event::process_stopping, {{"id", settings->id}});
+  own.drain();
+  own.stop();
+  kernel::log_event(kernel::event::process_stopped, {{"id", settings->id}});
+  return exit_code::ok;
+}
+
+exit_code run_sidecar() {
+  const auto settings = checked_sidecar_settings();
+  if (!settings) return exit_code::usage;
+  log_started("agent", settings->id);
+  sidecar::sidecar own(*settings);
+  if (const auto started = own.start(); !started) {
+    return not_started("agent " + settings->id, started.error());
+  }
+  kernel::log_event(kernel::event::process_ready, {{"id", settings->id}});
+  while (!wait_for_stop(signal_poll)) {
+    if (take_reload()) note_reload(checked_sidecar_settings(), *settings);
+  }
+  kernel::log_event(kernel::event::process_stopping, {{"id", settings->id}});
+  own.stop();
+  kernel::log_event(kernel::event::process_stopped, {{"id", settings->id}});
+  return exit_code::ok;
+}
+
 exit_code run_router(const std::vector<std::string>& arguments) {
   if (has_stray(arguments)) return exit_code::usage;
   block_stop_signals();
+  if (settings_are_for_store()) return run_entry();
   auto settings = checked_router_settings();
   if (!settings) return exit_code::usage;
   const auto token = read_token(settings->admin_token_file);
@@ -88,6 +170,7 @@
 exit_code run_agent(const std::vector<std::string>& arguments) {
   if (has_stray(arguments)) return exit_code::usage;
   block_stop_signals();
+  if (settings_are_for_store()) return run_sidecar();
   const auto settings = checked_agent_settings();
   if (!settings) return exit_code::usage;
   kernel::start_event_log("boragehill", true);
@@ -110,9 +193,11 @@
   const std::string role = arguments.empty() ? "" : arguments.front();
   bool good = false;
   if (role == "router") {
-    good = checked_router_settings().has_value();
+    good = settings_are_for_store() ? checked_entry_settings().has_value()
+                                    : checked_router_settings().has_value();
   } else if (role == "agent") {
-    good = checked_agent_settings().has_value();
+    good = settings_are_for_store() ? checked_sidecar_settings().has_value()
+                                    : checked_agent_settings().has_value();
   } else {
     std::cerr << "boragehill: check-settings takes router or agent\n";
     return exit_code::usage;
--- a/src/app/stop_signal.cpp
+++ b/src/app/stop_signal.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <ctime>
+#include <utility>
 
 namespace boragehill::app {
 
@@ -12,9 +13,12 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
+bool reload_asked = false;
+
 }  // namespace
 
 void block_stop_signals() {
@@ -30,7 +34,13 @@
   const std::chrono::nanoseconds rest = limit - seconds;
   const timespec wait{static_cast<time_t>(seconds.count()),
                       static_cast<long>(rest.count())};
-  return sigtimedwait(&signals, nullptr, &wait) > 0;
+  const int came = sigtimedwait(&signals, nullptr, &wait);
+  if (came == SIGHUP) reload_asked = true;
+  return came > 0 && came != SIGHUP;
+}
+
+bool take_reload() {
+  return std::exchange(reload_asked, false);
 }
 
 }  // namespace boragehill::app
--- a/src/app/stop_signal.hpp
+++ b/src/app/stop_signal.hpp
@@ -5,16 +5,20 @@
 
 namespace boragehill::app {
 
-/// Blocks SIGTERM and SIGINT in this thread and every thread it starts, so
-/// that only `wait_for_stop` takes them. Called before any thread is made.
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and every thread it starts,
+/// so that only `wait_for_stop` takes them. Called before any thread is made.
 void block_stop_signals();
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM, SIGINT or SIGHUP.
 ///
 /// \param limit How long to wait.
-/// \return True if one came.
+/// \return True if a stop was asked for.
 bool wait_for_stop(milliseconds limit);
 
+/// \return True if a SIGHUP came since the last call: the settings file has
+///     changed.
+bool take_reload();
+
 }  // namespace boragehill::app
 
 #endif  // BORAGEHILL_APP_STOP_SIGNAL_HPP
--- /dev/null
+++ b/src/decide/decaying_sum.hpp
@@ -0,0 +1,48 @@
+#ifndef BORAGEHILL_DECIDE_DECAYING_SUM_HPP
+#define BORAGEHILL_DECIDE_DECAYING_SUM_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide {
+
+/// A sum whose parts lose weight with age; divided by its time constant it is
+/// a rate.
+class decaying_sum {
+ public:
+  /// \param constant After this time a part has 1/e of its weight left.
+  explicit decaying_sum(milliseconds constant) : constant(constant) {}
+
+  /// Adds an amount at a time not before the last one.
+  void add(double amount, time_point now) {
+    this->sum = this->value(now) + amount;
+    this->last = now;
+  }
+
+  /// \return What is left of the sum.
+  double value(time_point now) const {
+    const std::chrono::duration<double, std::milli> age = now - this->last;
+    const double steps = std::max(age.count(), 0.0) /
+                         static_cast<double>(this->constant.count());
+    return this->sum * std::exp(-steps);
+  }
+
+  /// \return Amount a second.
+  double per_second(time_point now) const {
+    constexpr double ms_per_second = 1000;
+    return this->value(now) * ms_per_second /
+           static_cast<double>(this->constant.count());
+  }
+
+ private:
+  milliseconds constant;
+  double sum = 0;
+  time_point last;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_DECAYING_SUM_HPP
--- /dev/null
+++ b/src/decide/model_flight.hpp
@@ -0,0 +1,21 @@
+#ifndef BORAGEHILL_DECIDE_MODEL_FLIGHT_HPP
+#define BORAGEHILL_DECIDE_MODEL_FLIGHT_HPP
+
+#include <string>
+
+namespace boragehill::decide {
+
+/// Requests of one router for one model that are at one server now.
+struct model_flight {
+  std::string server;
+  std::string model;
+  /// Empty for the model without an adapter.
+  std::string adapter;
+  int requests = 0;
+
+  bool operator==(const model_flight&) const = default;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_MODEL_FLIGHT_HPP
--- /dev/null
+++ b/src/decide/next_order.cpp
@@ -0,0 +1,131 @@
+#include "decide/next_order.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace boragehill::decide {
+
+namespace {
+
+using kind = fleet::worker_order::kind;
+
+bool holds(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::pair<std::string, std::string> split_adapter(const std::string& full) {
+  const auto slash = full.find('/');
+  if (slash == std::string::npos) return {full, {}};
+  return {full.substr(0, slash), full.substr(slash + 1)};
+}
+
+std::size_t adapters_held(const fleet::worker_report& report) {
+  std::size_t count = report.coming.size();
+  for (const auto& each : report.models) count += each.adapters.size();
+  return count;
+}
+
+std::optional<target_order> unload_something(const fleet::worker_report& report,
+                                             const residency_target& target) {
+  for (const auto& each : report.models) {
+    if (holds(target.models, each.name)) continue;
+    return target_order{.what = kind::unload, .model = each.name};
+  }
+  return std::nullopt;
+}
+
+std::optional<target_order> next_model(const fleet::worker_report& report,
+                                       const residency_target& target,
+                                       const fleet::service& service) {
+  for (const auto& name : target.models) {
+    if (report.find(name)) continue;
+    const auto* model = service.find_model(name);
+    if (!model) continue;
+    if (model->weights_mb <= free_memory_mb(report, {}, service)) {
+      return target_order{.what = kind::load, .model = name};
+    }
+    return unload_something(report, target);
+  }
+  return std::nullopt;
+}
+
+std::optional<target_order> drop_adapter(const fleet::worker_report& report,
+                                         const residency_target& target) {
+  for (const auto& each : report.models) {
+    for (const auto& adapter : each.adapters) {
+      if (holds(target.adapters, each.name + '/' + adapter)) continue;
+      return target_order{
+          .what = kind::unload, .model = each.name, .adapter = adapter};
+    }
+  }
+  return std::nullopt;
+}
+
+bool is_missing(const fleet::worker_report& report, const std::string& full) {
+  const auto [model, adapter] = split_adapter(full);
+  const auto* resident = report.find(model);
+  if (!resident || adapter.empty()) return false;
+  return !holds(resident->adapters, adapter) && !holds(report.coming, full);
+}
+
+std::optional<target_order> next_adapter(const fleet::worker_report& report,
+                                         const std::string& loading,
+                                         const residency_target& target,
+                                         const fleet::service& service) {
+  // A worker takes this many adapters at once on their way.
+  constexpr std::size_t most_coming = 4;
+  for (const auto& full : target.adapters) {
+    if (!is_missing(report, full)) continue;
+    const auto [name, adapter] = split_adapter(full);
+    const auto* model = service.find_model(name);
+    if (!model) continue;
+    const auto places = static_cast<std::size_t>(service.adapter_places);
+    const bool fits =
+        adapters_held(report) < places &&
+        model->adapter_mb <= free_memory_mb(report, loading, service);
+    if (!fits) return drop_adapter(report, target);
+    if (report.coming.size() >= most_coming) return std::nullopt;
+    return target_order{.what = kind::load, .model = name, .adapter = adapter};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+double free_memory_mb(const fleet::worker_report& report,
+                      const std::string& loading,
+                      const fleet::service& service) {
+  double left = service.weights_mb;
+  if (!loading.empty() && !report.find(loading)) {
+    const auto* model = service.find_model(loading);
+    if (!model) return 0;
+    left -= model->weights_mb;
+  }
+  for (const auto& each : report.models) {
+    const auto* model = service.find_model(each.name);
+    if (!model) return 0;
+    left -= model->weights_mb;
+    left -= model->adapter_mb * static_cast<double>(each.adapters.size());
+  }
+  for (const auto& full : report.coming) {
+    const auto* model = service.find_model(split_adapter(full).first);
+    if (!model) return 0;
+    left -= model->adapter_mb;
+  }
+  return left;
+}
+
+std::optional<target_order> next_order(const fleet::worker_report& report,
+                                       const std::string& loading,
+                                       const residency_target& target,
+                                       const fleet::service& service) {
+  // An order of an earlier lifetime of the agent: what it loads isn't known.
+  if (report.busy && loading.empty()) return std::nullopt;
+  // Adapters load in milliseconds, also while the worker is busy with a model.
+  auto adapter = next_adapter(report, loading, target, service);
+  if (adapter || report.busy) return adapter;
+  return next_model(report, target, service);
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/planned_worker.cpp
@@ -0,0 +1,17 @@
+#include "decide/planned_worker.hpp"
+
+#include <algorithm>
+
+namespace boragehill::decide {
+
+bool planned_worker::meant_for(const std::string& model) const {
+  const auto& models = this->target.models;
+  return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+bool planned_worker::serves(const std::string& model) const {
+  if (!this->report || !this->report->find(model)) return false;
+  return this->meant_for(model);
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/planned_worker.hpp
@@ -0,0 +1,42 @@
+#ifndef BORAGEHILL_DECIDE_PLANNED_WORKER_HPP
+#define BORAGEHILL_DECIDE_PLANNED_WORKER_HPP
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include <boragehill/time_point.hpp>
+
+#include "decide/planned_load.hpp"
+#include "decide/residency_target.hpp"
+#include "fleet/server.hpp"
+#include "fleet/worker_report.hpp"
+
+namespace boragehill::decide {
+
+/// A model worker as the planner sees it.
+struct planned_worker {
+  fleet::server entry;
+  /// The last report of its agent, and when it came.
+  std::optional<fleet::worker_report> report;
+  time_point reported;
+  residency_target target;
+  std::optional<planned_load> pending;
+  /// When each resident model was first reported.
+  std::map<std::string, time_point> since;
+  /// Requests of all routers there, by model and by "model/adapter".
+  std::map<std::string, int> flights;
+  int requests = 0;
+
+  bool operator==(const planned_worker&) const = default;
+
+  /// \return True if the model is resident and meant to stay.
+  bool serves(const std::string& model) const;
+
+  /// \return True if the model is meant to be there, now or soon.
+  bool meant_for(const std::string& model) const;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_PLANNED_WORKER_HPP
--- /dev/null
+++ b/src/decide/planner_settings.hpp
@@ -0,0 +1,32 @@
+#ifndef BORAGEHILL_DECIDE_PLANNER_SETTINGS_HPP
+#define BORAGEHILL_DECIDE_PLANNER_SETTINGS_HPP
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide {
+
+/// Limits of the residency planner.
+struct planner_settings {
+  /// Loads from the weight store at once; it serves this many at full speed,
+  /// and each further one makes all of them slower.
+  int store_loads = 4;
+  /// A model with fewer requests a replica gets no further replica: below it a
+  /// worker's steps take nearly as long as when it is empty.
+  double requests_per_replica = 6;
+  /// A further replica goes only to a worker with less than this part of the
+  /// load of those that have the model.
+  double relief = 0.6;
+  /// A model that was just loaded stays at least so long, so that the requests
+  /// that wait for it reach it.
+  milliseconds settle{1000};
+  /// Reports older than this say nothing of a worker: it gets no orders.
+  milliseconds report_trust{1500};
+  /// A load that takes this many times as long as it should is given up.
+  int patience = 4;
+
+  bool operator==(const planner_settings&) const = default;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_PLANNER_SETTINGS_HPP
--- /dev/null
+++ b/src/decide/residency_planner.cpp
@@ -0,0 +1,414 @@
+#include "decide/residency_planner.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "decide/next_order.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+double seconds_of(milliseconds time) {
+  constexpr double ms_per_second = 1000;
+  return static_cast<double>(time.count()) / ms_per_second;
+}
+
+bool holds(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+void remove_name(std::vector<std::string>& names, const std::string& name) {
+  names.erase(std::remove(names.begin(), names.end(), name), names.end());
+}
+
+/// Where a worker would load a model from: its memory, its disk or the store.
+milliseconds load_time(const fleet::worker_report& report,
+                       const fleet::model& model) {
+  if (holds(report.in_memory, model.name)) return model.memory_load;
+  if (holds(report.on_disk, model.name)) return model.disk_load;
+  return model.store_load;
+}
+
+bool comes_from_store(const fleet::worker_report& report,
+                      const fleet::model& model) {
+  return !holds(report.in_memory, model.name) &&
+         !holds(report.on_disk, model.name);
+}
+
+void adopt_residents(planned_worker& worker) {
+  for (const auto& each : worker.report->models) {
+    if (!worker.meant_for(each.name)) worker.target.models.push_back(each.name);
+    for (const auto& adapter : each.adapters) {
+      const std::string full = each.name + '/' + adapter;
+      if (!holds(worker.target.adapters, full)) {
+        worker.target.adapters.push_back(full);
+      }
+    }
+  }
+}
+
+void forget_lost(planned_worker& worker) {
+  std::erase_if(worker.target.models, [&](const std::string& name) {
+    const bool pending = worker.pending && worker.pending->model == name;
+    return !pending && !worker.report->find(name);
+  });
+  std::erase_if(worker.target.adapters, [&](const std::string& full) {
+    return !worker.meant_for(full.substr(0, full.find('/')));
+  });
+}
+
+}  // namespace
+
+/// A worker for a model, with what has to go for it.
+struct residency_planner::choice {
+  std::string worker;
+  std::vector<std::string> victims;
+  milliseconds time{0};
+  bool from_store = false;
+  /// In seconds of waiting, over all requests.
+  double cost = 0;
+  /// The part of it that the victims' requests pay.
+  double loss = 0;
+};
+
+void residency_planner::set_catalog(
+    std::shared_ptr<const fleet::catalog> news) {
+  this->catalog = std::move(news);
+}
+
+void residency_planner::set_servers(const fleet::server_list& list) {
+  std::erase_if(this->known, [&list](const auto& each) {
+    return !list.servers.contains(each.first);
+  });
+  for (const auto& [id, entry] : list.servers) this->known[id].entry = entry;
+}
+
+void residency_planner::on_report(const std::string& server,
+                                  const fleet::worker_report& report,
+                                  time_point now) {
+  const auto found = this->known.find(server);
+  if (found == this->known.end()) return;
+  auto& worker = found->second;
+  worker.report = report;
+  worker.reported = now;
+  std::erase_if(worker.since, [&report](const auto& each) {
+    return !report.find(each.first);
+  });
+  for (const auto& each : report.models) worker.since.emplace(each.name, now);
+  this->settle_pending(worker, now);
+}
+
+void residency_planner::on_unreachable(const std::string& server) {
+  const auto found = this->known.find(server);
+  if (found == this->known.end()) return;
+  auto& worker = found->second;
+  worker.report.reset();
+  worker.pending.reset();
+  worker.target = {};
+  worker.since.clear();
+}
+
+void residency_planner::settle_pending(planned_worker& worker, time_point now) {
+  if (worker.pending && worker.report->find(worker.pending->model)) {
+    worker.pending.reset();
+  }
+  if (worker.pending && now > worker.pending->give_up) {
+    remove_name(worker.target.models, worker.pending->model);
+    worker.pending.reset();
+  }
+  forget_lost(worker);
+  // What no order takes away may as well serve.
+  if (!worker.pending) adopt_residents(worker);
+}
+
+void residency_planner::on_demand(const std::string& router,
+                                  const demand_report& report, time_point now) {
+  for (const auto& each : report.demands) {
+    auto& state = this->models[each.model];
+    state.arrivals.add(each.arrivals, now);
+    if (!each.adapter.empty()) state.adapter_asked[each.adapter] = now;
+  }
+  this->routers[router] = report;
+}
+
+void residency_planner::on_router_gone(const std::string& router) {
+  this->routers.erase(router);
+}
+
+void residency_planner::sum_up() {
+  for (auto& [name, state] : this->models) {
+    state.waiting = 0;
+    state.waiting_worth = 0;
+    state.oldest = milliseconds(0);
+    state.flying = 0;
+    state.adapter_waiting.clear();
+  }
+  for (auto& [id, worker] : this->known) {
+    worker.flights.clear();
+    worker.requests = 0;
+  }
+  for (const auto& [router, report] : this->routers) {
+    for (const auto& each : report.demands) {
+      auto& state = this->models[each.model];
+      state.waiting += each.waiting;
+      state.waiting_worth += each.worth;
+      state.oldest = std::max(state.oldest, each.oldest);
+      if (!each.adapter.empty() && each.waiting > 0) {
+        state.adapter_waiting[each.adapter] += each.waiting;
+      }
+    }
+    for (const auto& each : report.flights) {
+      const auto found = this->known.find(each.server);
+      if (found == this->known.end()) continue;
+      found->second.flights[each.model] += each.requests;
+      if (!each.adapter.empty()) {
+        found->second.flights[each.model + '/' + each.adapter] += each.requests;
+      }
+      found->second.requests += each.requests;
+      this->models[each.model].flying += each.requests;
+    }
+  }
+}
+
+void residency_planner::step(time_point now) {
+  if (!this->catalog) return;
+  this->sum_up();
+  for (const auto& service : this->catalog->services) {
+    if (!service.has_engine) continue;
+    this->wake_waiting(service, now);
+    this->relieve_busy(service, now);
+    this->place_adapters(service, now);
+  }
+}
+
+void residency_planner::wake_waiting(const fleet::service& service,
+                                     time_point now) {
+  std::vector<const fleet::model*> asked;
+  for (const auto& model : service.models) {
+    const auto found = this->models.find(model.name);
+    if (found == this->models.end() || found->second.waiting == 0) continue;
+    if (this->replicas_of(model.name) == 0) asked.push_back(&model);
+  }
+  // The most worth first; among equals the one that waits longest.
+  std::sort(asked.begin(), asked.end(),
+            [this](const fleet::model* left, const fleet::model* right) {
+              const auto& one = this->models.at(left->name);
+              const auto& other = this->models.at(right->name);
+              if (one.waiting_worth != other.waiting_worth) {
+                return one.waiting_worth > other.waiting_worth;
+              }
+              return one.oldest > other.oldest;
+            });
+  for (const auto* model : asked) {
+    const auto chosen = this->choose_worker(service, *model, now);
+    if (chosen) this->carry_out(*chosen, *model, now);
+  }
+}
+
+void residency_planner::relieve_busy(const fleet::service& service,
+                                     time_point now) {
+  for (const auto& model : service.models) {
+    const auto found = this->models.find(model.name);
+    if (found == this->models.end()) continue;
+    const int replicas = this->replicas_of(model.name);
+    const double requests = found->second.flying + found->second.waiting;
+    if (replicas == 0) continue;
+    if (requests / replicas <= this->settings.requests_per_replica) continue;
+    double load_there = 0;
+    for (const auto& [id, worker] : this->known) {
+      if (worker.meant_for(model.name)) load_there += worker.requests;
+    }
+    load_there = std::max(load_there, requests) / replicas;
+    const auto chosen = this->choose_worker(service, model, now);
+    if (!chosen || chosen->from_store) continue;
+    const auto& worker = this->known.at(chosen->worker);
+    if (worker.requests > this->settings.relief * load_there) continue;
+    // What the others lose must be less than what these requests gain.
+    if (chosen->loss > requests / replicas) continue;
+    this->carry_out(*chosen, model, now);
+  }
+}
+
+std::optional<residency_planner::choice> residency_planner::choose_worker(
+    const fleet::service& service, const fleet::model& model, time_point now) {
+  std::optional<choice> best;
+  for (const auto& [id, worker] : this->known) {
+    if (!this->usable(worker, service, now)) continue;
+    auto found = this->consider(service, model, id, worker, now);
+    if (found && (!best || found->cost < best->cost)) best = std::move(found);
+  }
+  return best;
+}
+
+std::optional<residency_planner::choice> residency_planner::consider(
+    const fleet::service& service, const fleet::model& model,
+    const std::string& id, const planned_worker& worker, time_point now) {
+  if (worker.meant_for(model.name) || worker.report->find(model.name)) {
+    return std::nullopt;
+  }
+  choice found{.worker = id,
+               .time = load_time(*worker.report, model),
+               .from_store = comes_from_store(*worker.report, model)};
+  if (found.from_store && this->store_loads() >= this->settings.store_loads) {
+    return std::nullopt;
+  }
+  std::vector<std::pair<double, std::string>> droppable;
+  for (const auto& each : worker.report->models) {
+    const auto since = worker.since.find(each.name);
+    const bool fresh = since != worker.since.end() &&
+                       now < since->second + this->settings.settle;
+    const auto state = this->models.find(each.name);
+    const bool waited_for =
+        state != this->models.end() && state->second.waiting > 0;
+    if (fresh && waited_for) continue;
+    droppable.emplace_back(
+        this->cost_of_losing(worker, each.name, service, now), each.name);
+  }
+  std::sort(droppable.begin(), droppable.end());
+  double room = free_memory_mb(*worker.report, {}, service);
+  for (const auto& [cost, name] : droppable) {
+    if (room >= model.weights_mb) break;
+    const auto* victim = service.find_model(name);
+    if (!victim) continue;
+    room += victim->weights_mb +
+            victim->adapter_mb *
+                static_cast<double>(worker.report->find(name)->adapters.size());
+    found.victims.push_back(name);
+    found.loss += cost;
+  }
+  if (room < model.weights_mb) return std::nullopt;
+  const double crowd =
+      worker.entry.slots > 0
+          ? static_cast<double>(worker.requests) / worker.entry.slots
+          : 0;
+  found.cost = seconds_of(found.time) + found.loss + crowd;
+  return found;
+}
+
+double residency_planner::cost_of_losing(const planned_worker& worker,
+                                         const std::string& model,
+                                         const fleet::service& service,
+                                         time_point now) const {
+  // The loss is reckoned over the time in which a model that was dropped
+  // would come back by itself, asked for again.
+  constexpr double horizon_seconds = 5;
+  // An unload waits for the model's runs; they take about so long.
+  constexpr double run_seconds = 1.5;
+  const auto found = this->models.find(model);
+  if (found == this->models.end()) return 0;
+  const auto& state = found->second;
+  const auto flights = worker.flights.find(model);
+  const bool in_use = flights != worker.flights.end() && flights->second > 0;
+  double cost = in_use ? run_seconds : 0;
+  const int replicas = this->replicas_of(model);
+  const auto* spec = service.find_model(model);
+  const double reload = spec ? seconds_of(spec->disk_load) : 0;
+  if (replicas <= 1) {
+    const double expected = state.arrivals.per_second(now) * horizon_seconds;
+    return cost + (expected + state.flying + state.waiting) * reload;
+  }
+  const double each =
+      (state.flying + state.waiting) / static_cast<double>(replicas - 1);
+  const double over = each - this->settings.requests_per_replica;
+  return cost + std::max(over, 0.0) * reload;
+}
+
+void residency_planner::carry_out(const choice& chosen,
+                                  const fleet::model& model, time_point now) {
+  auto& worker = this->known.at(chosen.worker);
+  for (const auto& victim : chosen.victims) {
+    remove_name(worker.target.models, victim);
+  }
+  worker.target.models.push_back(model.name);
+  forget_lost(worker);
+  worker.pending =
+      planned_load{.model = model.name,
+                   .from_store = chosen.from_store,
+                   .due = now + chosen.time,
+                   .give_up = now + chosen.time * this->settings.patience +
+                              milliseconds(3000)};
+  // `forget_lost` spares only what is pending.
+  if (!worker.meant_for(model.name)) worker.target.models.push_back(model.name);
+}
+
+void residency_planner::place_adapters(const fleet::service& service,
+                                       time_point now) {
+  for (const auto& model : service.models) {
+    const auto found = this->models.find(model.name);
+    if (found == this->models.end()) continue;
+    const auto waiting = found->second.adapter_waiting;
+    for (const auto& [adapter, count] : waiting) {
+      this->place_adapter(service, model.name, adapter, now);
+    }
+  }
+}
+
+void residency_planner::place_adapter(const fleet::service& service,
+                                      const std::string& model,
+                                      const std::string& adapter,
+                                      time_point now) {
+  const std::string full = model + '/' + adapter;
+  planned_worker* best = nullptr;
+  std::size_t fewest = 0;
+  for (auto& [id, worker] : this->known) {
+    if (!worker.serves(model) || !this->usable(worker, service, now)) {
+      if (!worker.pending || !worker.serves(model)) continue;
+    }
+    if (holds(worker.target.adapters, full)) return;
+    const std::size_t count = worker.target.adapters.size();
+    if (!best || count < fewest) {
+      best = &worker;
+      fewest = count;
+    }
+  }
+  if (!best) return;
+  auto& adapters = best->target.adapters;
+  if (adapters.size() >= static_cast<std::size_t>(service.adapter_places)) {
+    // The one that was asked for longest ago and that no request uses.
+    const std::string* oldest = nullptr;
+    time_point oldest_time;
+    for (const auto& each : adapters) {
+      const auto flights = best->flights.find(each);
+      if (flights != best->flights.end() && flights->second > 0) continue;
+      const auto slash = each.find('/');
+      const auto& asked = this->models[each.substr(0, slash)].adapter_asked;
+      const auto last = asked.find(each.substr(slash + 1));
+      const time_point time =
+          last == asked.end() ? time_point::min() : last->second;
+      if (oldest && time >= oldest_time) continue;
+      oldest = &each;
+      oldest_time = time;
+    }
+    if (!oldest) return;
+    remove_name(adapters, std::string(*oldest));
+  }
+  adapters.push_back(full);
+}
+
+int residency_planner::replicas_of(const std::string& model) const {
+  int count = 0;
+  for (const auto& [id, worker] : this->known) {
+    if (!worker.entry.draining && worker.meant_for(model)) ++count;
+  }
+  return count;
+}
+
+bool residency_planner::usable(const planned_worker& worker,
+                               const fleet::service& service,
+                               time_point now) const {
+  return worker.entry.service == service.name && !worker.entry.draining &&
+         worker.report && !worker.pending && !worker.report->busy &&
+         now < worker.reported + this->settings.report_trust;
+}
+
+int residency_planner::store_loads() const {
+  int count = 0;
+  for (const auto& [id, worker] : this->known) {
+    if (worker.pending && worker.pending->from_store) ++count;
+  }
+  return count;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/residency_planner.hpp
@@ -0,0 +1,91 @@
+#ifndef BORAGEHILL_DECIDE_RESIDENCY_PLANNER_HPP
+#define BORAGEHILL_DECIDE_RESIDENCY_PLANNER_HPP
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boragehill/time_point.hpp>
+
+#include "decide/demand_report.hpp"
+#include "decide/model_state.hpp"
+#include "decide/planned_worker.hpp"
+#include "decide/planner_settings.hpp"
+#include "fleet/catalog.hpp"
+#include "fleet/server_list.hpp"
+
+namespace boragehill::decide {
+
+/// Decides which worker holds which models and adapters, for all workers as
+/// one problem.
+///
+/// The load it answers: a few models get most requests, and which these are
+/// moves within seconds; the many others are asked for now and then, each
+/// about as often, and all of them together don't fit. So a model that is
+/// asked for and stands nowhere is woken where that is soonest, in the place
+/// of what is missed least over the whole fleet, and a busy model gets a
+/// further replica while that relieves those that have it.
+///
+/// It is soft: a second planner, an old view or none at all break no promise,
+/// since each worker's own agent keeps its memory and the order of its orders.
+class residency_planner {
+ public:
+  explicit residency_planner(const planner_settings& settings)
+      : settings(settings) {}
+
+  void set_catalog(std::shared_ptr<const fleet::catalog> news);
+  void set_servers(const fleet::server_list& list);
+  void on_report(const std::string& server, const fleet::worker_report& report,
+                 time_point now);
+  /// The worker doesn't answer its agent: what it held serves nobody.
+  void on_unreachable(const std::string& server);
+  void on_demand(const std::string& router, const demand_report& report,
+                 time_point now);
+  void on_router_gone(const std::string& router);
+
+  /// Plans anew; the targets are in `workers()` afterwards.
+  void step(time_point now);
+
+  /// \return The model workers by id.
+  const std::map<std::string, planned_worker>& workers() const {
+    return this->known;
+  }
+
+ private:
+  struct choice;
+
+  void sum_up();
+  void settle_pending(planned_worker& worker, time_point now);
+  void wake_waiting(const fleet::service& service, time_point now);
+  void relieve_busy(const fleet::service& service, time_point now);
+  void place_adapters(const fleet::service& service, time_point now);
+  void place_adapter(const fleet::service& service, const std::string& model,
+                     const std::string& adapter, time_point now);
+  std::optional<choice> choose_worker(const fleet::service& service,
+                                      const fleet::model& model,
+                                      time_point now);
+  std::optional<choice> consider(const fleet::service& service,
+                                 const fleet::model& model,
+                                 const std::string& id,
+                                 const planned_worker& worker, time_point now);
+  double cost_of_losing(const planned_worker& worker, const std::string& model,
+                        const fleet::service& service, time_point now) const;
+  void carry_out(const choice& chosen, const fleet::model& model,
+                 time_point now);
+  int replicas_of(const std::string& model) const;
+  bool usable(const planned_worker& worker, const fleet::service& service,
+              time_point now) const;
+  int store_loads() const;
+
+  planner_settings settings;
+  std::shared_ptr<const fleet::catalog> catalog;
+  std::map<std::string, planned_worker> known;
+  std::map<std::string, demand_report> routers;
+  std::map<std::string, model_state> models;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_RESIDENCY_PLANNER_HPP
--- /dev/null
+++ b/src/decide/residency_target.hpp
@@ -0,0 +1,21 @@
+#ifndef BORAGEHILL_DECIDE_RESIDENCY_TARGET_HPP
+#define BORAGEHILL_DECIDE_RESIDENCY_TARGET_HPP
+
+#include <string>
+#include <vector>
+
+namespace boragehill::decide {
+
+/// What one worker should hold. Residents that aren't named may stay until
+/// their place is needed.
+struct residency_target {
+  std::vector<std::string> models;
+  /// As "model/adapter".
+  std::vector<std::string> adapters;
+
+  bool operator==(const residency_target&) const = default;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_RESIDENCY_TARGET_HPP
--- /dev/null
+++ b/src/decide/send_record.cpp
@@ -0,0 +1,44 @@
+#include "decide/send_record.hpp"
+
+#include <algorithm>
+
+namespace boragehill::decide {
+
+namespace {
+
+/// Servers that refuse one after the other: after so many the fleet is full or
+/// its view is wrong, and the caller is told so.
+constexpr int most_sends = 6;
+
+}  // namespace
+
+send_record::send_record(fleet::repeat_rule rule, bool resumable, int attempts)
+    : rule(rule), resumable(resumable), attempts(std::max(attempts, 1)) {}
+
+void send_record::on_send(const std::string& server) {
+  ++this->sends;
+  this->out = true;
+  this->servers.insert(server);
+  this->last = server;
+}
+
+void send_record::on_not_run(bool ask_again) {
+  this->out = false;
+  if (ask_again) this->servers.erase(this->last);
+}
+
+void send_record::on_perhaps_run() {
+  this->out = false;
+  ++this->runs;
+}
+
+bool send_record::may_send() const {
+  if (this->out || this->sends >= most_sends) return false;
+  if (this->runs == 0) return true;
+  const bool repeatable =
+      this->rule == fleet::repeat_rule::idempotent ||
+      (this->rule == fleet::repeat_rule::stream && this->resumable);
+  return repeatable && this->runs < this->attempts;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/server_choice.cpp
@@ -0,0 +1,46 @@
+#include "decide/server_choice.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+/// A crossing to another failure domain costs about as much as this part of a
+/// server's slots being taken.
+constexpr double distance_cost = 0.03;
+/// Above any load, so that a suspect is taken only if all others are full.
+constexpr double suspect_cost = 1000;
+
+double cost_of(const server_candidate& each) {
+  const double taken = each.own_requests + each.other_requests;
+  double cost = taken / each.slots;
+  if (!each.near) cost += distance_cost;
+  if (each.suspect) cost += suspect_cost;
+  return cost;
+}
+
+bool is_full(const server_candidate& each, double queue_share) {
+  const double room = each.slots * (1 + queue_share);
+  return each.own_requests + each.other_requests >= room;
+}
+
+}  // namespace
+
+std::optional<std::size_t> choose_server(
+    const std::vector<server_candidate>& candidates, double queue_share,
+    std::uint64_t random) {
+  std::optional<std::size_t> best;
+  double best_cost = 0;
+  const std::size_t count = candidates.size();
+  for (std::size_t step = 0; step < count; ++step) {
+    const std::size_t index = (step + random % count) % count;
+    const auto& each = candidates[index];
+    if (each.slots <= 0 || is_full(each, queue_share)) continue;
+    const double cost = cost_of(each);
+    if (best && cost >= best_cost) continue;
+    best = index;
+    best_cost = cost;
+  }
+  return best;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/server_choice.hpp
@@ -0,0 +1,29 @@
+#ifndef BORAGEHILL_DECIDE_SERVER_CHOICE_HPP
+#define BORAGEHILL_DECIDE_SERVER_CHOICE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "decide/server_candidate.hpp"
+
+namespace boragehill::decide {
+
+/// Chooses the backend server for a request: the one with the most room, near
+/// ones first where the room is alike, suspects last.
+///
+/// Answers the load of a busy model with several replicas: with a random
+/// choice the fullest had four times the mean.
+/// \param queue_share How far above its slots a server may be filled; its own
+///     queue is short and knows priorities, so a little of it is used.
+/// \param random Any bits; they break ties, so that routers with the same view
+///     don't all choose the same server.
+/// \return The index of the candidate, or nothing if all are full.
+std::optional<std::size_t> choose_server(
+    const std::vector<server_candidate>& candidates, double queue_share,
+    std::uint64_t random);
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_SERVER_CHOICE_HPP
--- a/src/engine/engine_json.cpp
+++ b/src/engine/engine_json.cpp
@@ -5,7 +5,7 @@
 #include <boragehill/engine_order.hpp>
 #include <boragehill/engine_state.hpp>
 
-#include "platform/json_text.hpp"
+#include "kernel/json_text.hpp"
 
 namespace boragehill::engine {
 
@@ -70,7 +70,7 @@
 }  // namespace
 
 std::optional<engine_state> parse_engine_state(std::string_view text) {
-  const auto read = platform::parse_json(text);
+  const auto read = kernel::parse_json(text);
   if (!read || !has_load(*read)) return std::nullopt;
   const Json::Value& value = *read;
   if (!value["capacity_bytes"].isUInt64()) return std::nullopt;
@@ -86,7 +86,7 @@
 }
 
 std::optional<engine_state> parse_service_state(std::string_view text) {
-  const auto read = platform::parse_json(text);
+  const auto read = kernel::parse_json(text);
   if (!read || !has_load(*read)) return std::nullopt;
   const Json::Value& value = *read;
   return engine_state{.incarnation = value["incarnation"].asString(),
@@ -104,7 +104,7 @@
   value["bytes"] = Json::UInt64{order.bytes};
   value["fence"] = Json::UInt64{order.fence};
   value["sequence"] = Json::UInt64{order.sequence};
-  return platform::write_json(value);
+  return kernel::write_json(value);
 }
 
 }  // namespace boragehill::engine
--- a/src/engine/model_engine.cpp
+++ b/src/engine/model_engine.cpp
@@ -11,9 +11,9 @@
 
 #include "engine/control_call.hpp"
 #include "engine/engine_json.hpp"
+#include "kernel/json_text.hpp"
 #include "kernel/plugin_settings.hpp"
 #include "kernel/registrar.hpp"
-#include "platform/json_text.hpp"
 
 namespace boragehill::engine {
 
@@ -81,7 +81,7 @@
   // request to its end, and nobody reads what it says.
   static_cast<void>(call_backend(this->address, this->timeout, "POST",
                                  "/engine/cancel",
-                                 platform::write_json(question)));
+                                 kernel::write_json(question)));
 }
 
 }  // namespace boragehill::engine
--- /dev/null
+++ b/src/fleet/answer_fields.hpp
@@ -0,0 +1,30 @@
+#ifndef BORAGEHILL_FLEET_ANSWER_FIELDS_HPP
+#define BORAGEHILL_FLEET_ANSWER_FIELDS_HPP
+
+#include <optional>
+#include <string>
+
+namespace boragehill::fleet {
+
+/// What a worker's answer says to the system.
+struct answer_fields {
+  /// The attempt that it answers; empty if it names none.
+  std::string attempt;
+  /// The worker states that it did not run the request and never will.
+  bool not_run = false;
+  /// Another lifetime holds the address, or the model isn't loaded.
+  bool misdirected = false;
+  /// Which lifetime answered; empty if not told.
+  std::string server;
+  /// It bears the worker's proof that the answer is its own.
+  bool stamped = false;
+  /// Requests running and waiting at the worker, if it tells.
+  std::optional<int> running;
+  std::optional<int> waiting;
+
+  bool operator==(const answer_fields&) const = default;
+};
+
+}  // namespace boragehill::fleet
+
+#endif  // BORAGEHILL_FLEET_ANSWER_FIELDS_HPP
--- /dev/null
+++ b/src/fleet/request_fields.hpp
@@ -0,0 +1,28 @@
+#ifndef BORAGEHILL_FLEET_REQUEST_FIELDS_HPP
+#define BORAGEHILL_FLEET_REQUEST_FIELDS_HPP
+
+#include <optional>
+#include <string>
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::fleet {
+
+/// What the headers of a caller's request say to the system.
+struct request_fields {
+  /// The caller's name for this attempt; new for each.
+  std::string attempt;
+  /// How long the caller waits.
+  std::optional<milliseconds> deadline;
+  /// The model asked for, without its adapter; empty for plain services.
+  std::string model;
+  std::string adapter;
+  int prompt_tokens = 0;
+  int output_tokens = 0;
+
+  bool operator==(const request_fields&) const = default;
+};
+
+}  // namespace boragehill::fleet
+
+#endif  // BORAGEHILL_FLEET_REQUEST_FIELDS_HPP
--- /dev/null
+++ b/src/http/call_connection.cpp
@@ -0,0 +1,121 @@
+#include "http/call_connection.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+#include <boragehill/result_code.hpp>
+
+#include "kernel/socket_options.hpp"
+
+namespace boragehill::http {
+
+namespace {
+
+/// The store's answers are at most a megabyte, their heads a few lines.
+constexpr std::size_t max_head_bytes = 16384;
+
+}  // namespace
+
+call_connection::call_connection(asio::io_context& context, endpoint peer)
+    : context(context),
+      peer(std::move(peer)),
+      socket(context),
+      timer(context),
+      parser(message_kind::answer, max_head_bytes) {}
+
+void call_connection::call(std::string text, milliseconds limit,
+                           receiver receive) {
+  this->request = std::move(text);
+  this->receive = std::move(receive);
+  this->body.clear();
+  this->parser.next();
+  this->sent = false;
+  this->timer.expires_after(limit);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](std::error_code error) {
+        if (!error && self->receive) self->fail();
+      });
+  if (this->connected) {
+    this->write();
+  } else {
+    this->connect();
+  }
+}
+
+void call_connection::connect() {
+  std::error_code error;
+  const auto address = asio::ip::make_address(this->peer.address, error);
+  if (error) return this->fail();
+  const auto mine = ++this->generation;
+  this->socket = asio::ip::tcp::socket(this->context);
+  this->socket.async_connect(
+      {address, this->peer.port},
+      [self = this->shared_from_this(), mine](std::error_code failed) {
+        if (mine != self->generation) return;
+        if (failed) return self->fail();
+        self->connected = true;
+        kernel::set_socket_options(self->socket);
+        self->write();
+      });
+}
+
+void call_connection::write() {
+  const auto mine = this->generation;
+  this->sent = true;
+  asio::async_write(this->socket, asio::buffer(this->request),
+                    [self = this->shared_from_this(), mine](
+                        std::error_code failed, std::size_t) {
+                      if (mine != self->generation || !self->receive) return;
+                      if (failed) return self->fail();
+                      self->read();
+                    });
+}
+
+void call_connection::read() {
+  const auto mine = this->generation;
+  this->socket.async_read_some(asio::buffer(this->buffer),
+                               [self = this->shared_from_this(), mine](
+                                   std::error_code failed, std::size_t size) {
+                                 if (mine != self->generation || !self->receive)
+                                   return;
+                                 if (failed) return self->fail();
+                                 self->on_read(size);
+                               });
+}
+
+void call_connection::on_read(std::size_t size) {
+  this->parser.feed({this->buffer.data(), size});
+  if (this->parser.failed()) return this->fail();
+  this->body += this->parser.take_body();
+  if (!this->parser.complete()) return this->read();
+  if (!this->parser.head().keep_alive) this->drop_socket();
+  this->finish(whole_answer{this->parser.head(), std::move(this->body)});
+}
+
+void call_connection::fail() {
+  const bool may_be_done = this->sent;
+  this->drop_socket();
+  this->finish(may_be_done ? result_code::platform_answer_lost
+                           : result_code::peer_unreachable);
+}
+
+void call_connection::close() {
+  if (this->receive) return this->fail();
+  this->drop_socket();
+}
+
+void call_connection::finish(result<whole_answer> answer) {
+  this->timer.cancel();
+  if (!this->receive) return;
+  std::exchange(this->receive, nullptr)(std::move(answer));
+}
+
+void call_connection::drop_socket() {
+  ++this->generation;
+  this->connected = false;
+  std::error_code ignored;
+  this->socket.close(ignored);
+}
+
+}  // namespace boragehill::http
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -16,6 +16,7 @@
   process_ready = 102,
   process_stopping = 103,
   process_stopped = 104,
+  settings_changed = 105,
   duty_failed = 106,
   duty_stuck = 107,
   ring_full = 108,
@@ -32,6 +33,8 @@
   platform_outage_ended = 302,
   write_conflict = 303,
   write_answer_lost = 304,
+  entry_rejected = 305,
+  fence_not_taken = 306,
 
   // 400: placement.
   grant_added = 401,
@@ -50,6 +53,9 @@
   wake_refused = 509,
   engine_restarted = 510,
   engine_lost = 511,
+  worker_lost = 512,
+  worker_back = 513,
+  old_planner_ignored = 514,
 
   // 600: requests.
   request_refused = 601,
@@ -61,6 +67,7 @@
   convicted = 607,
   answer_broken = 608,
   caller_hung_up = 609,
+  bad_input = 610,
 
   // 700: profiles.
   profile_published = 701,
@@ -77,6 +84,16 @@
   vm_gone = 805,
   drain_started = 806,
   drain_ended = 807,
+  server_listed = 808,
+  server_leaving = 809,
+  server_gone = 810,
+
+  // 900: planning.
+  planner_followed = 901,
+  planner_lost = 902,
+  planner_leads = 903,
+  planner_replaced = 904,
+  residency_decided = 905,
 };
 
 /// \return The event's name as it stands in docs/EVENTS.md.
--- a/src/kernel/event_log.hpp
+++ b/src/kernel/event_log.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_KERNEL_EVENT_LOG_HPP
 #define BORAGEHILL_KERNEL_EVENT_LOG_HPP
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 
@@ -14,6 +15,15 @@
 /// \param to_stderr True: lines go to standard error only, with no file.
 void start_event_log(const std::string& program, bool to_stderr);
 
+/// Sends the lines to standard output instead, each with its time, through a
+/// bounded writer that never holds up the caller; for processes whose output
+/// the platform collects.
+void log_to_standard_output();
+
+/// \return The lines that were left out to bound the volume; 0 without
+///     `log_to_standard_output`.
+std::uint64_t dropped_lines();
+
 /// Writes one line "event=601 name=request_refused key=value ...". Values
 /// with spaces or quotes are quoted, control characters escaped, and values
 /// over 256 bytes cut.
--- a/src/platform/json_text.hpp
+++ b/src/kernel/json_text.hpp
@@ -1,5 +1,5 @@
-#ifndef BORAGEHILL_PLATFORM_JSON_TEXT_HPP
-#define BORAGEHILL_PLATFORM_JSON_TEXT_HPP
+#ifndef BORAGEHILL_KERNEL_JSON_TEXT_HPP
+#define BORAGEHILL_KERNEL_JSON_TEXT_HPP
 
 #include <json/json.h>
 #include <memory>
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace boragehill::platform {
+namespace boragehill::kernel {
 
 /// Reads a JSON text.
 ///
@@ -39,6 +39,6 @@
   return Json::writeString(builder, value);
 }
 
-}  // namespace boragehill::platform
+}  // namespace boragehill::kernel
 
-#endif  // BORAGEHILL_PLATFORM_JSON_TEXT_HPP
+#endif  // BORAGEHILL_KERNEL_JSON_TEXT_HPP
--- /dev/null
+++ b/src/kernel/listen.cpp
@@ -0,0 +1,20 @@
+#include "kernel/listen.hpp"
+
+namespace boragehill::kernel {
+
+std::error_code listen(asio::ip::tcp::acceptor& acceptor,
+                       const endpoint& address) {
+  constexpr int longest_queue = 1024;
+  std::error_code error;
+  const auto ip = asio::ip::make_address(address.address, error);
+  if (error) return error;
+  const asio::ip::tcp::endpoint own(ip, address.port);
+  acceptor.open(own.protocol(), error);
+  if (!error)
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor.bind(own, error);
+  if (!error) acceptor.listen(longest_queue, error);
+  return error;
+}
+
+}  // namespace boragehill::kernel
--- /dev/null
+++ b/src/kernel/listen.hpp
@@ -0,0 +1,19 @@
+#ifndef BORAGEHILL_KERNEL_LISTEN_HPP
+#define BORAGEHILL_KERNEL_LISTEN_HPP
+
+#include <asio/ip/tcp.hpp>
+#include <system_error>
+
+#include <boragehill/endpoint.hpp>
+
+namespace boragehill::kernel {
+
+/// Binds an acceptor to an address and listens, with a queue that holds the
+/// burst of connections after a failure.
+/// \return The system's error if the address can't be had.
+std::error_code listen(asio::ip::tcp::acceptor& acceptor,
+                       const endpoint& address);
+
+}  // namespace boragehill::kernel
+
+#endif  // BORAGEHILL_KERNEL_LISTEN_HPP
--- a/src/platform/http_table_service.cpp
+++ b/src/platform/http_table_service.cpp
@@ -4,11 +4,11 @@
 
 #include <boragehill/result_code.hpp>
 
+#include "kernel/json_text.hpp"
 #include "kernel/plugin_settings.hpp"
 #include "kernel/registrar.hpp"
 #include "platform/http_answer.hpp"
 #include "platform/http_status.hpp"
-#include "platform/json_text.hpp"
 
 namespace boragehill::platform {
 
@@ -41,7 +41,7 @@
 
 std::optional<std::vector<std::string>> etags_of(const std::string& body,
                                                  std::size_t count) {
-  const auto value = parse_json(body);
+  const auto value = kernel::parse_json(body);
   if (!value || !value->isObject()) return std::nullopt;
   const Json::Value& list = (*value)["etags"];
   if (!list.isArray() || list.size() != count) return std::nullopt;
@@ -59,7 +59,7 @@
                               const std::string& text) {
   Json::Value question;
   question[name] = text;
-  auto answer = caller.send("POST", target, write_json(question));
+  auto answer = caller.send("POST", target, kernel::write_json(question));
   if (!answer) return result_code::platform_down;
   return answer;
 }
@@ -79,7 +79,7 @@
   if (answer.value().status != status_ok) {
     return read_error_of(answer.value().status);
   }
-  const auto value = parse_json(answer.value().body);
+  const auto value = kernel::parse_json(answer.value().body);
   if (!value) return result_code::platform_bad_answer;
   auto row = row_of(*value);
   if (!row || row->key != key) return result_code::platform_bad_answer;
@@ -94,7 +94,7 @@
   if (answer.value().status != status_ok) {
     return read_error_of(answer.value().status);
   }
-  const auto value = parse_json(answer.value().body);
+  const auto value = kernel::parse_json(answer.value().body);
   if (!value || !value->isObject() || !(*value)["rows"].isArray()) {
     return result_code::platform_bad_answer;
   }
@@ -114,8 +114,8 @@
   for (const table_write& write : writes) {
     question["writes"].append(json_of(write));
   }
-  const auto answer =
-      this->caller.send("POST", "/table/transact", write_json(question));
+  const auto answer = this->caller.send("POST", "/table/transact",
+                                        kernel::write_json(question));
   if (!answer) return answer.error();
   if (answer.value().status != status_ok) {
     return write_error_of(answer.value().status);
--- a/src/platform/http_vm_list.cpp
+++ b/src/platform/http_vm_list.cpp
@@ -7,11 +7,11 @@
 #include <boragehill/result_code.hpp>
 #include <boragehill/vm_info.hpp>
 
+#include "kernel/json_text.hpp"
 #include "kernel/plugin_settings.hpp"
 #include "kernel/registrar.hpp"
 #include "platform/http_answer.hpp"
 #include "platform/http_status.hpp"
-#include "platform/json_text.hpp"
 
 namespace boragehill::platform {
 
@@ -80,7 +80,7 @@
 }
 
 result<std::vector<vm_info>> http_vm_list::take(const http_answer& answer) {
-  const auto value = parse_json(answer.body);
+  const auto value = kernel::parse_json(answer.body);
   if (!value || !value->isObject() || !(*value)["vms"].isArray()) {
     return result_code::platform_bad_answer;
   }
--- /dev/null
+++ b/src/serve/caller_session.hpp
@@ -0,0 +1,102 @@
+#ifndef BORAGEHILL_SERVE_CALLER_SESSION_HPP
+#define BORAGEHILL_SERVE_CALLER_SESSION_HPP
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boragehill/time_point.hpp>
+
+#include "http/header_list.hpp"
+#include "http/message_parser.hpp"
+
+namespace boragehill::serve {
+
+class exchange;
+class session_host;
+
+/// One connection of a caller: reads a request, hands it over, writes its
+/// answer, then the next. All of it runs on the context's thread.
+///
+/// It goes on reading while a request is served, so that a caller that hangs
+/// up is seen at once.
+class caller_session : public std::enable_shared_from_this<caller_session> {
+ public:
+  /// Above this the server's answer is not read on until the caller has taken
+  /// some, so a slow reader holds bounded memory.
+  static constexpr std::size_t high_water = 256U << 10U;
+  static constexpr std::size_t low_water = 64U << 10U;
+
+  caller_session(asio::ip::tcp::socket socket, session_host& host);
+
+  void start();
+
+  /// Begins an answer.
+  /// \param headers Without those that concern the connection or the length.
+  /// \param length Of the body; nothing if it isn't known yet.
+  void begin_answer(int status, http::header_list headers,
+                    std::optional<std::uint64_t> length);
+  /// Sends a piece of the body.
+  void send_body(const std::string& bytes);
+  /// The answer is complete.
+  void end_answer();
+  /// Breaks the answer off, so that it can't be taken for a complete one.
+  void break_off();
+
+  /// Sends an answer whose body is at hand.
+  void answer(int status, http::header_list headers, const std::string& body);
+
+  /// \return True if the caller takes the answer slower than it comes.
+  bool congested() const { return this->outgoing.size() > high_water; }
+
+  /// Ends the connection as soon as no request is on it.
+  void close_when_idle();
+
+  /// Ends it now.
+  void close();
+
+ private:
+  void arm(milliseconds limit, const char* why);
+  void on_timeout(const char* why);
+  void read();
+  void on_bytes(std::size_t size);
+  void process();
+  bool check_size();
+  void begin_request();
+  void reject(int status, const char* why);
+  void queue(const std::string& bytes);
+  void write();
+  void on_written();
+  void next_request();
+  void finish_sending();
+  void on_gone();
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  session_host& host;
+  http::message_parser parser;
+  std::shared_ptr<exchange> current;
+  std::array<char, 16384> buffer{};
+  std::string incoming;
+  std::string body;
+  std::string outgoing;
+  std::string in_flight;
+  bool reading = false;
+  bool writing = false;
+  bool head_request = false;
+  bool chunked = false;
+  bool keep_alive = true;
+  bool answering = false;
+  bool told_congested = false;
+  bool lingering = false;
+  bool closed = false;
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_CALLER_SESSION_HPP
--- /dev/null
+++ b/src/serve/dispatcher.cpp
@@ -0,0 +1,357 @@
+#include "serve/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "decide/server_choice.hpp"
+#include "kernel/event_log.hpp"
+#include "kernel/random.hpp"
+#include "serve/exchange.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+/// A plain server runs about this many requests at once if it doesn't say.
+constexpr int assumed_slots = 8;
+/// Part of a server's connections that the routers share among them.
+constexpr double connection_share = 0.9;
+constexpr std::size_t fewest_connections = 4;
+
+std::int64_t ms_between(time_point from, time_point to) {
+  return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+bool more_urgent(const exchange& left, const exchange& right) {
+  if (left.route()->priority != right.route()->priority) {
+    return left.route()->priority < right.route()->priority;
+  }
+  return left.request().received < right.request().received;
+}
+
+}  // namespace
+
+dispatcher::dispatcher(asio::io_context& context,
+                       const entry_settings& settings,
+                       const fleet::request_codec& codec,
+                       entry_metrics& metrics)
+    : settings(settings), headers(codec), metrics(metrics), pool(context) {}
+
+void dispatcher::set_catalog(std::shared_ptr<const fleet::catalog> news) {
+  this->known_catalog = std::move(news);
+  this->metrics.set_catalog_version(
+      static_cast<double>(this->known_catalog->version));
+  kernel::log_event(kernel::event::revision_applied,
+                    {{"revision", this->known_catalog->version},
+                     {"routes", this->known_catalog->routes.size()},
+                     {"services", this->known_catalog->services.size()}});
+  this->serve_waiting();
+}
+
+void dispatcher::set_servers(const fleet::server_list& list) {
+  for (auto each = this->servers.begin(); each != this->servers.end();) {
+    if (list.servers.contains(each->first)) {
+      ++each;
+      continue;
+    }
+    kernel::log_event(kernel::event::server_gone,
+                      {{"server", each->first}, {"version", list.version}});
+    this->pool.forget(each->first);
+    this->health.forget(each->first);
+    each = this->servers.erase(each);
+  }
+  for (const auto& [id, entry] : list.servers) {
+    auto& state = this->servers[id];
+    const bool is_new = state.entry.id.empty();
+    const bool leaves = entry.draining && !state.entry.draining;
+    if (is_new) {
+      kernel::log_event(kernel::event::server_listed,
+                        {{"server", id},
+                         {"service", entry.service},
+                         {"address", entry.address.to_string()},
+                         {"version", list.version}});
+    }
+    if (leaves) {
+      kernel::log_event(kernel::event::server_leaving,
+                        {{"server", id}, {"version", list.version}});
+    }
+    state.entry = entry;
+  }
+  this->servers_known = true;
+  this->metrics.set_servers(static_cast<double>(this->servers.size()));
+  this->serve_waiting();
+}
+
+void dispatcher::on_view(const wire::view_update& update) {
+  this->planner_linked = true;
+  this->routers = std::max(update.routers, 1);
+  for (const auto& each : update.servers) {
+    const auto found = this->servers.find(each.server);
+    if (found == this->servers.end()) continue;
+    found->second.told = each.models;
+    found->second.other_requests = each.other_requests;
+  }
+  this->metrics.set_planner_term(static_cast<double>(update.term));
+  this->serve_waiting();
+}
+
+void dispatcher::on_planner_lost() {
+  this->planner_linked = false;
+  for (auto& [id, state] : this->servers) {
+    state.told.reset();
+    state.other_requests = 0;
+  }
+}
+
+dispatcher::demand_key dispatcher::key_of(const exchange& request) {
+  return {request.service(), request.fields().model, request.fields().adapter};
+}
+
+void dispatcher::place(const std::shared_ptr<exchange>& request) {
+  const bool first = !request->sends().sent();
+  if (first) {
+    this->metrics.on_accepted();
+    this->budget_of(request->service()).on_request(request->request().received);
+    ++this->arrivals[key_of(*request)];
+  }
+  if (this->try_send(request)) return;
+  this->wait_in_line(request);
+}
+
+bool dispatcher::can_take(const server_state& server,
+                          const exchange& request) const {
+  if (server.entry.service != request.service()) return false;
+  if (server.entry.draining) return false;
+  if (request.sends().tried(server.entry.id)) return false;
+  const auto& asked = request.fields();
+  if (asked.model.empty()) return true;
+  return server.serves(asked.model, asked.adapter, this->planner_linked);
+}
+
+bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
+  const auto now = time_point::clock::now();
+  std::vector<decide::server_candidate> candidates;
+  std::vector<server_state*> states;
+  for (auto& [id, state] : this->servers) {
+    if (!this->can_take(state, *request)) continue;
+    const int slots = state.entry.slots;
+    candidates.push_back(
+        {.own_requests = state.own_requests,
+         .other_requests = state.other_requests,
+         .slots = slots > 0 ? slots : assumed_slots,
+         .near = state.entry.failure_domain == this->settings.failure_domain,
+         .suspect = this->health.suspect(id, now)});
+    states.push_back(&state);
+  }
+  const auto chosen = decide::choose_server(
+      candidates, this->settings.queue_share, kernel::random_bits());
+  if (!chosen) return false;
+  auto& state = *states[*chosen];
+  const auto connection = this->pool.take(
+      state.entry.id, state.entry.address, request->at_most_once(),
+      this->most_connections(request->service()));
+  if (!connection) return false;
+  ++state.own_requests;
+  ++this->flights[{state.entry.id, request->fields().model,
+                   request->fields().adapter}];
+  request->send_to(state.entry, connection);
+  return true;
+}
+
+std::size_t dispatcher::most_connections(const std::string& service) const {
+  const auto* found = this->known_catalog
+                          ? this->known_catalog->find_service(service)
+                          : nullptr;
+  if (!found || found->max_connections <= 0) return fewest_connections;
+  const double share =
+      found->max_connections * connection_share / this->routers;
+  return std::max(static_cast<std::size_t>(share), fewest_connections);
+}
+
+void dispatcher::wait_in_line(const std::shared_ptr<exchange>& request) {
+  auto& line = this->lines[key_of(*request)];
+  const auto behind = std::find_if(line.begin(), line.end(),
+                                   [&](const std::shared_ptr<exchange>& each) {
+                                     return more_urgent(*request, *each);
+                                   });
+  line.insert(behind, request);
+  if (this->waits) this->waits();
+}
+
+void dispatcher::withdraw(const exchange& request) {
+  const auto found = this->lines.find(key_of(request));
+  if (found == this->lines.end()) return;
+  std::erase_if(found->second, [&](const std::shared_ptr<exchange>& each) {
+    return each.get() == &request;
+  });
+  if (found->second.empty()) this->lines.erase(found);
+}
+
+void dispatcher::serve_waiting() {
+  // Sending may end a request at once, which comes back here.
+  if (this->serving) return;
+  this->serving = true;
+  std::vector<demand_key> keys;
+  for (const auto& [key, line] : this->lines) keys.push_back(key);
+  for (const auto& key : keys) {
+    const auto found = this->lines.find(key);
+    if (found == this->lines.end()) continue;
+    this->serve_line(found->second);
+    if (found->second.empty()) this->lines.erase(found);
+  }
+  this->serving = false;
+}
+
+void dispatcher::serve_line(waiting_line& line) {
+  for (auto each = line.begin(); each != line.end();) {
+    const auto request = *each;
+    if (this->try_send(request)) {
+      each = line.erase(each);
+      continue;
+    }
+    // One that was refused before may lack a server where others have one.
+    if (!request->sends().sent()) return;
+    ++each;
+  }
+}
+
+void dispatcher::on_left(const exchange& request) {
+  const auto found = this->servers.find(request.server());
+  if (found != this->servers.end()) --found->second.own_requests;
+  const flight_key key{request.server(), request.fields().model,
+                       request.fields().adapter};
+  const auto flight = this->flights.find(key);
+  if (flight != this->flights.end() && --flight->second <= 0) {
+    this->flights.erase(flight);
+  }
+  if (!this->lines.empty()) this->serve_waiting();
+}
+
+void dispatcher::on_server_failed(const exchange& request, bool reached) {
+  this->health.on_failure(request.server(), time_point::clock::now());
+  kernel::log_event(
+      kernel::event::attempt_refused,
+      {{"request", request.fields().attempt},
+       {"server", request.server()},
+       {"reason", reached ? "answer broke off" : "connection failed"}});
+}
+
+void dispatcher::on_misdirected(const exchange& request) {
+  const auto found = this->servers.find(request.server());
+  if (found == this->servers.end()) return;
+  const auto& asked = request.fields();
+  found->second.forget(asked.model, asked.adapter);
+}
+
+bool dispatcher::take_repeat(const exchange& request) {
+  const bool granted = this->budget_of(request.service())
+                           .take(time_point::clock::now(), this->routers);
+  kernel::log_event(kernel::event::retry,
+                    {{"request", request.fields().attempt},
+                     {"service", request.service()},
+                     {"sends", request.sends().send_count()},
+                     {"granted", granted}});
+  granted ? this->metrics.on_repeat() : this->metrics.on_repeat_denied();
+  return granted;
+}
+
+decide::send_budget& dispatcher::budget_of(const std::string& service) {
+  return this->budgets.try_emplace(service, this->settings.budget)
+      .first->second;
+}
+
+void dispatcher::on_finished(const exchange& request) {
+  const auto& ended = request.result();
+  this->metrics.on_ended(ended.code);
+  const auto now = time_point::clock::now();
+  const auto received = request.request().received;
+  const auto& asked = request.fields();
+  if (request.answered()) {
+    this->metrics.on_first_byte(
+        milliseconds(ms_between(received, *request.answered())),
+        !asked.model.empty());
+  }
+  if (request.first_sent()) {
+    this->metrics.on_waited(
+        milliseconds(ms_between(received, *request.first_sent())));
+  }
+  const auto which =
+      ended.code == result_code::ok            ? kernel::event::request_answered
+      : ended.code == result_code::caller_gone ? kernel::event::caller_hung_up
+      : ended.code == result_code::answer_broken ? kernel::event::answer_broken
+      : ended.code == result_code::outcome_unknown
+          ? kernel::event::outcome_unknown
+          : kernel::event::request_refused;
+  kernel::log_event(
+      which,
+      {{"request", asked.attempt},
+       {"route", request.route() ? request.route()->name : std::string()},
+       {"service", request.service()},
+       {"model", asked.model},
+       {"adapter", asked.adapter},
+       {"status", ended.status},
+       {"code", static_cast<int>(ended.code)},
+       {"reason", ended.reason},
+       {"sends", request.sends().send_count()},
+       {"waited_ms", request.first_sent()
+                         ? ms_between(received, *request.first_sent())
+                         : ms_between(received, now)},
+       {"first_ms",
+        request.answered() ? ms_between(received, *request.answered()) : -1},
+       {"all_ms", ms_between(received, now)},
+       {"config", this->known_catalog ? this->known_catalog->version : -1}});
+}
+
+decide::demand_report dispatcher::take_report() {
+  const auto now = time_point::clock::now();
+  decide::demand_report report;
+  std::map<demand_key, decide::model_demand> demands;
+  for (const auto& [key, count] : this->arrivals) {
+    demands[key].arrivals = count;
+  }
+  for (const auto& [key, line] : this->lines) {
+    auto& demand = demands[key];
+    demand.waiting = static_cast<int>(line.size());
+    for (const auto& each : line) {
+      demand.oldest =
+          std::max(demand.oldest,
+                   milliseconds(ms_between(each->request().received, now)));
+      demand.worth += 1.0 / (1 + each->route()->priority);
+    }
+  }
+  for (auto& [key, demand] : demands) {
+    std::tie(demand.service, demand.model, demand.adapter) = key;
+    if (!demand.model.empty()) report.demands.push_back(std::move(demand));
+  }
+  for (const auto& [key, count] : this->flights) {
+    const auto& [server, model, adapter] = key;
+    if (!model.empty())
+      report.flights.push_back({server, model, adapter, count});
+  }
+  this->arrivals.clear();
+  return report;
+}
+
+void dispatcher::refuse_waiting() {
+  constexpr milliseconds at_once{50};
+  const auto all = std::exchange(this->lines, {});
+  for (const auto& [key, line] : all) {
+    for (const auto& each : line) {
+      each->refuse(result_code::draining, "the router stops", at_once);
+    }
+  }
+}
+
+void dispatcher::tidy() {
+  this->pool.drop_old();
+  this->metrics.set_connections(static_cast<double>(this->pool.open()));
+  this->metrics.set_waiting(static_cast<double>(this->waiting()));
+}
+
+std::size_t dispatcher::waiting() const {
+  std::size_t count = 0;
+  for (const auto& [key, line] : this->lines) count += line.size();
+  return count;
+}
+
+}  // namespace boragehill::serve
--- /dev/null
+++ b/src/serve/dispatcher.hpp
@@ -0,0 +1,108 @@
+#ifndef BORAGEHILL_SERVE_DISPATCHER_HPP
+#define BORAGEHILL_SERVE_DISPATCHER_HPP
+
+#include <asio/io_context.hpp>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include <boragehill/time_point.hpp>
+
+#include "decide/demand_report.hpp"
+#include "decide/send_budget.hpp"
+#include "fleet/catalog.hpp"
+#include "fleet/server_list.hpp"
+#include "serve/entry_metrics.hpp"
+#include "serve/entry_settings.hpp"
+#include "serve/exchange_host.hpp"
+#include "serve/server_health.hpp"
+#include "serve/server_pool.hpp"
+#include "serve/server_state.hpp"
+#include "wire/view_update.hpp"
+
+namespace boragehill::serve {
+
+/// Finds a backend server for each request, or lets it wait for one. All of it
+/// runs on the traffic loop's thread.
+class dispatcher : public exchange_host {
+ public:
+  dispatcher(asio::io_context& context, const entry_settings& settings,
+             const fleet::request_codec& codec, entry_metrics& metrics);
+
+  void set_catalog(std::shared_ptr<const fleet::catalog> news);
+  void set_servers(const fleet::server_list& list);
+
+  /// The planner said which workers hold what.
+  void on_view(const wire::view_update& update);
+  void on_planner_lost();
+
+  /// \return The demand since the last call, and the requests out now.
+  decide::demand_report take_report();
+  /// Sets what is called when a request begins to wait.
+  void on_waiting(std::function<void()> told) { this->waits = std::move(told); }
+
+  /// Refuses all that wait, as the process ends: another router serves them.
+  void refuse_waiting();
+
+  /// Looks after connections that grow old; called every second or so.
+  void tidy();
+
+  bool knows_fleet() const {
+    return this->known_catalog && this->servers_known;
+  }
+  std::size_t waiting() const;
+
+  std::shared_ptr<const fleet::catalog> catalog() const override {
+    return this->known_catalog;
+  }
+  const fleet::request_codec& codec() const override { return this->headers; }
+  void place(const std::shared_ptr<exchange>& request) override;
+  void withdraw(const exchange& request) override;
+  void on_left(const exchange& request) override;
+  void on_server_failed(const exchange& request, bool reached) override;
+  void on_misdirected(const exchange& request) override;
+  bool take_repeat(const exchange& request) override;
+  void on_finished(const exchange& request) override;
+
+ private:
+  /// Service, model and adapter.
+  using demand_key = std::tuple<std::string, std::string, std::string>;
+  /// Server, model and adapter.
+  using flight_key = std::tuple<std::string, std::string, std::string>;
+  using waiting_line = std::deque<std::shared_ptr<exchange>>;
+
+  static demand_key key_of(const exchange& request);
+  bool try_send(const std::shared_ptr<exchange>& request);
+  bool can_take(const server_state& server, const exchange& request) const;
+  std::size_t most_connections(const std::string& service) const;
+  void wait_in_line(const std::shared_ptr<exchange>& request);
+  void serve_waiting();
+  void serve_line(waiting_line& line);
+  decide::send_budget& budget_of(const std::string& service);
+
+  entry_settings settings;
+  const fleet::request_codec& headers;
+  entry_metrics& metrics;
+  server_pool pool;
+  server_health health;
+  std::shared_ptr<const fleet::catalog> known_catalog;
+  std::map<std::string, server_state> servers;
+  bool servers_known = false;
+  bool planner_linked = false;
+  int routers = 4;
+  std::map<demand_key, waiting_line> lines;
+  std::map<demand_key, int> arrivals;
+  std::map<flight_key, int> flights;
+  std::map<std::string, decide::send_budget> budgets;
+  std::function<void()> waits;
+  bool serving = false;
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_DISPATCHER_HPP
--- /dev/null
+++ b/src/serve/entry.cpp
@@ -0,0 +1,229 @@
+#include "serve/entry.hpp"
+
+#include <thread>
+#include <utility>
+
+#include <boragehill/result_code.hpp>
+
+#include "kernel/event_log.hpp"
+#include "kernel/listen.hpp"
+#include "kernel/plugin_settings.hpp"
+#include "kernel/registry.hpp"
+#include "serve/caller_session.hpp"
+#include "serve/exchange.hpp"
+#include "wire/planner_codec.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+constexpr std::size_t task_capacity = 1024;
+/// The planner is told so often of a demand that changes, and at once, but for
+/// a moment, of a request that has to wait.
+constexpr milliseconds report_interval{100};
+constexpr milliseconds urgent_delay{3};
+constexpr milliseconds tidy_interval{1000};
+/// The balancer asks once a second and takes a process out after two misses.
+constexpr milliseconds balancer_notices{3000};
+/// Left before the kill for the last bytes and the end of the threads.
+constexpr milliseconds stop_margin{500};
+constexpr milliseconds drain_poll{50};
+/// What still waits for a server this long before the end would be cut off.
+constexpr milliseconds refuse_before_end{900};
+
+}  // namespace
+
+entry::entry(const entry_settings& settings)
+    : settings(settings),
+      codec(kernel::registry<fleet::request_codec>::instance()
+                .make("headers", {})
+                .value()),
+      store(kernel::registry<fleet::platform_store>::instance()
+                .make(settings.store_plugin, {.address = settings.store,
+                                              .timeout = settings.feed_wait})
+                .value()),
+      loop("traffic", task_capacity),
+      planner(settings),
+      requests(this->loop.context(), settings, *this->codec, this->metrics),
+      finder(std::make_unique<planner_finder>(
+          this->loop, *this->store,
+          fleet::planner_row{.router = settings.id,
+                             .address = settings.planner_address()})),
+      acceptor(this->loop.context()),
+      report_timer(this->loop.context()),
+      tidy_timer(this->loop.context()),
+      readiness("/readyz",
+                [this]() -> std::optional<std::string> {
+                  if (!this->is_ready()) return std::nullopt;
+                  return "ready\n";
+                }),
+      scrape("/metrics", [this]() -> std::optional<std::string> {
+        this->metrics.set_lines_dropped(
+            static_cast<double>(kernel::dropped_lines()));
+        return this->metrics.text();
+      }) {}
+
+entry::~entry() {
+  this->stop();
+}
+
+result<void> entry::start() {
+  if (const auto error =
+          kernel::listen(this->acceptor, this->settings.listen)) {
+    return error;
+  }
+  if (const auto error = this->planner.start()) return error;
+  if (!this->readiness.start(this->settings.ready)) {
+    return result_code::address_in_use;
+  }
+  if (!this->scrape.start(this->settings.metrics_address())) {
+    return result_code::address_in_use;
+  }
+  this->finder->on_events(
+      [this](const Json::Value& message) {
+        this->requests.on_view(wire::decode_view_update(message));
+      },
+      [this] { this->requests.on_planner_lost(); },
+      [this](std::int64_t term) { this->planner.lead(term); });
+  this->requests.on_waiting([this] { this->on_waiting(); });
+  this->follow_store();
+  this->loop.start();
+  this->loop.post([this] {
+    this->accept();
+    this->finder->start();
+    this->report_in(report_interval);
+    this->tidy();
+  });
+  this->store->start();
+  return success();
+}
+
+void entry::follow_store() {
+  this->store->follow_catalog(
+      [this](std::shared_ptr<const fleet::catalog> news) {
+        this->planner.set_catalog(news);
+        this->loop.post([this, news = std::move(news)] {
+          this->caller_limits = news->limits;
+          this->requests.set_catalog(news);
+          this->knows_fleet = this->requests.knows_fleet();
+        });
+      });
+  this->store->follow_servers(
+      [this](std::shared_ptr<const fleet::server_list> news) {
+        this->planner.set_servers(news);
+        this->loop.post([this, news = std::move(news)] {
+          this->requests.set_servers(*news);
+          this->knows_fleet = this->requests.knows_fleet();
+        });
+      });
+}
+
+bool entry::is_ready() const {
+  return this->knows_fleet && !this->stopping;
+}
+
+const fleet::caller_limits& entry::limits() const {
+  return this->caller_limits;
+}
+
+void entry::accept() {
+  this->acceptor.async_accept(
+      [this](std::error_code failed, asio::ip::tcp::socket socket) {
+        if (failed == asio::error::operation_aborted) return;
+        if (!failed) this->on_accepted(std::move(socket));
+        this->accept();
+      });
+}
+
+void entry::on_accepted(asio::ip::tcp::socket socket) {
+  auto session = std::make_shared<caller_session>(std::move(socket), *this);
+  this->sessions[session.get()] = session;
+  session->start();
+}
+
+std::shared_ptr<exchange> entry::begin(
+    caller_request request, const std::shared_ptr<caller_session>& session) {
+  return std::make_shared<exchange>(this->loop.context(), this->requests,
+                                    std::move(request), session);
+}
+
+void entry::on_bad_input(int status, const char* why) {
+  this->metrics.on_bad_input();
+  kernel::log_event(kernel::event::bad_input,
+                    {{"status", status}, {"reason", why}});
+}
+
+void entry::on_closed(const caller_session* session) {
+  this->sessions.erase(session);
+  this->open_requests = this->sessions.size();
+}
+
+void entry::report_in(milliseconds wait) {
+  this->report_timer.expires_after(wait);
+  this->report_timer.async_wait([this](std::error_code cancelled) {
+    if (cancelled) return;
+    this->report_armed = false;
+    this->report();
+    this->report_in(report_interval);
+  });
+}
+
+void entry::on_waiting() {
+  if (this->report_armed) return;
+  this->report_armed = true;
+  this->report_in(urgent_delay);
+}
+
+void entry::report() {
+  if (!this->finder->linked()) return;
+  auto report = this->requests.take_report();
+  if (report == this->last_report && report.demands.empty()) return;
+  this->finder->send(wire::encode(
+      wire::router_report{.router = this->settings.id, .demand = report}));
+  this->last_report = std::move(report);
+}
+
+void entry::tidy() {
+  this->requests.tidy();
+  this->open_requests = this->sessions.size();
+  this->tidy_timer.expires_after(tidy_interval);
+  this->tidy_timer.async_wait([this](std::error_code cancelled) {
+    if (!cancelled) this->tidy();
+  });
+}
+
+void entry::close_idle() {
+  std::error_code ignored;
+  const auto open = this->sessions;
+  for (const auto& [session, weak] : open) {
+    if (const auto held = weak.lock()) held->close_when_idle();
+  }
+}
+
+void entry::drain() {
+  const auto begin = time_point::clock::now();
+  const auto end = begin + this->settings.stop_within - stop_margin;
+  this->stopping = true;
+  std::this_thread::sleep_until(std::min(begin + balancer_notices, end));
+  this->close_connections = true;
+  while (time_point::clock::now() < end) {
+    const bool last_call = time_point::clock::now() >= end - refuse_before_end;
+    this->loop.post([this, last_call] {
+      if (last_call) this->requests.refuse_waiting();
+      this->close_idle();
+      this->open_requests = this->sessions.size();
+    });
+    std::this_thread::sleep_for(drain_poll);
+    if (this->open_requests == 0) return;
+  }
+}
+
+void entry::stop() {
+  this->readiness.stop();
+  this->scrape.stop();
+  this->store->stop();
+  this->planner.stop();
+  this->loop.stop();
+}
+
+}  // namespace boragehill::serve
--- /dev/null
+++ b/src/serve/entry.hpp
@@ -0,0 +1,91 @@
+#ifndef BORAGEHILL_SERVE_ENTRY_HPP
+#define BORAGEHILL_SERVE_ENTRY_HPP
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boragehill/result.hpp>
+
+#include "fleet/caller_limits.hpp"
+#include "fleet/platform_store.hpp"
+#include "fleet/request_codec.hpp"
+#include "kernel/event_loop.hpp"
+#include "serve/dispatcher.hpp"
+#include "serve/entry_metrics.hpp"
+#include "serve/entry_settings.hpp"
+#include "serve/planner_duty.hpp"
+#include "serve/planner_finder.hpp"
+#include "serve/session_host.hpp"
+#include "serve/status_server.hpp"
+
+namespace boragehill::serve {
+
+/// The process of an entry VM on the platform's store: takes callers'
+/// requests, sends each straight to a backend server, and plans the fleet's
+/// residency while it is its turn.
+///
+/// Threads: `traffic` for all that touches a request, `store` in the plug-in,
+/// `planner`, and one each for readiness and metrics.
+class entry : public session_host {
+ public:
+  explicit entry(const entry_settings& settings);
+  ~entry() override;
+
+  /// Binds all addresses and begins to serve.
+  result<void> start();
+
+  /// Ends gracefully: takes itself out of the balancer first, then its
+  /// connections, then waits for what runs, within the settings' time.
+  void drain();
+
+  void stop();
+
+  const fleet::caller_limits& limits() const override;
+  std::shared_ptr<exchange> begin(
+      caller_request request,
+      const std::shared_ptr<caller_session>& session) override;
+  bool closing() const override { return this->close_connections; }
+  void on_bad_input(int status, const char* why) override;
+  void on_closed(const caller_session* session) override;
+
+ private:
+  void follow_store();
+  void accept();
+  void on_accepted(asio::ip::tcp::socket socket);
+  void report_in(milliseconds wait);
+  void on_waiting();
+  void report();
+  void tidy();
+  void close_idle();
+  bool is_ready() const;
+
+  entry_settings settings;
+  entry_metrics metrics;
+  std::unique_ptr<fleet::request_codec> codec;
+  std::unique_ptr<fleet::platform_store> store;
+  kernel::event_loop loop;
+  planner_duty planner;
+  dispatcher requests;
+  std::unique_ptr<planner_finder> finder;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer report_timer;
+  asio::steady_timer tidy_timer;
+  status_server readiness;
+  status_server scrape;
+  fleet::caller_limits caller_limits;
+  std::map<const caller_session*, std::weak_ptr<caller_session>> sessions;
+  decide::demand_report last_report;
+  bool report_armed = false;
+  std::atomic<bool> knows_fleet{false};
+  std::atomic<bool> stopping{false};
+  std::atomic<bool> close_connections{false};
+  std::atomic<std::size_t> open_requests{0};
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_ENTRY_HPP
--- /dev/null
+++ b/src/serve/entry_metrics.cpp
@@ -0,0 +1,88 @@
+#include "serve/entry_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace boragehill::serve {
+
+namespace {
+
+/// In seconds; from an answer of a plain service to a cold start.
+const prometheus::Histogram::BucketBoundaries time_buckets{
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 2, 3, 5, 10, 25};
+
+double seconds_of(milliseconds time) {
+  constexpr double ms_per_second = 1000;
+  return static_cast<double>(time.count()) / ms_per_second;
+}
+
+prometheus::Counter& counter(prometheus::Registry& registry,
+                             const std::string& name, const std::string& help) {
+  return prometheus::BuildCounter()
+      .Name(name)
+      .Help(help)
+      .Register(registry)
+      .Add({});
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry,
+                         const std::string& name, const std::string& help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
+}  // namespace
+
+entry_metrics::entry_metrics()
+    : accepted(counter(this->registry, "boragehill_requests_total",
+                       "Requests read from callers.")),
+      repeats(counter(this->registry, "boragehill_repeats_total",
+                      "Sends beyond the first of a request.")),
+      repeats_denied(counter(this->registry, "boragehill_repeats_denied_total",
+                             "Sends that the retry budget forbade.")),
+      bad_input(counter(this->registry, "boragehill_bad_input_total",
+                        "Requests refused before they were routed.")),
+      ended(prometheus::BuildCounter()
+                .Name("boragehill_results_total")
+                .Help("Requests by how they ended.")
+                .Register(this->registry)),
+      first_byte(prometheus::BuildHistogram()
+                     .Name("boragehill_first_byte_seconds")
+                     .Help("From a request's last byte to its answer's first.")
+                     .Register(this->registry)),
+      waited(prometheus::BuildHistogram()
+                 .Name("boragehill_wait_seconds")
+                 .Help("From a request's last byte to its first send.")
+                 .Register(this->registry)
+                 .Add({}, time_buckets)),
+      waiting(gauge(this->registry, "boragehill_waiting",
+                    "Requests that wait for a server.")),
+      connections(gauge(this->registry, "boragehill_server_connections",
+                        "Connections open to backend servers.")),
+      catalog_version(gauge(this->registry, "boragehill_catalog_version",
+                            "Version of the configuration in force.")),
+      servers(gauge(this->registry, "boragehill_servers",
+                    "Backend servers listed.")),
+      planner_term(gauge(this->registry, "boragehill_planner_term",
+                         "Term of the planner that is followed.")),
+      lines_dropped(gauge(this->registry, "boragehill_log_lines_dropped",
+                          "Log lines left out to bound the volume.")) {}
+
+void entry_metrics::on_ended(result_code code) {
+  this->ended.Add({{"result", std::string(name_of(code))}}).Increment();
+}
+
+void entry_metrics::on_first_byte(milliseconds time, bool generation) {
+  this->first_byte
+      .Add({{"kind", generation ? "generation" : "plain"}}, time_buckets)
+      .Observe(seconds_of(time));
+}
+
+void entry_metrics::on_waited(milliseconds time) {
+  this->waited.Observe(seconds_of(time));
+}
+
+std::string entry_metrics::text() const {
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+}  // namespace boragehill::serve
--- /dev/null
+++ b/src/serve/entry_metrics.hpp
@@ -0,0 +1,62 @@
+#ifndef BORAGEHILL_SERVE_ENTRY_METRICS_HPP
+#define BORAGEHILL_SERVE_ENTRY_METRICS_HPP
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+#include <boragehill/result_code.hpp>
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::serve {
+
+/// A router's metrics. Labels are result codes and fixed words, never models,
+/// callers or servers, so their number does not grow with the fleet.
+class entry_metrics {
+ public:
+  entry_metrics();
+
+  void on_accepted() { this->accepted.Increment(); }
+  /// Counts a request that ended, by its result.
+  void on_ended(result_code code);
+  /// Counts the time from a request's last byte to its answer's first.
+  void on_first_byte(milliseconds time, bool generation);
+  /// Counts the time that a request waited for a server.
+  void on_waited(milliseconds time);
+  void on_repeat() { this->repeats.Increment(); }
+  void on_repeat_denied() { this->repeats_denied.Increment(); }
+  void on_bad_input() { this->bad_input.Increment(); }
+  void set_waiting(double value) { this->waiting.Set(value); }
+  void set_connections(double value) { this->connections.Set(value); }
+  void set_catalog_version(double value) { this->catalog_version.Set(value); }
+  void set_servers(double value) { this->servers.Set(value); }
+  void set_planner_term(double value) { this->planner_term.Set(value); }
+  void set_lines_dropped(double value) { this->lines_dropped.Set(value); }
+
+  /// \return All metrics in the Prometheus text format.
+  std::string text() const;
+
+ private:
+  prometheus::Registry registry;
+  prometheus::Counter& accepted;
+  prometheus::Counter& repeats;
+  prometheus::Counter& repeats_denied;
+  prometheus::Counter& bad_input;
+  prometheus::Family<prometheus::Counter>& ended;
+  prometheus::Family<prometheus::Histogram>& first_byte;
+  prometheus::Histogram& waited;
+  prometheus::Gauge& waiting;
+  prometheus::Gauge& connections;
+  prometheus::Gauge& catalog_version;
+  prometheus::Gauge& servers;
+  prometheus::Gauge& planner_term;
+  prometheus::Gauge& lines_dropped;
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_ENTRY_METRICS_HPP
--- /dev/null
+++ b/src/serve/entry_settings.cpp
@@ -0,0 +1,66 @@
+#include "serve/entry_settings.hpp"
+
+#include "kernel/settings_document.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+constexpr std::int64_t lowest_port = 1;
+constexpr std::int64_t highest_port = 65534;
+
+milliseconds seconds_read(kernel::settings_section& section, const char* key,
+                          double fallback, double most) {
+  constexpr double ms_per_second = 1000;
+  return milliseconds(static_cast<std::int64_t>(
+      section.real(key, fallback, 0, most) * ms_per_second));
+}
+
+void read_planner(kernel::settings_document& document,
+                  decide::planner_settings& planner) {
+  auto section = document.section("planner");
+  planner.store_loads = static_cast<int>(
+      section.number("store_loads", planner.store_loads, 1, 1000));
+  planner.requests_per_replica = section.real(
+      "requests_per_replica", planner.requests_per_replica, 1, 1000);
+  planner.relief = section.real("relief", planner.relief, 0, 1);
+  planner.settle = section.duration("settle_ms", planner.settle,
+                                    milliseconds(0), milliseconds(60000));
+}
+
+void read_budget(kernel::settings_document& document,
+                 decide::send_budget_settings& budget) {
+  constexpr double most_seconds = 3600;
+  auto section = document.section("retries");
+  budget.ratio = section.real("ratio", budget.ratio, 0, 1);
+  budget.extra = section.real("extra", budget.extra, 0, 1000000);
+  budget.window = seconds_read(section, "window_s", 10, most_seconds);
+}
+
+}  // namespace
+
+entry_settings read_entry_settings(kernel::settings_document& document) {
+  constexpr double most_seconds = 3600;
+  entry_settings settings;
+  auto process = document.section("process");
+  settings.id = process.text("id", std::nullopt);
+  settings.failure_domain = process.text("failure_domain", std::nullopt);
+  settings.address = process.text("address", std::nullopt);
+  settings.link_port = static_cast<std::uint16_t>(
+      process.number("link_port", std::nullopt, lowest_port, highest_port));
+  auto store = document.section("store");
+  settings.store_plugin = store.text("plugin", "rows");
+  settings.store = store.address("address", std::nullopt);
+  settings.feed_wait = store.duration("feed_wait_ms", settings.feed_wait,
+                                      milliseconds(100), milliseconds(30000));
+  auto entry = document.section("entry");
+  settings.listen = entry.address("listen", std::nullopt);
+  settings.ready = entry.address("ready", std::nullopt);
+  settings.stop_within = seconds_read(entry, "stop_within_s", 8, most_seconds);
+  settings.queue_share = entry.real("queue_share", settings.queue_share, 0, 10);
+  read_budget(document, settings.budget);
+  read_planner(document, settings.planner);
+  return settings;
+}
+
+}  // namespace boragehill::serve
--- /dev/null
+++ b/src/serve/entry_settings.hpp
@@ -0,0 +1,56 @@
+#ifndef BORAGEHILL_SERVE_ENTRY_SETTINGS_HPP
+#define BORAGEHILL_SERVE_ENTRY_SETTINGS_HPP
+
+#include <string>
+
+#include <boragehill/endpoint.hpp>
+#include <boragehill/time_point.hpp>
+
+#include "decide/planner_settings.hpp"
+#include "decide/send_budget_settings.hpp"
+
+namespace boragehill::kernel {
+class settings_document;
+}
+
+namespace boragehill::serve {
+
+/// The settings of a router on the platform's store.
+struct entry_settings {
+  std::string id;
+  std::string failure_domain;
+  /// Where the other processes of ours reach this one.
+  std::string address;
+  /// The plug-in that speaks the store's protocol, and the store's address.
+  std::string store_plugin;
+  endpoint store;
+  /// How long one poll of the store's feeds waits; a feed that is silent for
+  /// longer is taken for lost.
+  milliseconds feed_wait{2000};
+  /// Where callers connect.
+  endpoint listen;
+  /// Where the platform asks whether the router is ready.
+  endpoint ready;
+  /// The planner's port, and the agents'; metrics are on the next one.
+  std::uint16_t link_port = 0;
+  /// From SIGTERM to the end of the process.
+  milliseconds stop_within{8000};
+  decide::send_budget_settings budget;
+  decide::planner_settings planner;
+  /// How far above its slots a server may be filled.
+  double queue_share = 0.25;
+
+  bool operator==(const entry_settings&) const = default;
+
+  endpoint planner_address() const { return {this->address, this->link_port}; }
+  endpoint metrics_address() const {
+    return {this->address, static_cast<std::uint16_t>(this->link_port + 1)};
+  }
+};
+
+/// Reads a router's settings; problems are left in the document.
+entry_settings read_entry_settings(kernel::settings_document& document);
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_ENTRY_SETTINGS_HPP
--- /dev/null
+++ b/src/serve/exchange.cpp
@@ -0,0 +1,373 @@
+#include "serve/exchange.hpp"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <utility>
+
+#include "fleet/catalog.hpp"
+#include "fleet/request_codec.hpp"
+#include "fleet/server.hpp"
+#include "http/head_text.hpp"
+#include "kernel/random.hpp"
+#include "serve/caller_session.hpp"
+#include "serve/exchange_host.hpp"
+#include "serve/server_connection.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+constexpr int ok_status = 200;
+constexpr int first_failure_status = 300;
+constexpr int bad_request_status = 400;
+constexpr int not_found_status = 404;
+constexpr int bad_gateway_status = 502;
+constexpr int unavailable_status = 503;
+constexpr int gateway_timeout_status = 504;
+
+/// Answers up to this length are passed on in one piece once they are whole, so
+/// that a broken one can still be answered otherwise. Longer ones and streams
+/// are passed on as they come.
+constexpr std::uint64_t small_answer = 16384;
+/// A worker that stops at the limit by itself says so within this; its answer
+/// is better than ours.
+constexpr milliseconds limit_slack{60};
+
+std::string bare_host(const std::string& value) {
+  return absl::AsciiStrToLower(value.substr(0, value.find(':')));
+}
+
+std::string path_of(const std::string& target) {
+  return target.substr(0, target.find('?'));
+}
+
+/// The most urgent is 0, the least 9.
+int priority_for(const fleet::route& route) {
+  constexpr int lowest = 9;
+  return std::clamp(route.priority, 0, lowest);
+}
+
+}  // namespace
+
+exchange::exchange(asio::io_context& context, exchange_host& host,
+                   caller_request request,
+                   std::weak_ptr<caller_session> session)
+    : context(context),
+      host(host),
+      what(std::move(request)),
+      session(std::move(session)),
+      record(fleet::repeat_rule::once, false, 1),
+      timer(context) {}
+
+bool exchange::at_most_once() const {
+  return this->way->rule != fleet::repeat_rule::idempotent;
+}
+
+void exchange::start() {
+  if (!this->read_fields() || !this->choose_route()) return;
+  this->choose_service();
+  this->record = decide::send_record(this->way->rule, this->way->resumable,
+                                     this->way->attempts);
+  auto allowed = this->way->timeout;
+  if (this->asked.deadline) allowed = std::min(allowed, *this->asked.deadline);
+  this->limit = this->what.received + allowed;
+  this->timer.expires_at(this->limit + limit_slack);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](std::error_code cancelled) {
+        if (!cancelled && !self->done) self->on_limit();
+      });
+  this->host.place(this->shared_from_this());
+}
+
+bool exchange::read_fields() {
+  auto read = this->host.codec().read_request(this->what.head.headers);
+  if (!read) {
+    this->answer_own(bad_request_status, code_of(read.error()),
+                     "header not understood", milliseconds(0));
+    return false;
+  }
+  this->asked = std::move(read.value());
+  return true;
+}
+
+bool exchange::choose_route() {
+  const auto catalog = this->host.catalog();
+  if (!catalog) {
+    constexpr milliseconds first_read{500};
+    this->answer_own(unavailable_status, result_code::not_ready,
+                     "no configuration yet", first_read);
+    return false;
+  }
+  const auto* host_header = this->what.head.headers.find("Host");
+  const auto* found = host_header
+                          ? catalog->find_route(bare_host(*host_header),
+                                                path_of(this->what.head.target))
+                          : nullptr;
+  if (!found) {
+    this->answer_own(not_found_status, result_code::unknown_path, "no route",
+                     milliseconds(0));
+    return false;
+  }
+  // Keeps the whole catalog alive as long as the request.
+  this->way = std::shared_ptr<const fleet::route>(catalog, found);
+  return true;
+}
+
+void exchange::choose_service() {
+  double sum = 0;
+  for (const auto& each : this->way->targets) sum += each.weight;
+  constexpr std::uint64_t steps = 1U << 20U;
+  double left = sum * static_cast<double>(kernel::random_bits() % steps) /
+                static_cast<double>(steps);
+  for (const auto& each : this->way->targets) {
+    this->target = each.service;
+    left -= each.weight;
+    if (left < 0) return;
+  }
+}
+
+void exchange::send_to(const fleet::server& server,
+                       const std::shared_ptr<server_connection>& taken) {
+  const auto now = time_point::clock::now();
+  this->connection = taken;
+  this->at = server.id;
+  this->record.on_send(server.id);
+  if (!this->offered) this->offered = now;
+  this->not_run_answer = false;
+  this->misdirected = false;
+  this->small_head.reset();
+  this->small_body.clear();
+  const auto left = std::chrono::floor<milliseconds>(this->limit - now);
+  fleet::send_fields fields{.expected_server = server.id,
+                            .time_left = std::max(left, milliseconds(1)),
+                            .priority = priority_for(*this->way)};
+  if (this->head_passed) {
+    this->resumed = true;
+    this->events.restart();
+    fields.last_event = this->events.last_id();
+  }
+  auto headers = this->host.codec().forwarded(this->what.head.headers, fields);
+  const bool has_body = !this->what.body.empty() || this->what.head.chunked ||
+                        this->what.head.content_length;
+  if (has_body) {
+    headers.add("Content-Length", std::to_string(this->what.body.size()));
+  }
+  taken->send(http::request_head(this->what.head.method, this->what.head.target,
+                                 headers) +
+                  this->what.body,
+              this->what.head.method == "HEAD", this->weak_from_this());
+}
+
+void exchange::on_unsent() {
+  this->connection.reset();
+  this->record.on_not_run(false);
+  this->host.on_server_failed(*this, false);
+  this->leave_server();
+  this->again("server not reached");
+}
+
+bool exchange::on_head(const http::message_head& head) {
+  const auto answer = this->host.codec().read_answer(head.status, head.headers);
+  const bool ours =
+      answer.attempt.empty() || answer.attempt == this->asked.attempt;
+  if (!ours) return false;
+  if (answer.not_run) {
+    this->not_run_answer = true;
+    this->misdirected = answer.misdirected;
+    return true;
+  }
+  const bool success =
+      head.status >= ok_status && head.status < first_failure_status;
+  if (success && !answer.stamped) {
+    this->connection->abort();
+    this->on_broken();
+    return true;
+  }
+  if (this->head_passed) {
+    // A stream that goes on keeps the head of its first server.
+    if (success) return true;
+    this->connection->abort();
+    this->on_broken();
+    return true;
+  }
+  const bool small =
+      head.content_length && *head.content_length <= small_answer;
+  if (small) {
+    this->small_head = head;
+  } else {
+    this->pass_head(head);
+  }
+  return true;
+}
+
+void exchange::pass_head(const http::message_head& head) {
+  const auto caller = this->session.lock();
+  if (!caller) return;
+  http::header_list headers;
+  for (const auto& each : head.headers.all()) {
+    const bool dropped = http::is_hop_by_hop(each.name) ||
+                         http::same_name(each.name, "Content-Length") ||
+                         head.headers.has_token("Connection", each.name);
+    if (!dropped) headers.add(each.name, each.value);
+  }
+  this->head_passed = true;
+  if (!this->first_byte) this->first_byte = time_point::clock::now();
+  this->ended.status = head.status;
+  // A resumable stream may end otherwise than its first server said.
+  const bool known_length = head.content_length && !this->way->resumable;
+  caller->begin_answer(head.status, std::move(headers),
+                       known_length ? head.content_length : std::nullopt);
+}
+
+void exchange::on_body(const std::string& bytes) {
+  if (this->not_run_answer || this->done) return;
+  if (this->small_head) {
+    this->small_body += bytes;
+    return;
+  }
+  this->pass(this->way->resumable ? this->events.feed(bytes) : bytes);
+}
+
+void exchange::pass(const std::string& bytes) {
+  const auto caller = this->session.lock();
+  if (!caller || bytes.empty()) return;
+  caller->send_body(bytes);
+  if (caller->congested() && this->connection) this->connection->pause();
+}
+
+void exchange::on_caller_ready() {
+  if (this->connection) this->connection->resume();
+}
+
+void exchange::on_end() {
+  this->connection.reset();
+  if (this->done) return;
+  if (this->not_run_answer) {
+    this->record.on_not_run(this->misdirected);
+    if (this->misdirected) this->host.on_misdirected(*this);
+    this->leave_server();
+    return this->again("server did not run it");
+  }
+  this->leave_server();
+  if (this->small_head) {
+    const auto head = std::exchange(this->small_head, std::nullopt);
+    this->pass_head(*head);
+    this->pass(this->small_body);
+  } else if (this->way->resumable) {
+    this->pass(this->events.incomplete());
+  }
+  const auto caller = this->session.lock();
+  this->finish(
+      {.code = result_code::ok,
+       .status = this->ended.status,
+       .reason = this->resumed ? "answered after a break" : "answered"});
+  if (caller) caller->end_answer();
+}
+
+void exchange::on_broken() {
+  this->connection.reset();
+  if (this->done) return;
+  this->small_head.reset();
+  this->small_body.clear();
+  this->record.on_perhaps_run();
+  this->host.on_server_failed(*this, true);
+  this->leave_server();
+  this->again("answer broke off");
+}
+
+void exchange::again(const char* why) {
+  const bool in_time = time_point::clock::now() < this->limit;
+  const bool can_go_on = !this->head_passed || this->way->resumable;
+  if (in_time && can_go_on && this->record.may_send() &&
+      this->host.take_repeat(*this)) {
+    return this->host.place(this->shared_from_this());
+  }
+  if (this->head_passed) return this->break_off(why);
+  this->refuse(result_code::outcome_unknown, why, milliseconds(0));
+}
+
+void exchange::on_limit() {
+  this->host.withdraw(*this);
+  if (this->connection) {
+    this->connection->abort();
+    this->connection.reset();
+    this->record.on_perhaps_run();
+    this->leave_server();
+  }
+  if (this->head_passed) return this->break_off("time is over");
+  if (this->record.surely_not_run()) {
+    return this->answer_own(unavailable_status, result_code::deadline_passed,
+                            "no server in time", milliseconds(0));
+  }
+  this->answer_own(gateway_timeout_status, result_code::outcome_unknown,
+                   "time is over", milliseconds(0));
+}
+
+void exchange::refuse(result_code code, const char* reason,
+                      milliseconds retry_after) {
+  if (this->done) return;
+  if (this->head_passed) return this->break_off(reason);
+  if (this->record.surely_not_run()) {
+    const auto true_code =
+        code == result_code::outcome_unknown ? result_code::no_server : code;
+    return this->answer_own(unavailable_status, true_code, reason, retry_after);
+  }
+  this->answer_own(bad_gateway_status, result_code::outcome_unknown, reason,
+                   milliseconds(0));
+}
+
+void exchange::on_caller_gone() {
+  if (this->done) return;
+  this->host.withdraw(*this);
+  if (this->connection) {
+    // The server sees the close and stops.
+    this->connection->abort();
+    this->connection.reset();
+    this->leave_server();
+  }
+  this->finish({.code = result_code::caller_gone,
+                .status = this->ended.status,
+                .reason = "caller hung up"});
+}
+
+void exchange::leave_server() {
+  this->host.on_left(*this);
+  this->at.clear();
+}
+
+void exchange::break_off(const char* why) {
+  const auto caller = this->session.lock();
+  this->finish({.code = result_code::answer_broken,
+                .status = this->ended.status,
+                .reason = why});
+  if (caller) caller->break_off();
+}
+
+void exchange::answer_own(int status, result_code code, const char* reason,
+                          milliseconds retry_after) {
+  const auto caller = this->session.lock();
+  http::header_list headers;
+  this->host.codec().name_attempt(headers, this->asked);
+  if (retry_after > milliseconds(0)) {
+    constexpr double ms_per_second = 1000;
+    headers.add(
+        "Retry-After",
+        absl::StrFormat(
+            "%.3f", static_cast<double>(retry_after.count()) / ms_per_second));
+  }
+  const std::string text =
+      std::to_string(static_cast<int>(code)) + ' ' + reason + '\n';
+  this->finish({.code = code, .status = status, .reason = reason});
+  if (caller) caller->answer(status, std::move(headers), text);
+}
+
+void exchange::finish(exchange_result result) {
+  if (this->done) return;
+  this->done = true;
+  this->timer.cancel();
+  this->ended = std::move(result);
+  this->host.on_finished(*this);
+}
+
+}  // namespace boragehill::serve
--- /dev/null
+++ b/src/serve/exchange.hpp
@@ -0,0 +1,121 @@
+#ifndef BORAGEHILL_SERVE_EXCHANGE_HPP
+#define BORAGEHILL_SERVE_EXCHANGE_HPP
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boragehill/time_point.hpp>
+
+#include "decide/send_record.hpp"
+#include "fleet/request_fields.hpp"
+#include "fleet/route.hpp"
+#include "http/event_splitter.hpp"
+#include "serve/caller_request.hpp"
+#include "serve/exchange_result.hpp"
+#include "serve/server_answer.hpp"
+
+namespace boragehill::fleet {
+struct server;
+}
+
+namespace boragehill::serve {
+
+class caller_session;
+class exchange_host;
+class server_connection;
+class server_pool;
+
+/// One request of a caller, from its last byte to the end of its answer.
+class exchange : public server_answer,
+                 public std::enable_shared_from_this<exchange> {
+ public:
+  exchange(asio::io_context& context, exchange_host& host,
+           caller_request request, std::weak_ptr<caller_session> session);
+
+  /// Routes the request and looks for a server.
+  void start();
+
+  /// Sends it to a server over a connection that was taken for it.
+  void send_to(const fleet::server& server,
+               const std::shared_ptr<server_connection>& connection);
+
+  /// Answers that it was not run, or that its outcome is unknown, as is true.
+  /// \param retry_after When the caller should come back; zero if it's better
+  ///     not to say.
+  void refuse(result_code code, const char* reason, milliseconds retry_after);
+
+  /// The caller hung up.
+  void on_caller_gone();
+
+  /// The caller has taken what was sent to it.
+  void on_caller_ready();
+
+  void on_unsent() override;
+  bool on_head(const http::message_head& head) override;
+  void on_body(const std::string& bytes) override;
+  void on_end() override;
+  void on_broken() override;
+
+  const caller_request& request() const { return this->what; }
+  const fleet::request_fields& fields() const { return this->asked; }
+  /// \return Null if it was refused before it was routed.
+  const fleet::route* route() const { return this->way.get(); }
+  const std::string& service() const { return this->target; }
+  const std::string& server() const { return this->at; }
+  const decide::send_record& sends() const { return this->record; }
+  const exchange_result& result() const { return this->ended; }
+  /// \return When its final answer is due at the latest.
+  time_point due() const { return this->limit; }
+  /// \return True if it must run at most once.
+  bool at_most_once() const;
+  /// \return When the head of the answer that was passed on came, if it did.
+  std::optional<time_point> answered() const { return this->first_byte; }
+  /// \return When it was first sent to a server, if it was.
+  std::optional<time_point> first_sent() const { return this->offered; }
+
+ private:
+  bool read_fields();
+  bool choose_route();
+  void choose_service();
+  void on_limit();
+  void again(const char* why);
+  void leave_server();
+  void pass_head(const http::message_head& head);
+  void pass(const std::string& bytes);
+  void break_off(const char* why);
+  void answer_own(int status, result_code code, const char* reason,
+                  milliseconds retry_after);
+  void finish(exchange_result result);
+
+  asio::io_context& context;
+  exchange_host& host;
+  caller_request what;
+  std::weak_ptr<caller_session> session;
+  fleet::request_fields asked;
+  std::shared_ptr<const fleet::route> way;
+  std::string target;
+  std::string at;
+  decide::send_record record;
+  asio::steady_timer timer;
+  time_point limit;
+  std::shared_ptr<server_connection> connection;
+  std::optional<http::message_head> small_head;
+  std::string small_body;
+  http::event_splitter events;
+  std::optional<time_point> first_byte;
+  std::optional<time_point> offered;
+  exchange_result ended;
+  bool head_passed = false;
+  bool not_run_answer = false;
+  bool misdirected = false;
+  bool resumed = false;
+  bool done = false;
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_EXCHANGE_HPP
--- /dev/null
+++ b/src/serve/exchange_host.hpp
@@ -0,0 +1,56 @@
+#ifndef BORAGEHILL_SERVE_EXCHANGE_HOST_HPP
+#define BORAGEHILL_SERVE_EXCHANGE_HOST_HPP
+
+#include <memory>
+
+#include <boragehill/result_code.hpp>
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::fleet {
+class request_codec;
+struct catalog;
+struct service;
+}  // namespace boragehill::fleet
+
+namespace boragehill::serve {
+
+class exchange;
+
+/// What a request that is being served needs of the router around it.
+class exchange_host {
+ public:
+  exchange_host() = default;
+  exchange_host(const exchange_host&) = delete;
+  exchange_host& operator=(const exchange_host&) = delete;
+  virtual ~exchange_host() = default;
+
+  /// \return The configuration in force; null before the first is known.
+  virtual std::shared_ptr<const fleet::catalog> catalog() const = 0;
+  virtual const fleet::request_codec& codec() const = 0;
+
+  /// Finds a server for a request, now or when one has room; calls
+  /// `send_to` or `refuse` of it.
+  virtual void place(const std::shared_ptr<exchange>& request) = 0;
+
+  /// The request waits no longer.
+  virtual void withdraw(const exchange& request) = 0;
+
+  /// The request left the server it was sent to.
+  virtual void on_left(const exchange& request) = 0;
+
+  /// A server failed it: it couldn't be reached, or broke an answer off.
+  virtual void on_server_failed(const exchange& request, bool reached) = 0;
+
+  /// A server refused it because the model or the lifetime isn't there.
+  virtual void on_misdirected(const exchange& request) = 0;
+
+  /// \return True if the service's repeats leave room for one more; takes it.
+  virtual bool take_repeat(const exchange& request) = 0;
+
+  /// The request has its final answer.
+  virtual void on_finished(const exchange& request) = 0;
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_EXCHANGE_HOST_HPP
--- /dev/null
+++ b/src/serve/planner_duty.cpp
@@ -0,0 +1,271 @@
+#include "serve/planner_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/event_log.hpp"
+#include "wire/planner_codec.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+constexpr std::size_t task_capacity = 256;
+/// Plans at least so often, so that waits and loads that hang are seen.
+constexpr milliseconds plan_interval{100};
+/// After news; news that comes meanwhile is planned with it.
+constexpr milliseconds plan_delay{8};
+/// Between two tries to reach an agent.
+constexpr milliseconds agent_retry_interval{300};
+
+}  // namespace
+
+planner_duty::planner_duty(const entry_settings& settings)
+    : settings(settings),
+      loop("planner", task_capacity),
+      listener(this->loop.context(),
+               [this](const std::shared_ptr<wire::message_link>& link) {
+                 this->on_router(link);
+               }),
+      timer(this->loop.context()),
+      planner(settings.planner) {}
+
+std::error_code planner_duty::start() {
+  const auto error = this->listener.start(this->settings.planner_address());
+  if (error) return error;
+  this->loop.start();
+  return {};
+}
+
+void planner_duty::stop() {
+  this->loop.stop();
+}
+
+void planner_duty::lead(std::int64_t new_term) {
+  this->loop.post([this, new_term] {
+    kernel::log_event(kernel::event::planner_leads, {{"term", new_term}});
+    this->term = new_term;
+    // What an earlier term told the agents must be told again under this one.
+    for (auto& [address, each] : this->agents) each.told = {};
+    this->link_agents();
+    this->arm(plan_interval);
+  });
+}
+
+void planner_duty::set_catalog(std::shared_ptr<const fleet::catalog> news) {
+  this->loop.post(
+      [this, news = std::move(news)] { this->planner.set_catalog(news); });
+}
+
+void planner_duty::set_servers(std::shared_ptr<const fleet::server_list> news) {
+  this->loop.post([this, news = std::move(news)] {
+    this->servers = *news;
+    this->planner.set_servers(*news);
+    if (this->term == 0) return;
+    this->link_agents();
+    this->plan_soon();
+  });
+}
+
+void planner_duty::on_router(const std::shared_ptr<wire::message_link>& link) {
+  const auto number = ++this->next_router;
+  link->on_events(
+      [this, number](const Json::Value& message) {
+        this->on_router_message(number, message);
+      },
+      [this, number] { this->on_router_gone(number); });
+  this->routers[number].link = link;
+}
+
+void planner_duty::on_router_message(std::uint64_t number,
+                                     const Json::Value& message) {
+  const auto found = this->routers.find(number);
+  if (found == this->routers.end()) return;
+  if (this->term == 0) {
+    // It follows a row that isn't ours any more.
+    found->second.link->close();
+    this->on_router_gone(number);
+    return;
+  }
+  auto report = wire::decode_router_report(message);
+  found->second.router = report.router;
+  this->planner.on_demand(report.router, report.demand,
+                          time_point::clock::now());
+  this->demands[report.router] = std::move(report.demand);
+  this->plan_soon();
+}
+
+void planner_duty::on_router_gone(std::uint64_t number) {
+  const auto found = this->routers.find(number);
+  if (found == this->routers.end()) return;
+  const std::string router = found->second.router;
+  this->routers.erase(found);
+  const bool linked_again = std::any_of(
+      this->routers.begin(), this->routers.end(),
+      [&](const auto& each) { return each.second.router == router; });
+  if (linked_again) return;
+  this->planner.on_router_gone(router);
+  this->demands.erase(router);
+}
+
+void planner_duty::link_agents() {
+  std::set<endpoint> wanted;
+  for (const auto& [id, worker] : this->planner.workers()) {
+    if (worker.entry.models.empty() && worker.entry.on_disk.empty()) continue;
+    wanted.insert({worker.entry.address.address, this->settings.link_port});
+  }
+  for (auto each = this->agents.begin(); each != this->agents.end();) {
+    if (wanted.contains(each->first)) {
+      ++each;
+      continue;
+    }
+    each->second.link->close();
+    each = this->agents.erase(each);
+  }
+  for (const auto& address : wanted) {
+    if (!this->agents.contains(address)) this->connect_agent(address);
+  }
+}
+
+void planner_duty::connect_agent(const endpoint& address) {
+  const auto now = time_point::clock::now();
+  const auto last = this->agent_retry.find(address);
+  if (last != this->agent_retry.end() &&
+      now - last->second < agent_retry_interval) {
+    return;
+  }
+  this->agent_retry[address] = now;
+  auto link = std::make_shared<wire::message_link>(this->loop.context());
+  link->on_events(
+      [this, address](const Json::Value& message) {
+        this->on_agent_message(address, message);
+      },
+      [this, address] { this->agents.erase(address); });
+  this->agents[address].link = link;
+  link->connect(address);
+}
+
+std::string planner_duty::server_at(const endpoint& address,
+                                    const std::string& told) const {
+  if (this->servers.servers.contains(told)) return told;
+  std::string found;
+  for (const auto& [id, entry] : this->servers.servers) {
+    if (entry.address.address == address.address) found = id;
+  }
+  return found;
+}
+
+void planner_duty::on_agent_message(const endpoint& address,
+                                    const Json::Value& message) {
+  const auto status = wire::decode_worker_status(message);
+  if (status.term > this->term) return this->step_down(status.term);
+  const auto server = this->server_at(address, status.report.server);
+  if (server.empty()) return;
+  const auto now = time_point::clock::now();
+  if (status.reachable) {
+    this->planner.on_report(server, status.report, now);
+  } else {
+    this->planner.on_unreachable(server);
+  }
+  this->plan_soon();
+}
+
+void planner_duty::step_down(std::int64_t higher) {
+  if (this->term == 0) return;
+  kernel::log_event(kernel::event::planner_replaced,
+                    {{"term", this->term}, {"by", higher}});
+  this->term = 0;
+  this->timer.cancel();
+  for (auto& [address, each] : this->agents) each.link->close();
+  for (auto& [number, each] : this->routers) each.link->close();
+  this->agents.clear();
+  this->routers.clear();
+  this->demands.clear();
+}
+
+void planner_duty::plan_soon() {
+  if (this->term == 0 || this->soon) return;
+  this->soon = true;
+  this->arm(plan_delay);
+}
+
+void planner_duty::arm(milliseconds wait) {
+  this->timer.expires_after(wait);
+  this->timer.async_wait([this](std::error_code cancelled) {
+    if (!cancelled && this->term != 0) this->plan();
+  });
+}
+
+void planner_duty::plan() {
+  this->soon = false;
+  this->link_agents();
+  this->planner.step(time_point::clock::now());
+  this->tell_agents();
+  this->tell_routers();
+  this->arm(plan_interval);
+}
+
+void planner_duty::tell_agents() {
+  for (const auto& [id, worker] : this->planner.workers()) {
+    if (!worker.report) continue;
+    const endpoint address{worker.entry.address.address,
+                           this->settings.link_port};
+    const auto found = this->agents.find(address);
+    if (found == this->agents.end()) continue;
+    if (!worker.report->server.empty() && worker.report->server != id) continue;
+    wire::worker_target target{.term = this->term,
+                               .server = id,
+                               .service = worker.entry.service,
+                               .target = worker.target};
+    if (target == found->second.told) continue;
+    found->second.link->send(wire::encode(target));
+    kernel::log_event(
+        kernel::event::residency_decided,
+        {{"server", id},
+         {"term", this->term},
+         {"loading", worker.pending ? worker.pending->model : std::string()},
+         {"models", worker.target.models.size()},
+         {"adapters", worker.target.adapters.size()}});
+    found->second.told = std::move(target);
+  }
+}
+
+std::map<std::string, int> planner_duty::requests_of(
+    const std::string& router) const {
+  std::map<std::string, int> requests;
+  const auto found = this->demands.find(router);
+  if (found == this->demands.end()) return requests;
+  for (const auto& each : found->second.flights) {
+    requests[each.server] += each.requests;
+  }
+  return requests;
+}
+
+void planner_duty::tell_routers() {
+  for (auto& [number, each] : this->routers) {
+    if (each.router.empty()) continue;
+    const auto own = this->requests_of(each.router);
+    wire::view_update update{.term = this->term,
+                             .routers = static_cast<int>(this->demands.size()),
+                             .whole = !each.greeted};
+    for (const auto& [id, worker] : this->planner.workers()) {
+      if (!worker.report) continue;
+      wire::server_view view{.server = id};
+      for (const auto& model : worker.report->models) {
+        if (worker.meant_for(model.name)) view.models.push_back(model);
+      }
+      const auto mine = own.find(id);
+      view.other_requests =
+          worker.requests - (mine == own.end() ? 0 : mine->second);
+      const auto told = each.told.find(id);
+      if (told != each.told.end() && told->second == view) continue;
+      each.told[id] = view;
+      update.servers.push_back(std::move(view));
+    }
+    if (update.servers.empty() && each.greeted) continue;
+    each.greeted = true;
+    each.link->send(wire::encode(update));
+  }
+}
+
+}  // namespace boragehill::serve
--- /dev/null
+++ b/src/serve/planner_duty.hpp
@@ -0,0 +1,84 @@
+#ifndef BORAGEHILL_SERVE_PLANNER_DUTY_HPP
+#define BORAGEHILL_SERVE_PLANNER_DUTY_HPP
+
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boragehill/endpoint.hpp>
+
+#include "decide/residency_planner.hpp"
+#include "kernel/event_loop.hpp"
+#include "serve/entry_settings.hpp"
+#include "wire/link_listener.hpp"
+#include "wire/server_view.hpp"
+#include "wire/worker_target.hpp"
+
+namespace boragehill::serve {
+
+/// The planner of the fleet while this router is it: hears the routers'
+/// demand and the agents' reports, and tells both what is decided. It has a
+/// thread of its own, so that planning never holds up a request.
+class planner_duty {
+ public:
+  explicit planner_duty(const entry_settings& settings);
+
+  /// Listens for routers.
+  /// \return The system's error if the address can't be had.
+  std::error_code start();
+  void stop();
+
+  /// Becomes the planner of a term; from any thread.
+  void lead(std::int64_t term);
+  void set_catalog(std::shared_ptr<const fleet::catalog> news);
+  void set_servers(std::shared_ptr<const fleet::server_list> news);
+
+ private:
+  struct router_link {
+    std::shared_ptr<wire::message_link> link;
+    std::string router;
+    std::map<std::string, wire::server_view> told;
+    bool greeted = false;
+  };
+  struct agent_link {
+    std::shared_ptr<wire::message_link> link;
+    wire::worker_target told;
+  };
+
+  void on_router(const std::shared_ptr<wire::message_link>& link);
+  void on_router_message(std::uint64_t number, const Json::Value& message);
+  void on_router_gone(std::uint64_t number);
+  void link_agents();
+  void connect_agent(const endpoint& address);
+  void on_agent_message(const endpoint& address, const Json::Value& message);
+  std::string server_at(const endpoint& address, const std::string& told) const;
+  void step_down(std::int64_t higher);
+  void plan_soon();
+  void arm(milliseconds wait);
+  void plan();
+  void tell_agents();
+  void tell_routers();
+  std::map<std::string, int> requests_of(const std::string& router) const;
+
+  entry_settings settings;
+  kernel::event_loop loop;
+  wire::link_listener listener;
+  asio::steady_timer timer;
+  decide::residency_planner planner;
+  fleet::server_list servers;
+  std::int64_t term = 0;
+  std::uint64_t next_router = 0;
+  std::map<std::uint64_t, router_link> routers;
+  std::map<std::string, decide::demand_report> demands;
+  std::map<endpoint, agent_link> agents;
+  std::map<endpoint, time_point> agent_retry;
+  time_point last_plan;
+  bool soon = false;
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_PLANNER_DUTY_HPP
--- /dev/null
+++ b/src/serve/server_state.hpp
@@ -0,0 +1,36 @@
+#ifndef BORAGEHILL_SERVE_SERVER_STATE_HPP
+#define BORAGEHILL_SERVE_SERVER_STATE_HPP
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/resident_model.hpp"
+#include "fleet/server.hpp"
+
+namespace boragehill::serve {
+
+/// A backend server as a router sees it.
+struct server_state {
+  /// As the platform lists it.
+  fleet::server entry;
+  /// What the planner said it holds; nothing before it did.
+  std::optional<std::vector<fleet::resident_model>> told;
+  /// Requests of this router there.
+  int own_requests = 0;
+  /// Requests of other routers there, as the planner said.
+  int other_requests = 0;
+
+  /// \param follow_planner False while no planner is linked: then what the
+  ///     platform lists is newer.
+  /// \return True if it serves the model, with the adapter if one is named.
+  bool serves(const std::string& model, const std::string& adapter,
+              bool follow_planner) const;
+
+  /// Forgets that it holds a model, or only an adapter of it.
+  void forget(const std::string& model, const std::string& adapter);
+};
+
+}  // namespace boragehill::serve
+
+#endif  // BORAGEHILL_SERVE_SERVER_STATE_HPP
--- /dev/null
+++ b/src/wire/planner_codec.cpp
@@ -0,0 +1,185 @@
+#include "wire/planner_codec.hpp"
+
+#include <string>
+#include <vector>
+
+namespace boragehill::wire {
+
+namespace {
+
+Json::Value encode_texts(const std::vector<std::string>& texts) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& each : texts) list.append(each);
+  return list;
+}
+
+std::vector<std::string> decode_texts(const Json::Value& list) {
+  std::vector<std::string> texts;
+  for (const auto& each : list) texts.push_back(each.asString());
+  return texts;
+}
+
+Json::Value encode_models(const std::vector<fleet::resident_model>& models) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& each : models) {
+    Json::Value model;
+    model["name"] = each.name;
+    if (!each.adapters.empty()) model["adapters"] = encode_texts(each.adapters);
+    list.append(model);
+  }
+  return list;
+}
+
+std::vector<fleet::resident_model> decode_models(const Json::Value& list) {
+  std::vector<fleet::resident_model> models;
+  for (const auto& each : list) {
+    models.push_back({each["name"].asString(), decode_texts(each["adapters"])});
+  }
+  return models;
+}
+
+Json::Value encode_demand(const decide::model_demand& demand) {
+  Json::Value value;
+  value["service"] = demand.service;
+  value["model"] = demand.model;
+  if (!demand.adapter.empty()) value["adapter"] = demand.adapter;
+  if (demand.arrivals > 0) value["arrivals"] = demand.arrivals;
+  if (demand.waiting > 0) {
+    value["waiting"] = demand.waiting;
+    value["oldest_ms"] = Json::Int64(demand.oldest.count());
+    value["worth"] = demand.worth;
+  }
+  return value;
+}
+
+decide::model_demand decode_demand(const Json::Value& value) {
+  return {.service = value["service"].asString(),
+          .model = value["model"].asString(),
+          .adapter = value["adapter"].asString(),
+          .arrivals = value["arrivals"].asInt(),
+          .waiting = value["waiting"].asInt(),
+          .oldest = milliseconds(value["oldest_ms"].asInt64()),
+          .worth = value["worth"].asDouble()};
+}
+
+Json::Value encode_flight(const decide::model_flight& flight) {
+  Json::Value value;
+  value["server"] = flight.server;
+  value["model"] = flight.model;
+  if (!flight.adapter.empty()) value["adapter"] = flight.adapter;
+  value["requests"] = flight.requests;
+  return value;
+}
+
+decide::model_flight decode_flight(const Json::Value& value) {
+  return {.server = value["server"].asString(),
+          .model = value["model"].asString(),
+          .adapter = value["adapter"].asString(),
+          .requests = value["requests"].asInt()};
+}
+
+}  // namespace
+
+Json::Value encode(const view_update& update) {
+  Json::Value message;
+  message["term"] = Json::Int64(update.term);
+  message["routers"] = update.routers;
+  message["whole"] = update.whole;
+  Json::Value& list = message["servers"] = Json::Value(Json::arrayValue);
+  for (const auto& each : update.servers) {
+    Json::Value view;
+    view["server"] = each.server;
+    view["models"] = encode_models(each.models);
+    view["others"] = each.other_requests;
+    list.append(view);
+  }
+  return message;
+}
+
+view_update decode_view_update(const Json::Value& message) {
+  view_update update{.term = message["term"].asInt64(),
+                     .routers = message["routers"].asInt(),
+                     .whole = message["whole"].asBool()};
+  for (const auto& each : message["servers"]) {
+    update.servers.push_back({.server = each["server"].asString(),
+                              .models = decode_models(each["models"]),
+                              .other_requests = each["others"].asInt()});
+  }
+  return update;
+}
+
+Json::Value encode(const worker_target& target) {
+  Json::Value message;
+  message["term"] = Json::Int64(target.term);
+  message["server"] = target.server;
+  message["service"] = target.service;
+  message["models"] = encode_texts(target.target.models);
+  message["adapters"] = encode_texts(target.target.adapters);
+  return message;
+}
+
+worker_target decode_worker_target(const Json::Value& message) {
+  return {.term = message["term"].asInt64(),
+          .server = message["server"].asString(),
+          .service = message["service"].asString(),
+          .target = {.models = decode_texts(message["models"]),
+                     .adapters = decode_texts(message["adapters"])}};
+}
+
+Json::Value encode(const worker_status& status) {
+  Json::Value message;
+  message["term"] = Json::Int64(status.term);
+  message["reachable"] = status.reachable;
+  const auto& report = status.report;
+  message["server"] = report.server;
+  message["models"] = encode_models(report.models);
+  message["coming"] = encode_texts(report.coming);
+  message["busy"] = report.busy;
+  message["sequence"] = Json::Int64(report.sequence);
+  message["running"] = report.running;
+  message["waiting"] = report.waiting;
+  message["in_memory"] = encode_texts(report.in_memory);
+  message["on_disk"] = encode_texts(report.on_disk);
+  return message;
+}
+
+worker_status decode_worker_status(const Json::Value& message) {
+  return {.term = message["term"].asInt64(),
+          .reachable = message["reachable"].asBool(),
+          .report = {.server = message["server"].asString(),
+                     .models = decode_models(message["models"]),
+                     .coming = decode_texts(message["coming"]),
+                     .busy = message["busy"].asBool(),
+                     .sequence = message["sequence"].asInt64(),
+                     .running = message["running"].asInt(),
+                     .waiting = message["waiting"].asInt(),
+                     .in_memory = decode_texts(message["in_memory"]),
+                     .on_disk = decode_texts(message["on_disk"])}};
+}
+
+Json::Value encode(const router_report& report) {
+  Json::Value message;
+  message["router"] = report.router;
+  Json::Value& demands = message["demands"] = Json::Value(Json::arrayValue);
+  for (const auto& each : report.demand.demands) {
+    demands.append(encode_demand(each));
+  }
+  Json::Value& flights = message["flights"] = Json::Value(Json::arrayValue);
+  for (const auto& each : report.demand.flights) {
+    flights.append(encode_flight(each));
+  }
+  return message;
+}
+
+router_report decode_router_report(const Json::Value& message) {
+  router_report report{.router = message["router"].asString()};
+  for (const auto& each : message["demands"]) {
+    report.demand.demands.push_back(decode_demand(each));
+  }
+  for (const auto& each : message["flights"]) {
+    report.demand.flights.push_back(decode_flight(each));
+  }
+  return report;
+}
+
+}  // namespace boragehill::wire
--- /dev/null
+++ b/src/wire/router_report.hpp
@@ -0,0 +1,20 @@
+#ifndef BORAGEHILL_WIRE_ROUTER_REPORT_HPP
+#define BORAGEHILL_WIRE_ROUTER_REPORT_HPP
+
+#include <string>
+
+#include "decide/demand_report.hpp"
+
+namespace boragehill::wire {
+
+/// From a router to the planner.
+struct router_report {
+  std::string router;
+  decide::demand_report demand;
+
+  bool operator==(const router_report&) const = default;
+};
+
+}  // namespace boragehill::wire
+
+#endif  // BORAGEHILL_WIRE_ROUTER_REPORT_HPP
--- /dev/null
+++ b/src/wire/view_update.hpp
@@ -0,0 +1,27 @@
+#ifndef BORAGEHILL_WIRE_VIEW_UPDATE_HPP
+#define BORAGEHILL_WIRE_VIEW_UPDATE_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "wire/server_view.hpp"
+
+namespace boragehill::wire {
+
+/// From the planner to a router: workers whose view changed since the last
+/// update on this link. The first one on a link is whole.
+struct view_update {
+  /// The planner's term; a router ignores an older one.
+  std::int64_t term = 0;
+  /// Routers that have told the planner of themselves.
+  int routers = 0;
+  bool whole = false;
+  std::vector<server_view> servers;
+
+  bool operator==(const view_update&) const = default;
+};
+
+}  // namespace boragehill::wire
+
+#endif  // BORAGEHILL_WIRE_VIEW_UPDATE_HPP
--- /dev/null
+++ b/src/wire/worker_target.hpp
@@ -0,0 +1,25 @@
+#ifndef BORAGEHILL_WIRE_WORKER_TARGET_HPP
+#define BORAGEHILL_WIRE_WORKER_TARGET_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "decide/residency_target.hpp"
+
+namespace boragehill::wire {
+
+/// From the planner to an agent: what its worker should hold.
+struct worker_target {
+  /// The planner's term; an agent ignores a lower one than it has seen.
+  std::int64_t term = 0;
+  /// The lifetime of the worker that is meant.
+  std::string server;
+  std::string service;
+  decide::residency_target target;
+
+  bool operator==(const worker_target&) const = default;
+};
+
+}  // namespace boragehill::wire
+
+#endif  // BORAGEHILL_WIRE_WORKER_TARGET_HPP
--- a/test/platform-test/table_service_test.cpp
+++ b/test/platform-test/table_service_test.cpp
@@ -7,10 +7,10 @@
 #include <boragehill/table_service.hpp>
 #include <boragehill/table_write.hpp>
 
+#include "kernel/json_text.hpp"
 #include "kernel/plugin_settings.hpp"
 #include "kernel/registry.hpp"
 #include "platform-test/scripted_server.hpp"
-#include "platform/json_text.hpp"
 
 namespace boragehill {
 namespace {
@@ -51,12 +51,12 @@
   body["key"] = key;
   body["value"] = "\xFF\x01{}";
   body["etag"] = "7";
-  scripted_server server(answer(200, platform::write_json(body)));
+  scripted_server server(answer(200, kernel::write_json(body)));
   const auto row = table_at(server.address())->read(key);
   ASSERT_TRUE(row);
   EXPECT_EQ(row.value(), (table_row{key, "\xFF\x01{}", "7"}));
   const std::string sent = server.requests().at(0);
-  const auto question = platform::parse_json(sent.substr(sent.find('{')));
+  const auto question = kernel::parse_json(sent.substr(sent.find('{')));
   EXPECT_EQ((*question)["key"].asString(), key);
 }
 
--- a/test/process-test/caller.cpp
+++ b/test/process-test/caller.cpp
@@ -3,7 +3,7 @@
 #include <httplib.h>
 #include <sstream>
 
-#include "platform/json_text.hpp"
+#include "kernel/json_text.hpp"
 #include "standin/expected_answer.hpp"
 
 namespace boragehill::process_test {
@@ -28,7 +28,7 @@
 }  // namespace
 
 Json::Value json_of(const std::string& text) {
-  auto parsed = platform::parse_json(text);
+  auto parsed = kernel::parse_json(text);
   return parsed ? *parsed : Json::Value();
 }
 
--- a/test/process-test/cluster.cpp
+++ b/test/process-test/cluster.cpp
@@ -11,7 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "platform/json_text.hpp"
+#include "kernel/json_text.hpp"
 #include "process-test/caller.hpp"
 #include "process-test/wait_for.hpp"
 
@@ -309,7 +309,7 @@
     list["vms"].append(vm);
   }
   make_call(this->port("vms"),
-            {.path = "/standin/vms", .body = platform::write_json(list)});
+            {.path = "/standin/vms", .body = kernel::write_json(list)});
 }
 
 std::string cluster::address(const std::string& port_name) {
--- a/test/standin/generation.cpp
+++ b/test/standin/generation.cpp
@@ -1,6 +1,6 @@
 #include "standin/generation.hpp"
 
-#include "platform/json_text.hpp"
+#include "kernel/json_text.hpp"
 #include "standin/expected_answer.hpp"
 
 namespace boragehill::standin {
@@ -8,7 +8,7 @@
 namespace {
 
 std::string event_of(const Json::Value& value) {
-  return "data: " + platform::write_json(value) + "\n\n";
+  return "data: " + kernel::write_json(value) + "\n\n";
 }
 
 Json::Value frame(const generation& made, const char* chat_object) {
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-#include "platform/json_text.hpp"
+#include "kernel/json_text.hpp"
 #include "standin/standin_settings.hpp"
 
 namespace boragehill::standin {
@@ -108,7 +108,7 @@
 
 void reply(httplib::Response& response, int status, const Json::Value& body) {
   response.status = status;
-  response.set_content(platform::write_json(body), "application/json");
+  response.set_content(kernel::write_json(body), "application/json");
 }
 
 void reply_error(httplib::Response& response, int status,
@@ -120,7 +120,7 @@
 }
 
 Json::Value body_of(const httplib::Request& request) {
-  auto body = platform::parse_json(request.body);
+  auto body = kernel::parse_json(request.body);
   if (!body || !body->isObject()) return Json::Value(Json::objectValue);
   return std::move(*body);
 }
--- a/test/standin/vm_list_standin.cpp
+++ b/test/standin/vm_list_standin.cpp
@@ -1,6 +1,6 @@
 #include "standin/vm_list_standin.hpp"
 
-#include "platform/json_text.hpp"
+#include "kernel/json_text.hpp"
 #include "standin/expected_answer.hpp"
 #include "standin/standin_settings.hpp"
 
@@ -23,7 +23,7 @@
     : lag(settings.lag) {
   server.on("GET", "/vms", [this](const auto& request, auto& response) {
     const Json::Value list = this->visible();
-    const std::string etag = digest_of(platform::write_json(list));
+    const std::string etag = digest_of(kernel::write_json(list));
     response.set_header("ETag", etag);
     if (request.get_header_value("If-None-Match") == etag) {
       response.status = 304;
