Planner: count living replicas only, and rather wait for a disk copy

Agents also gave adapter orders to workers that were loading, which refuse them, and waited 600 ms for answers of their own machine.

Ruled out: too few places (the wakes went through), processor time (0.004 of a core).

Change: replicas count with a fresh report only; a busy worker competes with its remaining time; no order while a model is on its way; orders wait 250 ms for an answer, then 60 ms. Each planned load is logged with what it rests on.

Two tests replay both loads.

--- a/src/decide/next_order.cpp
+++ b/src/decide/next_order.cpp
@@ -42,7 +42,7 @@
     if (report.find(name)) continue;
     const auto* model = service.find_model(name);
     if (!model) continue;
-    if (model->weights_mb <= free_memory_mb(report, {}, service)) {
+    if (model->weights_mb <= free_memory_mb(report, service)) {
       return target_order{.what = kind::load, .model = name};
     }
     return unload_something(report, target);
@@ -70,7 +70,6 @@
 }
 
 std::optional<target_order> next_adapter(const fleet::worker_report& report,
-                                         const std::string& loading,
                                          const residency_target& target,
                                          const fleet::service& service) {
   // A worker takes this many adapters at once on their way.
@@ -81,9 +80,8 @@
     const auto* model = service.find_model(name);
     if (!model) continue;
     const auto places = static_cast<std::size_t>(service.adapter_places);
-    const bool fits =
-        adapters_held(report) < places &&
-        model->adapter_mb <= free_memory_mb(report, loading, service);
+    const bool fits = adapters_held(report) < places &&
+                      model->adapter_mb <= free_memory_mb(report, service);
     if (!fits) return drop_adapter(report, target);
     if (report.coming.size() >= most_coming) return std::nullopt;
     return target_order{.what = kind::load, .model = name, .adapter = adapter};
@@ -94,14 +92,8 @@
 }  // namespace
 
 double free_memory_mb(const fleet::worker_report& report,
-                      const std::string& loading,
                       const fleet::service& service) {
   double left = service.weights_mb;
-  if (!loading.empty() && !report.find(loading)) {
-    const auto* model = service.find_model(loading);
-    if (!model) return 0;
-    left -= model->weights_mb;
-  }
   for (const auto& each : report.models) {
     const auto* model = service.find_model(each.name);
     if (!model) return 0;
@@ -120,11 +112,11 @@
                                        const std::string& loading,
                                        const residency_target& target,
                                        const fleet::service& service) {
-  // An order of an earlier lifetime of the agent: what it loads isn't known.
-  if (report.busy && loading.empty()) return std::nullopt;
-  // Adapters load in milliseconds, also while the worker is busy with a model.
-  auto adapter = next_adapter(report, loading, target, service);
-  if (adapter || report.busy) return adapter;
+  // A worker that carries out an order for a model refuses all others, and
+  // what an order of an earlier lifetime of the agent loads isn't known.
+  if (report.busy || !loading.empty()) return std::nullopt;
+  // Adapters first: they load in milliseconds.
+  if (auto adapter = next_adapter(report, target, service)) return adapter;
   return next_model(report, target, service);
 }
 
--- a/src/decide/next_order.hpp
+++ b/src/decide/next_order.hpp
@@ -25,10 +25,8 @@
                                        const residency_target& target,
                                        const fleet::service& service);
 
-/// \return The accelerator memory that the worker has left once `loading` is
-///     there too, in megabytes.
+/// \return The accelerator memory that the worker has left, in megabytes.
 double free_memory_mb(const fleet::worker_report& report,
-                      const std::string& loading,
                       const fleet::service& service);
 
 }  // namespace boragehill::decide
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -23,6 +23,9 @@
   names.erase(std::remove(names.begin(), names.end(), name), names.end());
 }
 
+/// A load that is overdue is still taken to need so long.
+constexpr milliseconds busy_margin{200};
+
 /// Where a worker would load a model from: its memory, its disk or the store.
 milliseconds load_time(const fleet::worker_report& report,
                        const fleet::model& model) {
@@ -172,8 +175,8 @@
   }
 }
 
-void residency_planner::step(time_point now) {
-  if (!this->catalog) return;
+std::vector<residency_move> residency_planner::step(time_point now) {
+  if (!this->catalog) return {};
   this->sum_up();
   for (const auto& service : this->catalog->services) {
     if (!service.has_engine) continue;
@@ -181,6 +184,7 @@
     this->relieve_busy(service, now);
     this->place_adapters(service, now);
   }
+  return std::exchange(this->moves, {});
 }
 
 void residency_planner::wake_waiting(const fleet::service& service,
@@ -189,7 +193,7 @@
   for (const auto& model : service.models) {
     const auto found = this->models.find(model.name);
     if (found == this->models.end() || found->second.waiting == 0) continue;
-    if (this->replicas_of(model.name) == 0) asked.push_back(&model);
+    if (this->replicas_of(model.name, now) == 0) asked.push_back(&model);
   }
   // The most worth first; among equals the one that waits longest.
   std::sort(asked.begin(), asked.end(),
@@ -203,7 +207,7 @@
             });
   for (const auto* model : asked) {
     const auto chosen = this->choose_worker(service, *model, now);
-    if (chosen) this->carry_out(*chosen, *model, now);
+    if (chosen) this->carry_out(*chosen, *model, "wake", now);
   }
 }
 
@@ -212,7 +216,7 @@
   for (const auto& model : service.models) {
     const auto found = this->models.find(model.name);
     if (found == this->models.end()) continue;
-    const int replicas = this->replicas_of(model.name);
+    const int replicas = this->replicas_of(model.name, now);
     const double requests = found->second.flying + found->second.waiting;
     if (replicas == 0) continue;
     if (requests / replicas <= this->settings.requests_per_replica) continue;
@@ -227,7 +231,7 @@
     if (worker.requests > this->settings.relief * load_there) continue;
     // What the others lose must be less than what these requests gain.
     if (chosen->loss > requests / replicas) continue;
-    this->carry_out(*chosen, model, now);
+    this->carry_out(*chosen, model, "relief", now);
   }
 }
 
@@ -235,10 +239,16 @@
     const fleet::service& service, const fleet::model& model, time_point now) {
   std::optional<choice> best;
   for (const auto& [id, worker] : this->known) {
-    if (!this->usable(worker, service, now)) continue;
+    if (worker.entry.service != service.name || worker.entry.draining) continue;
+    if (!this->fresh(worker, now)) continue;
     auto found = this->consider(service, model, id, worker, now);
     if (found && (!best || found->cost < best->cost)) best = std::move(found);
   }
+  // The soonest is a worker that has to finish a load first: starting a longer
+  // one elsewhere now would come later.
+  if (best && !this->usable(this->known.at(best->worker), service, now)) {
+    return std::nullopt;
+  }
   return best;
 }
 
@@ -267,7 +277,7 @@
         this->cost_of_losing(worker, each.name, service, now), each.name);
   }
   std::sort(droppable.begin(), droppable.end());
-  double room = free_memory_mb(*worker.report, {}, service);
+  double room = free_memory_mb(*worker.report, service);
   for (const auto& [cost, name] : droppable) {
     if (room >= model.weights_mb) break;
     const auto* victim = service.find_model(name);
@@ -283,7 +293,16 @@
       worker.entry.slots > 0
           ? static_cast<double>(worker.requests) / worker.entry.slots
           : 0;
-  found.cost = seconds_of(found.time) + found.loss + crowd;
+  // What is under way there comes first.
+  constexpr milliseconds unknown_order{500};
+  milliseconds before{0};
+  if (worker.pending) {
+    before = std::chrono::ceil<milliseconds>(worker.pending->due - now);
+    before = std::max(before, busy_margin);
+  } else if (worker.report->busy) {
+    before = unknown_order;
+  }
+  found.cost = seconds_of(found.time + before) + found.loss + crowd;
   return found;
 }
 
@@ -302,7 +321,7 @@
   const auto flights = worker.flights.find(model);
   const bool in_use = flights != worker.flights.end() && flights->second > 0;
   double cost = in_use ? run_seconds : 0;
-  const int replicas = this->replicas_of(model);
+  const int replicas = this->replicas_of(model, now);
   const auto* spec = service.find_model(model);
   const double reload = spec ? seconds_of(spec->disk_load) : 0;
   if (replicas <= 1) {
@@ -316,7 +335,19 @@
 }
 
 void residency_planner::carry_out(const choice& chosen,
-                                  const fleet::model& model, time_point now) {
+                                  const fleet::model& model, const char* why,
+                                  time_point now) {
+  const auto& state = this->models[model.name];
+  this->moves.push_back({.server = chosen.worker,
+                         .model = model.name,
+                         .why = why,
+                         .victims = chosen.victims,
+                         .load_time = chosen.time,
+                         .from_store = chosen.from_store,
+                         .cost = chosen.cost,
+                         .waiting = state.waiting,
+                         .flying = state.flying,
+                         .replicas = this->replicas_of(model.name, now)});
   auto& worker = this->known.at(chosen.worker);
   for (const auto& victim : chosen.victims) {
     remove_name(worker.target.models, victim);
@@ -353,11 +384,16 @@
   planned_worker* best = nullptr;
   std::size_t fewest = 0;
   for (auto& [id, worker] : this->known) {
-    if (!worker.serves(model) || !this->usable(worker, service, now)) {
-      if (!worker.pending || !worker.serves(model)) continue;
+    if (!worker.serves(model) || worker.entry.draining) continue;
+    if (worker.entry.service != service.name || !this->fresh(worker, now)) {
+      continue;
     }
     if (holds(worker.target.adapters, full)) return;
-    const std::size_t count = worker.target.adapters.size();
+    // A worker takes no adapter while it loads a model.
+    const std::size_t wait = worker.pending || worker.report->busy
+                                 ? static_cast<std::size_t>(1000)
+                                 : 0;
+    const std::size_t count = worker.target.adapters.size() + wait;
     if (!best || count < fewest) {
       best = &worker;
       fewest = count;
@@ -387,10 +423,19 @@
   adapters.push_back(full);
 }
 
-int residency_planner::replicas_of(const std::string& model) const {
+bool residency_planner::fresh(const planned_worker& worker,
+                              time_point now) const {
+  return worker.report && now < worker.reported + this->settings.report_trust;
+}
+
+int residency_planner::replicas_of(const std::string& model,
+                                   time_point now) const {
   int count = 0;
   for (const auto& [id, worker] : this->known) {
-    if (!worker.entry.draining && worker.meant_for(model)) ++count;
+    // A worker that crashed stays listed for seconds; what it held serves
+    // nobody, and counting it would let the last living replica be dropped.
+    if (worker.entry.draining || !this->fresh(worker, now)) continue;
+    if (worker.meant_for(model)) ++count;
   }
   return count;
 }
@@ -399,8 +444,7 @@
                                const fleet::service& service,
                                time_point now) const {
   return worker.entry.service == service.name && !worker.entry.draining &&
-         worker.report && !worker.pending && !worker.report->busy &&
-         now < worker.reported + this->settings.report_trust;
+         this->fresh(worker, now) && !worker.pending && !worker.report->busy;
 }
 
 int residency_planner::store_loads() const {
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -13,6 +13,7 @@
 #include "decide/model_state.hpp"
 #include "decide/planned_worker.hpp"
 #include "decide/planner_settings.hpp"
+#include "decide/residency_move.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/server_list.hpp"
 
@@ -46,7 +47,8 @@
   void on_router_gone(const std::string& router);
 
   /// Plans anew; the targets are in `workers()` afterwards.
-  void step(time_point now);
+  /// \return The loads that were decided now.
+  std::vector<residency_move> step(time_point now);
 
   /// \return The model workers by id.
   const std::map<std::string, planned_worker>& workers() const {
@@ -73,8 +75,10 @@
   double cost_of_losing(const planned_worker& worker, const std::string& model,
                         const fleet::service& service, time_point now) const;
   void carry_out(const choice& chosen, const fleet::model& model,
-                 time_point now);
-  int replicas_of(const std::string& model) const;
+                 const char* why, time_point now);
+  bool fresh(const planned_worker& worker, time_point now) const;
+  /// \return Workers that serve the model or soon will.
+  int replicas_of(const std::string& model, time_point now) const;
   bool usable(const planned_worker& worker, const fleet::service& service,
               time_point now) const;
   int store_loads() const;
@@ -84,6 +88,7 @@
   std::map<std::string, planned_worker> known;
   std::map<std::string, demand_report> routers;
   std::map<std::string, model_state> models;
+  std::vector<residency_move> moves;
 };
 
 }  // namespace boragehill::decide
--- a/src/decide/worker_orders.hpp
+++ b/src/decide/worker_orders.hpp
@@ -26,7 +26,7 @@
  public:
   /// How long an order without an answer is waited for before another one with
   /// the same number is given.
-  static constexpr milliseconds unknown_wait{300};
+  static constexpr milliseconds unknown_wait{60};
   /// After a refusal; the view it was decided on is being corrected.
   static constexpr milliseconds refused_wait{100};
 
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -199,12 +199,34 @@
 void planner_duty::plan() {
   this->soon = false;
   this->link_agents();
-  this->planner.step(time_point::clock::now());
+  for (const auto& move : this->planner.step(time_point::clock::now())) {
+    this->log_move(move);
+  }
   this->tell_agents();
   this->tell_routers();
   this->arm(plan_interval);
 }
 
+void planner_duty::log_move(const decide::residency_move& move) const {
+  std::string victims;
+  for (const auto& each : move.victims) {
+    if (!victims.empty()) victims += ',';
+    victims += each;
+  }
+  kernel::log_event(kernel::event::residency_decided,
+                    {{"model", move.model},
+                     {"server", move.server},
+                     {"term", this->term},
+                     {"why", move.why},
+                     {"victims", victims},
+                     {"load_ms", move.load_time.count()},
+                     {"from_store", move.from_store},
+                     {"cost_s", move.cost},
+                     {"waiting", move.waiting},
+                     {"flying", move.flying},
+                     {"replicas", move.replicas}});
+}
+
 void planner_duty::tell_agents() {
   for (const auto& [id, worker] : this->planner.workers()) {
     if (!worker.report) continue;
@@ -219,13 +241,6 @@
                                .target = worker.target};
     if (target == found->second.told) continue;
     found->second.link->send(wire::encode(target));
-    kernel::log_event(
-        kernel::event::residency_decided,
-        {{"server", id},
-         {"term", this->term},
-         {"loading", worker.pending ? worker.pending->model : std::string()},
-         {"models", worker.target.models.size()},
-         {"adapters", worker.target.adapters.size()}});
     found->second.told = std::move(target);
   }
 }
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -59,6 +59,7 @@
   void plan_soon();
   void arm(milliseconds wait);
   void plan();
+  void log_move(const decide::residency_move& move) const;
   void tell_agents();
   void tell_routers();
   std::map<std::string, int> requests_of(const std::string& router) const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -17,8 +17,9 @@
 /// way each moment counts, else a look now and then notices a restart.
 constexpr milliseconds report_interval{100};
 constexpr milliseconds busy_report_interval{15};
-/// The worker answers within some milliseconds.
-constexpr milliseconds worker_limit{600};
+/// The worker runs on this machine and answers within some milliseconds; what
+/// takes longer is taken for lost.
+constexpr milliseconds worker_limit{250};
 /// The planner takes a status older than 1.5 s for nothing.
 constexpr milliseconds tell_interval{400};
 constexpr milliseconds fence_retry{300};
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -196,6 +196,44 @@
   EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w1"});
 }
 
+TEST(residency_planner_test, waits_for_a_disk_copy_rather_than_the_store) {
+  // All workers with a copy on disk are loading for a second more. A load from
+  // the store that starts at once would be there five seconds later.
+  planned_fleet fleet(2, 8);
+  fleet.copies_on_disk("w0", {"m0", "m1"});
+  fleet.report();
+  fleet.demand({waiting("m1")});
+  fleet.step();
+  ASSERT_EQ(fleet.workers_for("m1"), std::set<std::string>{"w0"});
+  fleet.demand({waiting("m0")});
+  fleet.step();
+  EXPECT_TRUE(fleet.workers_for("m0").empty());
+  fleet.carry_out();
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w0"});
+}
+
+TEST(residency_planner_test, a_crashed_workers_replica_does_not_count) {
+  // Two workers hold a busy model and one crashes. The platform lists it for
+  // seconds longer; taken for a second replica it lets the last living one be
+  // dropped for a rare model, and all requests of the busy one wait.
+  planned_fleet fleet(3, 8);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.hold("w1", {"m0"});
+  fleet.hold("w2", {"m3", "m4", "m5"});
+  for (const char* worker : {"w0", "w2"}) fleet.copies_on_disk(worker, {"m6"});
+  fleet.report();
+  fleet.planner.on_unreachable("w1");
+  fleet.now += std::chrono::seconds(2);
+  fleet.planner.on_report("w0", fleet.reports["w0"], fleet.now);
+  fleet.planner.on_report("w2", fleet.reports["w2"], fleet.now);
+  fleet.demand(
+      {{.service = "assist", .model = "m0", .arrivals = 20}, waiting("m6")});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m0").count("w0"), 1U);
+  EXPECT_EQ(fleet.workers_for("m6").size(), 1U);
+}
+
 TEST(residency_planner_test, leaves_a_leaving_worker_alone) {
   planned_fleet fleet(2, 8);
   fleet.copies_on_disk("w0", {"m0"});
