--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -223,7 +223,6 @@
   fleet.hold("w2", {"m3", "m4", "m5"});
   for (const char* worker : {"w0", "w2"}) fleet.copies_on_disk(worker, {"m6"});
   fleet.report();
-  fleet.planner.on_unreachable("w1");
   fleet.now += std::chrono::seconds(2);
   fleet.planner.on_report("w0", fleet.reports["w0"], fleet.now);
   fleet.planner.on_report("w2", fleet.reports["w2"], fleet.now);
