Refuse what a stopping router would cut off, and end as soon as nothing is open

Ruled out: the connections that were kept (they are closed after 3 s); the requests came on new ones, since a zone without a ready router uses all of them.

Change: a stop gate serves after the first 2.9 s only what surely ends in time (1 s and 9 ms for each token that may be generated), and the process ends when no request is open.

Test: stop_gate_test.

--- /dev/null
+++ b/src/decide/stop_gate.cpp
@@ -0,0 +1,15 @@
+#include "decide/stop_gate.hpp"
+
+namespace boragehill::decide {
+
+void stop_gate::close(time_point now, time_point until) {
+  this->began = now;
+  this->end = until;
+}
+
+bool stop_gate::refuses(int output_tokens, time_point now) const {
+  if (!this->began || now < *this->began + balancer_notices) return false;
+  return now + start_needs + token_needs * output_tokens >= this->end;
+}
+
+}  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/stop_gate.hpp
@@ -0,0 +1,45 @@
+#ifndef BORAGEHILL_DECIDE_STOP_GATE_HPP
+#define BORAGEHILL_DECIDE_STOP_GATE_HPP
+
+#include <optional>
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide {
+
+/// Which requests a router still takes while it stops.
+///
+/// The balancer needs some seconds to send callers elsewhere, so what comes
+/// until then is served. What comes later is served only if it surely ends
+/// before the process does: a longer one would be cut off in the middle, and,
+/// refused at once, its caller finds another router in a moment. Refusing all
+/// of it would be worse where all routers are stopped in quick succession:
+/// then a caller that is sent away meets only others that stop.
+class stop_gate {
+ public:
+  /// The balancer asks once a second and takes a process out of the rotation
+  /// after two misses; the rest is the way there.
+  static constexpr milliseconds balancer_notices{2900};
+  /// Many times what a plain call takes; also a generation's time to its first
+  /// token.
+  static constexpr milliseconds start_needs{1000};
+  /// Half above what a token takes at a full worker.
+  static constexpr milliseconds token_needs{9};
+
+  /// The stop begins.
+  /// \param until When the process ends.
+  void close(time_point now, time_point until);
+
+  /// \param output_tokens The most that the request may generate; 0 for plain
+  ///     services.
+  /// \return True if a request that came now must be refused.
+  bool refuses(int output_tokens, time_point now) const;
+
+ private:
+  std::optional<time_point> began;
+  time_point end;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_STOP_GATE_HPP
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -17,6 +17,8 @@
 /// Part of a server's connections that the routers share among them.
 constexpr double connection_share = 0.9;
 constexpr std::size_t fewest_connections = 4;
+/// A caller that is refused by a router that stops reaches another one.
+constexpr milliseconds other_router_takes{50};
 
 std::int64_t ms_between(time_point from, time_point to) {
   return std::chrono::duration_cast<milliseconds>(to - from).count();
@@ -114,6 +116,11 @@
     this->budget_of(request->service()).on_request(request->request().received);
     ++this->arrivals[key_of(*request)];
   }
+  if (this->gate.refuses(request->fields().output_tokens,
+                         time_point::clock::now())) {
+    return request->refuse(result_code::draining, "the router stops",
+                           other_router_takes);
+  }
   if (this->try_send(request)) return;
   this->wait_in_line(request);
 }
@@ -332,12 +339,16 @@
   return report;
 }
 
+void dispatcher::begin_stop(time_point until) {
+  this->gate.close(time_point::clock::now(), until);
+}
+
 void dispatcher::refuse_waiting() {
-  constexpr milliseconds at_once{50};
   const auto all = std::exchange(this->lines, {});
   for (const auto& [key, line] : all) {
     for (const auto& each : line) {
-      each->refuse(result_code::draining, "the router stops", at_once);
+      each->refuse(result_code::draining, "the router stops",
+                   other_router_takes);
     }
   }
 }
@@ -354,4 +365,12 @@
   return count;
 }
 
+std::size_t dispatcher::open_requests() const {
+  std::size_t count = this->waiting();
+  for (const auto& [key, requests] : this->flights) {
+    count += static_cast<std::size_t>(requests);
+  }
+  return count;
+}
+
 }  // namespace boragehill::serve
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -15,6 +15,7 @@
 
 #include "decide/demand_report.hpp"
 #include "decide/send_budget.hpp"
+#include "decide/stop_gate.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/server_list.hpp"
 #include "serve/entry_metrics.hpp"
@@ -46,6 +47,9 @@
   /// Sets what is called when a request begins to wait.
   void on_waiting(std::function<void()> told) { this->waits = std::move(told); }
 
+  /// The process stops; late requests are refused from now on.
+  void begin_stop(time_point until);
+
   /// Refuses all that wait, as the process ends: another router serves them.
   void refuse_waiting();
 
@@ -56,6 +60,8 @@
     return this->known_catalog && this->servers_known;
   }
   std::size_t waiting() const;
+  /// \return Requests that wait or are at a server.
+  std::size_t open_requests() const;
 
   std::shared_ptr<const fleet::catalog> catalog() const override {
     return this->known_catalog;
@@ -100,6 +106,7 @@
   std::map<flight_key, int> flights;
   std::map<std::string, decide::send_budget> budgets;
   std::function<void()> waits;
+  decide::stop_gate gate;
   bool serving = false;
 };
 
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds report_interval{100};
 constexpr milliseconds urgent_delay{3};
 constexpr milliseconds tidy_interval{1000};
-/// The balancer asks once a second and takes a process out after two misses.
-constexpr milliseconds balancer_notices{3000};
 /// Left before the kill for the last bytes and the end of the threads.
 constexpr milliseconds stop_margin{500};
 constexpr milliseconds drain_poll{50};
@@ -155,7 +153,6 @@
 
 void entry::on_closed(const caller_session* session) {
   this->sessions.erase(session);
-  this->open_requests = this->sessions.size();
 }
 
 void entry::report_in(milliseconds wait) {
@@ -185,7 +182,6 @@
 
 void entry::tidy() {
   this->requests.tidy();
-  this->open_requests = this->sessions.size();
   this->tidy_timer.expires_after(tidy_interval);
   this->tidy_timer.async_wait([this](std::error_code cancelled) {
     if (!cancelled) this->tidy();
@@ -200,21 +196,35 @@
   }
 }
 
+void entry::say_goodbye() {
+  this->loop.post([this] {
+    std::error_code ignored;
+    this->acceptor.close(ignored);
+    this->close_idle();
+  });
+  // The last answers are on their way to their callers.
+  std::this_thread::sleep_for(drain_poll * 2);
+}
+
 void entry::drain() {
   const auto begin = time_point::clock::now();
   const auto end = begin + this->settings.stop_within - stop_margin;
+  // Until the first count is in.
+  this->open_requests = 1;
   this->stopping = true;
-  std::this_thread::sleep_until(std::min(begin + balancer_notices, end));
+  this->loop.post([this, end] { this->requests.begin_stop(end); });
+  std::this_thread::sleep_until(
+      std::min(begin + decide::stop_gate::balancer_notices, end));
   this->close_connections = true;
   while (time_point::clock::now() < end) {
     const bool last_call = time_point::clock::now() >= end - refuse_before_end;
     this->loop.post([this, last_call] {
       if (last_call) this->requests.refuse_waiting();
       this->close_idle();
-      this->open_requests = this->sessions.size();
+      this->open_requests = this->requests.open_requests();
     });
     std::this_thread::sleep_for(drain_poll);
-    if (this->open_requests == 0) return;
+    if (this->open_requests == 0) return this->say_goodbye();
   }
 }
 
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -61,6 +61,7 @@
   void report();
   void tidy();
   void close_idle();
+  void say_goodbye();
   bool is_ready() const;
 
   entry_settings settings;
@@ -83,6 +84,7 @@
   std::atomic<bool> knows_fleet{false};
   std::atomic<bool> stopping{false};
   std::atomic<bool> close_connections{false};
+  /// Requests that have no final answer yet.
   std::atomic<std::size_t> open_requests{0};
 };
 
--- /dev/null
+++ b/test/decide-test/stop_gate_test.cpp
@@ -0,0 +1,35 @@
+#include "decide/stop_gate.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+const time_point begin{std::chrono::seconds(100)};
+constexpr int long_one = 600;
+constexpr int short_one = 100;
+
+TEST(stop_gate_test, refuses_a_late_generation_instead_of_cutting_it) {
+  // A router gets SIGTERM while the rest of its zone is busy, and callers still
+  // reach it six seconds later. What it takes then is cut off when it ends;
+  // refused, it is served by another router.
+  stop_gate gate;
+  EXPECT_FALSE(gate.refuses(long_one, begin));
+  gate.close(begin, begin + std::chrono::seconds(8));
+  EXPECT_FALSE(gate.refuses(long_one, begin + std::chrono::seconds(2)));
+  EXPECT_TRUE(gate.refuses(long_one, begin + std::chrono::seconds(3)));
+}
+
+TEST(stop_gate_test, serves_what_surely_ends_in_time) {
+  // All routers are stopped one after the other, and for a while all of them
+  // stop at once: a caller that is refused meets only others that refuse.
+  stop_gate gate;
+  gate.close(begin, begin + std::chrono::seconds(8));
+  EXPECT_FALSE(gate.refuses(short_one, begin + std::chrono::seconds(5)));
+  EXPECT_TRUE(gate.refuses(short_one, begin + milliseconds(6200)));
+  EXPECT_FALSE(gate.refuses(0, begin + std::chrono::seconds(6)));
+  EXPECT_TRUE(gate.refuses(0, begin + milliseconds(7500)));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
