Send nothing more to a server whose address another lifetime answers

Ruled out: wrong residency told by the planner (the refusing id was another one than the one sent to); the budget's size.

Change: an answer from another lifetime takes the listed one out at that router; a request refused this way tells its caller to come back in 0.6 s.

Test: a plain server is replaced at its address while the store lists both; 80 calls all answered. It failed before (call 75 refused).

--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -87,6 +87,7 @@
   server_listed = 808,
   server_leaving = 809,
   server_gone = 810,
+  server_replaced = 811,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -128,7 +128,7 @@
 bool dispatcher::can_take(const server_state& server,
                           const exchange& request) const {
   if (server.entry.service != request.service()) return false;
-  if (server.entry.draining) return false;
+  if (server.entry.draining || server.replaced) return false;
   if (request.sends().tried(server.entry.id)) return false;
   const auto& asked = request.fields();
   if (asked.model.empty()) return true;
@@ -251,7 +251,18 @@
        {"reason", reached ? "answer broke off" : "connection failed"}});
 }
 
-void dispatcher::on_misdirected(const exchange& request) {
+void dispatcher::on_server_replaced(const exchange& request) {
+  const auto found = this->servers.find(request.server());
+  if (found == this->servers.end() || found->second.replaced) return;
+  found->second.replaced = true;
+  kernel::log_event(kernel::event::server_replaced,
+                    {{"server", request.server()},
+                     {"request", request.fields().attempt},
+                     {"address", found->second.entry.address.to_string()}});
+  this->pool.forget(request.server());
+}
+
+void dispatcher::on_model_missing(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
   const auto& asked = request.fields();
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -72,7 +72,8 @@
   void on_answering(const exchange& request) override;
   void on_left(const exchange& request) override;
   void on_server_failed(const exchange& request, bool reached) override;
-  void on_misdirected(const exchange& request) override;
+  void on_model_missing(const exchange& request) override;
+  void on_server_replaced(const exchange& request) override;
   bool take_repeat(const exchange& request) override;
   void on_finished(const exchange& request) override;
 
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -30,6 +30,9 @@
 /// that a broken one can still be answered otherwise. Longer ones and streams
 /// are passed on as they come.
 constexpr std::uint64_t small_answer = 16384;
+/// A caller that is refused because servers did not take its request comes
+/// back after this; by then the view of the fleet is corrected.
+constexpr milliseconds come_back{600};
 /// A worker that stops at the limit by itself says so within this; its answer
 /// is better than ours.
 constexpr milliseconds limit_slack{60};
@@ -138,6 +141,7 @@
   if (!this->offered) this->offered = now;
   this->not_run_answer = false;
   this->misdirected = false;
+  this->replaced = false;
   this->small_head.reset();
   this->small_body.clear();
   const auto left = std::chrono::floor<milliseconds>(this->limit - now);
@@ -178,6 +182,7 @@
   if (answer.not_run) {
     this->not_run_answer = true;
     this->misdirected = answer.misdirected;
+    this->replaced = !answer.server.empty() && answer.server != this->at;
     return true;
   }
   const bool success =
@@ -265,7 +270,11 @@
   if (this->done) return;
   if (this->not_run_answer) {
     this->record.on_not_run(this->misdirected);
-    if (this->misdirected) this->host.on_misdirected(*this);
+    if (this->replaced) {
+      this->host.on_server_replaced(*this);
+    } else if (this->misdirected) {
+      this->host.on_model_missing(*this);
+    }
     this->leave_server();
     return this->again("server did not run it");
   }
@@ -304,7 +313,7 @@
     return this->host.place(this->shared_from_this());
   }
   if (this->head_passed) return this->break_off(why);
-  this->refuse(result_code::outcome_unknown, why, milliseconds(0));
+  this->refuse(result_code::outcome_unknown, why, come_back);
 }
 
 void exchange::on_limit() {
--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -44,8 +44,12 @@
   /// A server failed it: it couldn't be reached, or broke an answer off.
   virtual void on_server_failed(const exchange& request, bool reached) = 0;
 
-  /// A server refused it because the model or the lifetime isn't there.
-  virtual void on_misdirected(const exchange& request) = 0;
+  /// A server refused it because the model isn't there.
+  virtual void on_model_missing(const exchange& request) = 0;
+
+  /// Another lifetime answered at the server's address: the server is gone,
+  /// though it is still listed.
+  virtual void on_server_replaced(const exchange& request) = 0;
 
   /// \return True if the service's repeats leave room for one more; takes it.
   virtual bool take_repeat(const exchange& request) = 0;
--- a/src/serve/server_state.hpp
+++ b/src/serve/server_state.hpp
@@ -16,6 +16,10 @@
   fleet::server entry;
   /// What the planner said it holds; nothing before it did.
   std::optional<std::vector<fleet::resident_model>> told;
+  /// Another lifetime answered at its address. The platform lists a server
+  /// that crashed for seconds longer, with all it held; each request sent
+  /// there would be refused and count as a repeat.
+  bool replaced = false;
   /// Requests of this router there.
   int own_requests = 0;
   /// Prompt tokens of those among them that have no answer yet.
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -88,6 +88,20 @@
   EXPECT_EQ(fleet.truth("plain-1")["runs"].size(), before);
 }
 
+TEST(calm_day_test, a_server_that_was_replaced_gets_one_request_at_most) {
+  // A server crashes and another lifetime starts at its address. The platform
+  // lists both for seconds; each request for the first one is refused, sent
+  // again elsewhere, and uses up the retry budget, until callers are refused.
+  small_fleet fleet(1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.replace_plain(1, "i-second");
+  for (int each = 0; each < 80; ++each) {
+    const auto answer = fleet.call(1, "q" + std::to_string(each), {});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << each;
+  }
+}
+
 TEST(calm_day_test, another_router_plans_when_the_planner_is_killed) {
   // The router that plans loses its machine. Until another one plans no model
   // is woken; a request that waits meanwhile is served, not refused.
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -75,9 +75,7 @@
   for (int each = 1; each <= plains; ++each) {
     const auto name = numbered("plain", each);
     place(name);
-    this->add_standin(name, "worker",
-                      {"--id=i-" + name, "--service_name=sheets",
-                       "--store=" + store, "--delay_ms=5"});
+    this->add_plain(name, "i-" + name);
   }
   for (int each = 1; each <= routers; ++each) {
     const auto name = numbered("router", each);
@@ -300,6 +298,25 @@
   return true;
 }
 
+void small_fleet::add_plain(const std::string& name, const std::string& id) {
+  const std::string store = this->address_of("store") + ":" +
+                            std::to_string(this->port_base + store_port_offset);
+  this->add_standin(name, "worker",
+                    {"--id=" + id, "--service_name=sheets", "--store=" + store,
+                     "--delay_ms=5"});
+}
+
+void small_fleet::replace_plain(int number, const std::string& id) {
+  const auto name = numbered("plain", number);
+  (*this)[name].kill();
+  this->add_plain(name, id);
+  (*this)[name].start();
+  for (int tries = 0; tries < 250; ++tries) {
+    if (this->truth(name).isObject()) return;
+    std::this_thread::sleep_for(poll);
+  }
+}
+
 void small_fleet::drain(const std::string& worker) {
   this->post(worker, "/standin/drain", "{}");
 }
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -54,6 +54,9 @@
   /// \return True if no worker was ordered beyond its memory or by two.
   bool orders_were_sound();
   void drain(const std::string& worker);
+  /// Kills a plain server and starts another lifetime at its address; the
+  /// store goes on listing the first one, too.
+  void replace_plain(int number, const std::string& id);
   /// \return The router that plans, by the store's row; empty if none.
   std::string planner();
 
@@ -63,6 +66,7 @@
                    const std::vector<std::string>& flags);
   void add_own(const std::string& name, const std::string& role,
                const std::string& machine);
+  void add_plain(const std::string& name, const std::string& id);
   std::string address_of(const std::string& machine) const;
   void post(const std::string& standin, const std::string& path,
             const std::string& body);
