Refuse waiting callers as soon as it is known that their model comes too late

Ruled out: holding shorter for all (most loads from disk are there in 1.3 s).

Change: the planner tells routers when models that are asked for will be there; a pure judge weighs that against how long callers stay and refuses at once with that time as Retry-After. Without an expectation a caller is held until just before it leaves.

--- a/src/fleet/route.hpp
+++ b/src/fleet/route.hpp
@@ -22,6 +22,8 @@
   milliseconds timeout{0};
   /// The time within which an answer is worth most.
   milliseconds latency_objective{0};
+  /// The longest time between two events with which a stream is on time.
+  milliseconds gap_objective{0};
   /// 0 is the most urgent.
   int priority = 0;
   /// The most workers that may run one attempt of a caller.
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "decide/server_choice.hpp"
+#include "decide/wait_limit.hpp"
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
 #include "serve/exchange.hpp"
@@ -93,12 +94,19 @@
     found->second.told = each.models;
     found->second.other_requests = each.other_requests;
   }
+  this->expected.clear();
+  const auto now = time_point::clock::now();
+  for (const auto& each : update.expected) {
+    this->expected[each.model] = now + each.ready_in;
+  }
   this->metrics.set_planner_term(static_cast<double>(update.term));
   this->serve_waiting();
+  this->judge_waiting();
 }
 
 void dispatcher::on_planner_lost() {
   this->planner_linked = false;
+  this->expected.clear();
   for (auto& [id, state] : this->servers) {
     state.told.reset();
     state.other_requests = 0;
@@ -360,6 +368,40 @@
   return report;
 }
 
+std::optional<milliseconds> dispatcher::in_vain(const exchange& request,
+                                                time_point now) const {
+  const auto& route = *request.route();
+  decide::wait_case waiting{
+      .waited = milliseconds(ms_between(request.request().received, now)),
+      .left = milliseconds(ms_between(now, request.due())),
+      .stream = route.rule == fleet::repeat_rule::stream,
+      .objective = route.latency_objective,
+      .gap_objective = route.gap_objective};
+  const auto known = this->expected.find(request.fields().model);
+  if (known != this->expected.end()) {
+    waiting.ready_in =
+        milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
+  }
+  return decide::refuse_waiting_now(waiting);
+}
+
+void dispatcher::judge_waiting() {
+  const auto now = time_point::clock::now();
+  std::vector<std::pair<std::shared_ptr<exchange>, milliseconds>> refused;
+  for (const auto& [key, line] : this->lines) {
+    for (const auto& each : line) {
+      if (const auto back = this->in_vain(*each, now)) {
+        refused.emplace_back(each, *back);
+      }
+    }
+  }
+  for (const auto& [request, back] : refused) {
+    this->withdraw(*request);
+    request->refuse(result_code::deadline_unreachable,
+                    "no worker has the model in time", back);
+  }
+}
+
 void dispatcher::begin_stop(time_point until) {
   this->gate.close(time_point::clock::now(), until);
 }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -53,6 +53,9 @@
   /// Refuses all that wait, as the process ends: another router serves them.
   void refuse_waiting();
 
+  /// Refuses those that wait in vain; called some times a second.
+  void judge_waiting();
+
   /// Looks after connections that grow old; called every second or so.
   void tidy();
 
@@ -85,6 +88,8 @@
   using waiting_line = std::deque<std::shared_ptr<exchange>>;
 
   static demand_key key_of(const exchange& request);
+  std::optional<milliseconds> in_vain(const exchange& request,
+                                      time_point now) const;
   bool try_send(const std::shared_ptr<exchange>& request);
   bool can_take(const server_state& server, const exchange& request) const;
   std::size_t most_connections(const std::string& service) const;
@@ -105,6 +110,8 @@
   int routers = 4;
   std::map<demand_key, waiting_line> lines;
   std::map<demand_key, int> arrivals;
+  /// When models that are asked for will be there, as the planner said.
+  std::map<std::string, time_point> expected;
   std::map<flight_key, int> flights;
   std::map<std::string, decide::send_budget> budgets;
   std::function<void()> waits;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -172,6 +172,7 @@
 }
 
 void entry::report() {
+  this->requests.judge_waiting();
   if (!this->finder->linked()) return;
   auto report = this->requests.take_report();
   if (report == this->last_report && report.demands.empty()) return;
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -41,6 +41,7 @@
     std::shared_ptr<wire::message_link> link;
     std::string router;
     std::map<std::string, wire::server_view> told;
+    std::map<std::string, time_point> expected;
     bool greeted = false;
   };
   struct agent_link {
@@ -62,6 +63,7 @@
   void log_move(const decide::residency_move& move) const;
   void tell_agents();
   void tell_routers();
+  bool expects_the_same(const router_link& router) const;
   std::map<std::string, int> requests_of(const std::string& router) const;
 
   entry_settings settings;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -93,6 +93,9 @@
     view["others"] = each.other_requests;
     list.append(view);
   }
+  for (const auto& each : update.expected) {
+    message["expected"][each.model] = Json::Int64(each.ready_in.count());
+  }
   return message;
 }
 
@@ -105,6 +108,11 @@
                               .models = decode_models(each["models"]),
                               .other_requests = each["others"].asInt()});
   }
+  const auto& expected = message["expected"];
+  for (const auto& model : expected.getMemberNames()) {
+    update.expected.push_back(
+        {.model = model, .ready_in = milliseconds(expected[model].asInt64())});
+  }
   return update;
 }
 
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "wire/expected_model.hpp"
 #include "wire/server_view.hpp"
 
 namespace boragehill::wire {
@@ -18,6 +19,8 @@
   int routers = 0;
   bool whole = false;
   std::vector<server_view> servers;
+  /// Models that are asked for and stand nowhere; all of them each time.
+  std::vector<expected_model> expected;
 
   bool operator==(const view_update&) const = default;
 };
--- /dev/null
+++ b/test/decide-test/wait_limit_test.cpp
@@ -0,0 +1,48 @@
+#include "decide/wait_limit.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+const wait_case chat{.waited = milliseconds(100),
+                     .left = milliseconds(11900),
+                     .stream = true,
+                     .objective = milliseconds(500),
+                     .gap_objective = milliseconds(250)};
+
+TEST(wait_limit_test, refuses_at_once_what_its_caller_will_not_wait_for) {
+  // Demand moves to a model without a copy at hand: its load takes six
+  // seconds, and callers leave after two. Held they all get nothing.
+  auto waiting = chat;
+  waiting.ready_in = milliseconds(6000);
+  EXPECT_EQ(refuse_waiting_now(waiting), milliseconds(6100));
+  waiting.ready_in = milliseconds(1200);
+  EXPECT_EQ(refuse_waiting_now(waiting), std::nullopt);
+}
+
+TEST(wait_limit_test, waits_on_while_nobody_knows_and_the_caller_stays) {
+  EXPECT_EQ(refuse_waiting_now(chat), std::nullopt);
+  auto waiting = chat;
+  waiting.waited = milliseconds(1900);
+  EXPECT_EQ(refuse_waiting_now(waiting), milliseconds(1100));
+}
+
+TEST(wait_limit_test, knows_how_long_callers_stay) {
+  EXPECT_EQ(patience_of(chat), milliseconds(2000));
+  auto draft = chat;
+  draft.objective = milliseconds(3000);
+  EXPECT_EQ(patience_of(draft), milliseconds(12000));
+  auto slow_events = chat;
+  slow_events.gap_objective = milliseconds(1000);
+  EXPECT_EQ(patience_of(slow_events), milliseconds(8000));
+  auto plain = chat;
+  plain.stream = false;
+  EXPECT_EQ(patience_of(plain), milliseconds(12000));
+  auto hurried = chat;
+  hurried.left = milliseconds(700);
+  EXPECT_EQ(patience_of(hurried), milliseconds(800));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
