List one lifetime an address, and let a new planner hear all before the store

It also mapped a report to the earlier lifetime at the same address, so that orders got 421.

Change: of two entries with one address only the one changed last is listed; a planner that began, or meets a new worker, waits up to 0.6 s for its report before it loads from the store.

Tests: both stories in server_book_test and residency_planner_test.

--- a/src/decide/planned_worker.hpp
+++ b/src/decide/planned_worker.hpp
@@ -17,6 +17,8 @@
 /// A model worker as the planner sees it.
 struct planned_worker {
   fleet::server entry;
+  /// When the planner first heard of it.
+  time_point listed;
   /// The last report of its agent, and when it came.
   std::optional<fleet::worker_report> report;
   time_point reported;
--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -21,6 +21,10 @@
   milliseconds settle{1000};
   /// Reports older than this say nothing of a worker: it gets no orders.
   milliseconds report_trust{1500};
+  /// So long after a planner began, or a worker appeared, a load from the store
+  /// waits for workers that haven't reported yet: they may have a copy on
+  /// disk, and the store takes several times as long.
+  milliseconds acquaint{600};
   /// A load that takes this many times as long as it should is given up.
   int patience = 4;
 
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -81,11 +81,22 @@
   this->catalog = std::move(news);
 }
 
-void residency_planner::set_servers(const fleet::server_list& list) {
+void residency_planner::begin(time_point now) {
+  this->began = now;
+  this->routers.clear();
+  for (auto& [id, worker] : this->known) worker.report.reset();
+}
+
+void residency_planner::set_servers(const fleet::server_list& list,
+                                    time_point now) {
   std::erase_if(this->known, [&list](const auto& each) {
     return !list.servers.contains(each.first);
   });
-  for (const auto& [id, entry] : list.servers) this->known[id].entry = entry;
+  for (const auto& [id, entry] : list.servers) {
+    const auto added = this->known.try_emplace(id);
+    if (added.second) added.first->second.listed = now;
+    added.first->second.entry = entry;
+  }
 }
 
 void residency_planner::on_report(const std::string& server,
@@ -178,6 +189,7 @@
 std::vector<residency_move> residency_planner::step(time_point now) {
   if (!this->catalog) return {};
   this->sum_up();
+  this->expectations.clear();
   for (const auto& service : this->catalog->services) {
     if (!service.has_engine) continue;
     this->wake_waiting(service, now);
@@ -205,9 +217,45 @@
               }
               return one.oldest > other.oldest;
             });
+  std::vector<const fleet::model*> unplaced;
   for (const auto* model : asked) {
     const auto chosen = this->choose_worker(service, *model, now);
-    if (chosen) this->carry_out(*chosen, *model, "wake", now);
+    if (chosen) {
+      this->carry_out(*chosen, *model, "wake", now);
+    } else {
+      unplaced.push_back(model);
+    }
+  }
+  this->expect_later(service, unplaced, now);
+}
+
+void residency_planner::expect_later(
+    const fleet::service& service,
+    const std::vector<const fleet::model*>& unplaced, time_point now) {
+  std::map<std::string, time_point> free_at;
+  for (const auto& [id, worker] : this->known) {
+    const bool counts = worker.entry.service == service.name &&
+                        !worker.entry.draining && this->fresh(worker, now);
+    if (!counts) continue;
+    auto& at = free_at[id] = now;
+    if (!worker.pending) continue;
+    at = std::max(worker.pending->due, now + busy_margin);
+    if (!worker.report->find(worker.pending->model)) {
+      this->expectations[worker.pending->model] = at;
+    }
+  }
+  for (const auto* model : unplaced) {
+    std::string soonest;
+    time_point ready;
+    for (const auto& [id, at] : free_at) {
+      const auto there = at + load_time(*this->known.at(id).report, *model);
+      if (!soonest.empty() && there >= ready) continue;
+      soonest = id;
+      ready = there;
+    }
+    if (soonest.empty()) return;
+    free_at[soonest] = ready;
+    this->expectations[model->name] = ready;
   }
 }
 
@@ -261,7 +309,8 @@
   choice found{.worker = id,
                .time = load_time(*worker.report, model),
                .from_store = comes_from_store(*worker.report, model)};
-  if (found.from_store && this->store_loads() >= this->settings.store_loads) {
+  if (found.from_store && (this->store_loads() >= this->settings.store_loads ||
+                           this->acquainting(service, now))) {
     return std::nullopt;
   }
   std::vector<std::pair<double, std::string>> droppable;
@@ -447,6 +496,16 @@
          this->fresh(worker, now) && !worker.pending && !worker.report->busy;
 }
 
+bool residency_planner::acquainting(const fleet::service& service,
+                                    time_point now) const {
+  for (const auto& [id, worker] : this->known) {
+    if (worker.entry.service != service.name || worker.report) continue;
+    const auto since = std::max(worker.listed, this->began);
+    if (now < since + this->settings.acquaint) return true;
+  }
+  return false;
+}
+
 int residency_planner::store_loads() const {
   int count = 0;
   for (const auto& [id, worker] : this->known) {
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -37,7 +37,9 @@
       : settings(settings) {}
 
   void set_catalog(std::shared_ptr<const fleet::catalog> news);
-  void set_servers(const fleet::server_list& list);
+  void set_servers(const fleet::server_list& list, time_point now);
+  /// The planner takes up its work: what it knew may be old.
+  void begin(time_point now);
   void on_report(const std::string& server, const fleet::worker_report& report,
                  time_point now);
   /// The worker doesn't answer its agent: what it held serves nobody.
@@ -50,6 +52,12 @@
   /// \return The loads that were decided now.
   std::vector<residency_move> step(time_point now);
 
+  /// \return When models that are asked for and stand nowhere will be on a
+  ///     worker, as of the last step.
+  const std::map<std::string, time_point>& expected() const {
+    return this->expectations;
+  }
+
   /// \return The model workers by id.
   const std::map<std::string, planned_worker>& workers() const {
     return this->known;
@@ -61,6 +69,10 @@
   void sum_up();
   void settle_pending(planned_worker& worker, time_point now);
   void wake_waiting(const fleet::service& service, time_point now);
+  /// Reckons when models will be there that wait for a worker to be free.
+  void expect_later(const fleet::service& service,
+                    const std::vector<const fleet::model*>& unplaced,
+                    time_point now);
   void relieve_busy(const fleet::service& service, time_point now);
   void place_adapters(const fleet::service& service, time_point now);
   void place_adapter(const fleet::service& service, const std::string& model,
@@ -82,13 +94,17 @@
   bool usable(const planned_worker& worker, const fleet::service& service,
               time_point now) const;
   int store_loads() const;
+  /// \return True while a worker that may have a copy hasn't reported yet.
+  bool acquainting(const fleet::service& service, time_point now) const;
 
   planner_settings settings;
   std::shared_ptr<const fleet::catalog> catalog;
   std::map<std::string, planned_worker> known;
   std::map<std::string, demand_report> routers;
   std::map<std::string, model_state> models;
+  time_point began;
   std::vector<residency_move> moves;
+  std::map<std::string, time_point> expectations;
 };
 
 }  // namespace boragehill::decide
--- a/src/fleet/server.hpp
+++ b/src/fleet/server.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_FLEET_SERVER_HPP
 #define BORAGEHILL_FLEET_SERVER_HPP
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
   /// New at each start of the server.
   std::string id;
   std::string service;
+  /// The store's counter at the entry's last change.
+  std::int64_t version = 0;
   endpoint address;
   std::string failure_domain;
   /// It leaves and must get no new requests.
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds plan_interval{100};
 /// After news; news that comes meanwhile is planned with it.
 constexpr milliseconds plan_delay{8};
+/// Routers needn't hear of a smaller change of an expectation.
+constexpr milliseconds expectation_slack{200};
 /// Between two tries to reach an agent.
 constexpr milliseconds agent_retry_interval{300};
 
@@ -45,6 +47,7 @@
   this->loop.post([this, new_term] {
     kernel::log_event(kernel::event::planner_leads, {{"term", new_term}});
     this->term = new_term;
+    this->planner.begin(time_point::clock::now());
     // What an earlier term told the agents must be told again under this one.
     for (auto& [address, each] : this->agents) each.told = {};
     this->link_agents();
@@ -60,7 +63,7 @@
 void planner_duty::set_servers(std::shared_ptr<const fleet::server_list> news) {
   this->loop.post([this, news = std::move(news)] {
     this->servers = *news;
-    this->planner.set_servers(*news);
+    this->planner.set_servers(*news, time_point::clock::now());
     if (this->term == 0) return;
     this->link_agents();
     this->plan_soon();
@@ -256,7 +259,19 @@
   return requests;
 }
 
+bool planner_duty::expects_the_same(const router_link& router) const {
+  const auto& news = this->planner.expected();
+  if (news.size() != router.expected.size()) return false;
+  return std::equal(news.begin(), news.end(), router.expected.begin(),
+                    [](const auto& one, const auto& other) {
+                      return one.first == other.first &&
+                             std::chrono::abs(one.second - other.second) <
+                                 expectation_slack;
+                    });
+}
+
 void planner_duty::tell_routers() {
+  const auto now = time_point::clock::now();
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
@@ -277,7 +292,14 @@
       each.told[id] = view;
       update.servers.push_back(std::move(view));
     }
-    if (update.servers.empty() && each.greeted) continue;
+    const bool same = this->expects_the_same(each);
+    if (update.servers.empty() && each.greeted && same) continue;
+    if (!same) each.expected = this->planner.expected();
+    for (const auto& [model, at] : this->planner.expected()) {
+      update.expected.push_back(
+          {.model = model,
+           .ready_in = std::chrono::ceil<milliseconds>(at - now)});
+    }
     each.greeted = true;
     each.link->send(wire::encode(update));
   }
--- a/test/adapter-test/server_book_test.cpp
+++ b/test/adapter-test/server_book_test.cpp
@@ -7,6 +7,7 @@
 
 const time_point begin{std::chrono::seconds(100)};
 constexpr auto ready = R"({"service":"s","addr":"10.0.0.1:1","state":"ready"})";
+constexpr auto other = R"({"service":"s","addr":"10.0.0.2:1","state":"ready"})";
 constexpr auto draining =
     R"({"service":"s","addr":"10.0.0.1:1","state":"draining"})";
 
@@ -40,7 +41,7 @@
   server_book book;
   book.set_reached(true, begin);
   book.apply(entry("i-1", ready), true, begin);
-  book.apply(entry("i-2", ready), false, begin);
+  book.apply(entry("i-2", other), false, begin);
   book.set_reached(false, begin + std::chrono::seconds(1));
   const auto back = begin + std::chrono::seconds(9);
   book.set_reached(true, back);
@@ -64,6 +65,25 @@
   EXPECT_FALSE(lists(book, "i-1"));
 }
 
+TEST(server_book_test, a_server_that_restarted_is_listed_once) {
+  // All machines lose power and come back. The store still has each worker's
+  // earlier lifetime, with models that nobody holds any more; a planner that
+  // believed it ordered loads from lifetimes that are gone.
+  server_book book;
+  book.apply({.rows = {{.table = "servers",
+                        .key = "i-9-old",
+                        .value = ready,
+                        .version = 7},
+                       {.table = "servers",
+                        .key = "i-1-new",
+                        .value = ready,
+                        .version = 12}},
+              .version = 12},
+             true, begin);
+  EXPECT_FALSE(lists(book, "i-9-old"));
+  EXPECT_TRUE(lists(book, "i-1-new"));
+}
+
 TEST(server_book_test, an_entry_that_cannot_be_read_changes_nothing) {
   server_book book;
   book.apply(entry("i-1", ready), true, begin);
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -32,7 +32,7 @@
       this->list.servers[id] = {.id = id, .service = "assist", .slots = 64};
       this->reports[id] = {.server = id};
     }
-    this->planner.set_servers(this->list);
+    this->planner.set_servers(this->list, this->now);
   }
 
   void hold(const std::string& worker, const std::vector<std::string>& models) {
@@ -213,6 +213,34 @@
   EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w0"});
 }
 
+TEST(residency_planner_test, a_new_planner_waits_for_reports_before_the_store) {
+  // All machines come back from a power loss. The first agent to report has no
+  // copy of the busy model, the next one, a moment later, has: a load from the
+  // store that was begun in between kept its callers out for six seconds.
+  planned_fleet fleet(2, 8);
+  fleet.copies_on_disk("w1", {"m0"});
+  fleet.planner.begin(fleet.now);
+  fleet.planner.on_report("w0", fleet.reports["w0"], fleet.now);
+  fleet.demand({waiting("m0")});
+  fleet.step();
+  EXPECT_TRUE(fleet.workers_for("m0").empty());
+  fleet.now += milliseconds(80);
+  fleet.planner.on_report("w1", fleet.reports["w1"], fleet.now);
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w1"});
+}
+
+TEST(residency_planner_test, a_new_planner_does_not_wait_for_ever) {
+  planned_fleet fleet(2, 8);
+  fleet.planner.begin(fleet.now);
+  fleet.planner.on_report("w0", fleet.reports["w0"], fleet.now);
+  fleet.now += std::chrono::seconds(1);
+  fleet.planner.on_report("w0", fleet.reports["w0"], fleet.now);
+  fleet.demand({waiting("m0")});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w0"});
+}
+
 TEST(residency_planner_test, a_crashed_workers_replica_does_not_count) {
   // Two workers hold a busy model and one crashes. The platform lists it for
   // seconds longer; taken for a second replica it lets the last living one be
@@ -237,7 +265,7 @@
   planned_fleet fleet(2, 8);
   fleet.copies_on_disk("w0", {"m0"});
   fleet.list.servers["w0"].draining = true;
-  fleet.planner.set_servers(fleet.list);
+  fleet.planner.set_servers(fleet.list, fleet.now);
   fleet.report();
   fleet.demand({waiting("m0")});
   fleet.step();
