Take no request in a stopping router's last moment; tell routers less

Two findings, two changes:

Ruled out: the gate's estimate (the request was short). Now the router stops taking requests in the same step in which it finds none open. Tests: stop_gate_test, and a process test that calls on to the router's end.

What was found: the planner sent over a megabyte a second, and some machines there have links of 10 Mbit/s; with the planner on one of those its news comes seconds late. Now it tells a router of models at once, of loads only when they change a choice (a quarter and three requests), and models only when they changed; machines with a link under 100 Mbit/s are the last to take the planner's row. Tests: view_filter_test, planner_codec_test.

--- a/src/decide/stop_gate.cpp
+++ b/src/decide/stop_gate.cpp
@@ -8,6 +8,7 @@
 }
 
 bool stop_gate::refuses(int output_tokens, time_point now) const {
+  if (this->shut_for_good) return true;
   if (!this->began || now < *this->began + balancer_notices) return false;
   return now + start_needs + token_needs * output_tokens >= this->end;
 }
--- a/src/decide/stop_gate.hpp
+++ b/src/decide/stop_gate.hpp
@@ -30,6 +30,10 @@
   /// \param until When the process ends.
   void close(time_point now, time_point until);
 
+  /// Nothing is open any more, and the process ends: from now on all is
+  /// refused, so that no request is taken in the last moment and cut off.
+  void shut() { this->shut_for_good = true; }
+
   /// \param output_tokens The most that the request may generate; 0 for plain
   ///     services.
   /// \return True if a request that came now must be refused.
@@ -38,6 +42,7 @@
  private:
   std::optional<time_point> began;
   time_point end;
+  bool shut_for_good = false;
 };
 
 }  // namespace boragehill::decide
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -91,7 +91,7 @@
   for (const auto& each : update.servers) {
     const auto found = this->servers.find(each.server);
     if (found == this->servers.end()) continue;
-    found->second.told = each.models;
+    if (each.models) found->second.told = *each.models;
     found->second.other_requests = each.other_requests;
   }
   this->expected.clear();
@@ -406,6 +406,12 @@
   this->gate.close(time_point::clock::now(), until);
 }
 
+bool dispatcher::shut_if_idle() {
+  if (this->open_requests() > 0) return false;
+  this->gate.shut();
+  return true;
+}
+
 void dispatcher::refuse_waiting() {
   const auto all = std::exchange(this->lines, {});
   for (const auto& [key, line] : all) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -49,6 +49,9 @@
 
   /// The process stops; late requests are refused from now on.
   void begin_stop(time_point until);
+  /// Takes no request any more if none is open.
+  /// \return False if one is.
+  bool shut_if_idle();
 
   /// Refuses all that wait, as the process ends: another router serves them.
   void refuse_waiting();
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -23,6 +23,10 @@
 constexpr milliseconds report_interval{100};
 constexpr milliseconds urgent_delay{3};
 constexpr milliseconds tidy_interval{1000};
+/// The planner sends each router some kilobytes a second; on a link below this
+/// that would crowd out the answers to callers.
+constexpr double weak_link_mbps = 100;
+constexpr milliseconds weak_machine_waits{400};
 /// Left before the kill for the last bytes and the end of the threads.
 constexpr milliseconds stop_margin{500};
 constexpr milliseconds drain_poll{50};
@@ -46,7 +50,9 @@
       finder(std::make_unique<planner_finder>(
           this->loop, *this->store,
           fleet::planner_row{.router = settings.id,
-                             .address = settings.planner_address()})),
+                             .address = settings.planner_address()},
+          settings.link_mbps < weak_link_mbps ? weak_machine_waits
+                                              : milliseconds(0))),
       acceptor(this->loop.context()),
       report_timer(this->loop.context()),
       tidy_timer(this->loop.context()),
@@ -210,8 +216,6 @@
 void entry::drain() {
   const auto begin = time_point::clock::now();
   const auto end = begin + this->settings.stop_within - stop_margin;
-  // Until the first count is in.
-  this->open_requests = 1;
   this->stopping = true;
   this->loop.post([this, end] { this->requests.begin_stop(end); });
   std::this_thread::sleep_until(
@@ -222,10 +226,10 @@
     this->loop.post([this, last_call] {
       if (last_call) this->requests.refuse_waiting();
       this->close_idle();
-      this->open_requests = this->requests.open_requests();
+      this->shut = this->requests.shut_if_idle();
     });
     std::this_thread::sleep_for(drain_poll);
-    if (this->open_requests == 0) return this->say_goodbye();
+    if (this->shut) return this->say_goodbye();
   }
 }
 
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -84,8 +84,8 @@
   std::atomic<bool> knows_fleet{false};
   std::atomic<bool> stopping{false};
   std::atomic<bool> close_connections{false};
-  /// Requests that have no final answer yet.
-  std::atomic<std::size_t> open_requests{0};
+  /// The process takes no request any more and has none.
+  std::atomic<bool> shut{false};
 };
 
 }  // namespace boragehill::serve
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -57,6 +57,9 @@
   settings.listen = entry.address("listen", std::nullopt);
   settings.ready = entry.address("ready", std::nullopt);
   settings.stop_within = seconds_read(entry, "stop_within_s", 8, most_seconds);
+  constexpr double most_mbps = 10000000;
+  settings.link_mbps =
+      process.real("link_mbps", settings.link_mbps, 0, most_mbps);
   settings.queue_share = entry.real("queue_share", settings.queue_share, 0, 10);
   read_budget(document, settings.budget);
   read_planner(document, settings.planner);
--- a/src/serve/entry_settings.hpp
+++ b/src/serve/entry_settings.hpp
@@ -33,6 +33,9 @@
   endpoint ready;
   /// The planner's port, and the agents'; metrics are on the next one.
   std::uint16_t link_port = 0;
+  /// What the machine's link carries, in megabits a second; a weak machine is
+  /// the last to become the planner.
+  double link_mbps = 1000;
   /// From SIGTERM to the end of the process.
   milliseconds stop_within{8000};
   decide::send_budget_settings budget;
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -1,8 +1,11 @@
 #include "serve/planner_duty.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
+#include <vector>
 
+#include "decide/view_filter.hpp"
 #include "kernel/event_log.hpp"
 #include "wire/planner_codec.hpp"
 
@@ -20,6 +23,32 @@
 /// Between two tries to reach an agent.
 constexpr milliseconds agent_retry_interval{300};
 
+std::vector<fleet::resident_model> kept_models(
+    const decide::planned_worker& worker) {
+  std::vector<fleet::resident_model> kept;
+  for (const auto& each : worker.report->models) {
+    if (worker.meant_for(each.name)) kept.push_back(each);
+  }
+  return kept;
+}
+
+/// \param told What the router was told of the worker; brought up to date.
+/// \return What it has to hear now, if anything.
+std::optional<wire::server_view> news_of(wire::server_view& told,
+                                         const decide::planned_worker& worker,
+                                         int others) {
+  auto models = kept_models(worker);
+  const bool same = told.models && *told.models == models;
+  if (same && !decide::worth_telling(told.other_requests, others)) {
+    return std::nullopt;
+  }
+  wire::server_view news{.server = worker.entry.id, .other_requests = others};
+  if (!same) news.models = models;
+  told.other_requests = others;
+  told.models = std::move(models);
+  return news;
+}
+
 }  // namespace
 
 planner_duty::planner_duty(const entry_settings& settings)
@@ -280,17 +309,11 @@
                              .whole = !each.greeted};
     for (const auto& [id, worker] : this->planner.workers()) {
       if (!worker.report) continue;
-      wire::server_view view{.server = id};
-      for (const auto& model : worker.report->models) {
-        if (worker.meant_for(model.name)) view.models.push_back(model);
-      }
       const auto mine = own.find(id);
-      view.other_requests =
+      const int others =
           worker.requests - (mine == own.end() ? 0 : mine->second);
-      const auto told = each.told.find(id);
-      if (told != each.told.end() && told->second == view) continue;
-      each.told[id] = view;
-      update.servers.push_back(std::move(view));
+      auto news = news_of(each.told[id], worker, others);
+      if (news) update.servers.push_back(std::move(*news));
     }
     const bool same = this->expects_the_same(each);
     if (update.servers.empty() && each.greeted && same) continue;
--- a/src/serve/planner_finder.cpp
+++ b/src/serve/planner_finder.cpp
@@ -24,8 +24,12 @@
 
 planner_finder::planner_finder(kernel::event_loop& loop,
                                fleet::platform_store& store,
-                               fleet::planner_row own)
-    : loop(loop), store(store), own(std::move(own)), timer(loop.context()) {}
+                               fleet::planner_row own, milliseconds reluctance)
+    : loop(loop),
+      store(store),
+      own(std::move(own)),
+      reluctance(reluctance),
+      timer(loop.context()) {}
 
 void planner_finder::on_events(message_receiver receive_message,
                                lost_receiver lost, lead_receiver lead) {
@@ -66,11 +70,20 @@
   const bool ours = found.router == this->own.router;
   const bool vacant = found.term == 0 || found.term == this->failed_term;
   if (vacant || (ours && found.term != this->followed.term)) {
-    return this->take(found);
+    return this->take_later(found);
   }
   this->follow(found);
 }
 
+void planner_finder::take_later(const fleet::planner_row& known) {
+  if (this->reluctance == milliseconds(0)) return this->take(known);
+  // By then a stronger router has taken it; the condition on the row tells.
+  this->timer.expires_after(this->reluctance);
+  this->timer.async_wait([this, known](std::error_code cancelled) {
+    if (!cancelled && !this->stopped) this->take(known);
+  });
+}
+
 void planner_finder::take(const fleet::planner_row& known) {
   this->store.take_planner(known, this->own,
                            [this](const result<fleet::planner_row>& row) {
--- a/src/serve/planner_finder.hpp
+++ b/src/serve/planner_finder.hpp
@@ -30,8 +30,10 @@
   /// Called when this router became the planner.
   using lead_receiver = std::function<void(std::int64_t term)>;
 
+  /// \param reluctance How much longer this router waits than others before it
+  ///     makes itself the planner.
   planner_finder(kernel::event_loop& loop, fleet::platform_store& store,
-                 fleet::planner_row own);
+                 fleet::planner_row own, milliseconds reluctance);
 
   void on_events(message_receiver receive, lost_receiver on_lost,
                  lead_receiver on_lead);
@@ -49,6 +51,7 @@
   void look_later(milliseconds wait);
   void look();
   void on_row(const result<fleet::planner_row>& row);
+  void take_later(const fleet::planner_row& known);
   void take(const fleet::planner_row& known);
   void follow(const fleet::planner_row& row);
   void on_link_lost();
@@ -56,6 +59,7 @@
   kernel::event_loop& loop;
   fleet::platform_store& store;
   fleet::planner_row own;
+  milliseconds reluctance;
   message_receiver receive;
   lost_receiver on_lost;
   lead_receiver on_lead;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -1,6 +1,7 @@
 #include "wire/planner_codec.hpp"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace boragehill::wire {
@@ -89,7 +90,7 @@
   for (const auto& each : update.servers) {
     Json::Value view;
     view["server"] = each.server;
-    view["models"] = encode_models(each.models);
+    if (each.models) view["models"] = encode_models(*each.models);
     view["others"] = each.other_requests;
     list.append(view);
   }
@@ -104,9 +105,10 @@
                      .routers = message["routers"].asInt(),
                      .whole = message["whole"].asBool()};
   for (const auto& each : message["servers"]) {
-    update.servers.push_back({.server = each["server"].asString(),
-                              .models = decode_models(each["models"]),
-                              .other_requests = each["others"].asInt()});
+    server_view view{.server = each["server"].asString(),
+                     .other_requests = each["others"].asInt()};
+    if (each.isMember("models")) view.models = decode_models(each["models"]);
+    update.servers.push_back(std::move(view));
   }
   const auto& expected = message["expected"];
   for (const auto& model : expected.getMemberNames()) {
--- a/src/wire/server_view.hpp
+++ b/src/wire/server_view.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_WIRE_SERVER_VIEW_HPP
 #define BORAGEHILL_WIRE_SERVER_VIEW_HPP
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,9 @@
 /// What the planner tells a router of one model worker.
 struct server_view {
   std::string server;
-  /// Models that it holds and keeps, with their adapters.
-  std::vector<fleet::resident_model> models;
+  /// Models that it holds and keeps, with their adapters; nothing if they are
+  /// as last told.
+  std::optional<std::vector<fleet::resident_model>> models;
   /// Requests that other routers have there.
   int other_requests = 0;
 
--- a/test/decide-test/stop_gate_test.cpp
+++ b/test/decide-test/stop_gate_test.cpp
@@ -31,5 +31,15 @@
   EXPECT_TRUE(gate.refuses(0, begin + milliseconds(7500)));
 }
 
+TEST(stop_gate_test, takes_nothing_in_the_last_moment) {
+  // A stopping router has nothing open and ends; a request that it read in
+  // between was sent to a worker and cut off 160 ms later.
+  stop_gate gate;
+  gate.close(begin, begin + std::chrono::seconds(8));
+  EXPECT_FALSE(gate.refuses(0, begin + std::chrono::seconds(5)));
+  gate.shut();
+  EXPECT_TRUE(gate.refuses(0, begin + std::chrono::seconds(5)));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/view_filter_test.cpp
@@ -0,0 +1,32 @@
+#include "decide/view_filter.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+TEST(view_filter_test, tells_only_what_changes_a_choice) {
+  EXPECT_FALSE(worth_telling(0, 2));
+  EXPECT_TRUE(worth_telling(0, 3));
+  EXPECT_FALSE(worth_telling(20, 23));
+  EXPECT_TRUE(worth_telling(20, 25));
+  EXPECT_TRUE(worth_telling(20, 15));
+  EXPECT_TRUE(worth_telling(5, 0));
+}
+
+TEST(view_filter_test, a_busy_fleet_tells_a_fraction_of_its_changes) {
+  // Requests come and go at a worker, one at a time, around a steady load.
+  int told = 10;
+  int news = 0;
+  int requests = 10;
+  for (int step = 0; step < 1000; ++step) {
+    requests += step % 4 < 2 ? 1 : -1;
+    if (!worth_telling(told, requests)) continue;
+    told = requests;
+    ++news;
+  }
+  EXPECT_LT(news, 20);
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -1,5 +1,7 @@
+#include <atomic>
 #include <gtest/gtest.h>
 #include <thread>
+#include <vector>
 
 #include "fleet-test/small_fleet.hpp"
 
@@ -119,6 +121,35 @@
   EXPECT_TRUE(fleet.orders_were_sound());
 }
 
+TEST(calm_day_test, a_planned_stop_under_load_cuts_off_nothing) {
+  // Callers go on connecting to a router that stops, to its last moment. Each
+  // request is answered, refused, or never read; none runs and is cut off.
+  small_fleet fleet(1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  std::atomic<bool> over{false};
+  std::atomic<int> answered{0};
+  std::vector<std::string> lost;
+  std::thread caller([&] {
+    for (int each = 0; !over; ++each) {
+      const std::string attempt = "l" + std::to_string(each);
+      const auto answer = fleet.call(1, attempt, {});
+      if (answer) ++answered;
+      if (!answer && answer.error() == httplib::Error::Read) {
+        lost.push_back(attempt);
+      }
+    }
+  });
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet["router-1"].signal(SIGTERM);
+  while (fleet["router-1"].is_running()) {
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  over = true;
+  caller.join();
+  EXPECT_GT(answered, 10);
+  for (const auto& each : lost) EXPECT_EQ(fleet.runs_of(each), 0) << each;
+}
+
 TEST(calm_day_test, a_planned_stop_cuts_off_nothing) {
   // A router is stopped while streams run on it: it leaves the rotation first,
   // serves on, and goes when the last answer is out.
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -11,7 +11,8 @@
                            .whole = true,
                            .servers = {{.server = "i-1",
                                         .models = {{"m", {"a1"}}, {"n", {}}},
-                                        .other_requests = 4}},
+                                        .other_requests = 4},
+                                       {.server = "i-2", .other_requests = 7}},
                            .expected = {{"k", milliseconds(900)}}};
   EXPECT_EQ(decode_view_update(encode(update)), update);
   const worker_target target{.term = 9,
