--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -163,6 +163,9 @@
     this->failed_reports = 0;
     this->status.reachable = true;
     this->status.report = news.value();
+    // They change with every request, and the planner has them from routers.
+    this->status.report.running = 0;
+    this->status.report.waiting = 0;
     this->orders.on_report(news.value(), time_point::clock::now());
   } else if (++this->failed_reports == reports_to_doubt) {
     kernel::log_event(kernel::event::worker_lost, {{"error", news.error()}});
