Expect nothing of a model that stands somewhere already

Change: the planner tells expectations only of models that no fresh worker serves, and the earliest one. Test: residency_planner_test.

--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -240,9 +240,11 @@
     auto& at = free_at[id] = now;
     if (!worker.pending) continue;
     at = std::max(worker.pending->due, now + busy_margin);
-    if (!worker.report->find(worker.pending->model)) {
-      this->expectations[worker.pending->model] = at;
-    }
+    const auto& model = worker.pending->model;
+    // Where it stands already, nobody waits for this load.
+    if (this->served_anywhere(model, now)) continue;
+    const auto known = this->expectations.try_emplace(model, at).first;
+    known->second = std::min(known->second, at);
   }
   for (const auto* model : unplaced) {
     std::string soonest;
@@ -506,6 +508,16 @@
   return false;
 }
 
+bool residency_planner::served_anywhere(const std::string& model,
+                                        time_point now) const {
+  return std::any_of(this->known.begin(), this->known.end(),
+                     [&](const auto& each) {
+                       const auto& worker = each.second;
+                       return !worker.entry.draining &&
+                              this->fresh(worker, now) && worker.serves(model);
+                     });
+}
+
 int residency_planner::store_loads() const {
   int count = 0;
   for (const auto& [id, worker] : this->known) {
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -93,6 +93,7 @@
   int replicas_of(const std::string& model, time_point now) const;
   bool usable(const planned_worker& worker, const fleet::service& service,
               time_point now) const;
+  bool served_anywhere(const std::string& model, time_point now) const;
   int store_loads() const;
   /// \return True while a worker that may have a copy hasn't reported yet.
   bool acquainting(const fleet::service& service, time_point now) const;
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -230,6 +230,22 @@
   EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w1"});
 }
 
+TEST(residency_planner_test, expects_nothing_of_a_model_that_is_there) {
+  // A busy model gets a further replica. Callers that wait a moment for an
+  // adapter of it were told that no worker would have the model in time.
+  planned_fleet fleet(3, 8);
+  fleet.hold("w0", {"m0"});
+  fleet.copies_on_disk("w1", {"m0"});
+  fleet.copies_on_disk("w2", {"m1"});
+  fleet.report();
+  fleet.demand({waiting("m1")}, {{"w0", "m0", {}, 40}});
+  fleet.step();
+  ASSERT_EQ(fleet.workers_for("m0").size(), 2U);
+  fleet.step();
+  EXPECT_FALSE(fleet.planner.expected().contains("m0"));
+  EXPECT_TRUE(fleet.planner.expected().contains("m1"));
+}
+
 TEST(residency_planner_test, a_new_planner_does_not_wait_for_ever) {
   planned_fleet fleet(2, 8);
   fleet.planner.begin(fleet.now);
