Let models that wait for a busy worker claim its time

Change: within a step, a model that decides to wait for a worker adds its load time to what those behind it reckon with. Test: a storm with all copies at one worker; it failed before.

--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -190,6 +190,7 @@
   if (!this->catalog) return {};
   this->sum_up();
   this->expectations.clear();
+  this->claimed.clear();
   for (const auto& service : this->catalog->services) {
     if (!service.has_engine) continue;
     this->wake_waiting(service, now);
@@ -297,6 +298,8 @@
   // The soonest is a worker that has to finish a load first: starting a longer
   // one elsewhere now would come later.
   if (best && !this->usable(this->known.at(best->worker), service, now)) {
+    // Those behind it see the worker taken for so much longer.
+    this->claimed[best->worker] += best->time;
     return std::nullopt;
   }
   return best;
@@ -353,6 +356,8 @@
   } else if (worker.report->busy) {
     before = unknown_order;
   }
+  const auto claims = this->claimed.find(id);
+  if (claims != this->claimed.end()) before += claims->second;
   found.cost = seconds_of(found.time + before) + found.loss + crowd;
   return found;
 }
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -106,6 +106,8 @@
   time_point began;
   std::vector<residency_move> moves;
   std::map<std::string, time_point> expectations;
+  /// Loading time of models that wait for a busy worker, in this step.
+  std::map<std::string, milliseconds> claimed;
 };
 
 }  // namespace boragehill::decide
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -213,6 +213,28 @@
   EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w0"});
 }
 
+TEST(residency_planner_test, does_not_queue_for_ever_at_the_last_disk_copies) {
+  // A release replaces most workers by empty ones. All disk copies are on the
+  // one that is left, and it is loading; each waiting model found that worth
+  // waiting for, and drafts came twenty seconds late beside idle workers.
+  planned_fleet fleet(4, 12);
+  std::vector<std::string> all;
+  for (int each = 0; each < 12; ++each)
+    all.push_back("m" + std::to_string(each));
+  fleet.copies_on_disk("w0", all);
+  fleet.report();
+  std::vector<model_demand> storm;
+  for (const auto& each : all) storm.push_back(waiting(each));
+  fleet.demand(storm);
+  fleet.step();
+  int from_store = 0;
+  for (const auto& [id, worker] : fleet.planner.workers()) {
+    if (worker.pending && worker.pending->from_store) ++from_store;
+  }
+  EXPECT_EQ(from_store, 3);
+  EXPECT_FALSE(fleet.planner.workers().at("w0").pending->from_store);
+}
+
 TEST(residency_planner_test, a_new_planner_waits_for_reports_before_the_store) {
   // All machines come back from a power loss. The first agent to report has no
   // copy of the busy model, the next one, a moment later, has: a load from the
