Reach the agents of workers that start empty

New ones have neither, so their agents were never reached and the fleet shrank to what was left: all 43 loads after the first release went to five workers.

Change: the catalog tells which service runs models. Test: a new empty worker serves a model; without the change nobody ever loads it.

--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -85,8 +85,11 @@
 }
 
 void planner_duty::set_catalog(std::shared_ptr<const fleet::catalog> news) {
-  this->loop.post(
-      [this, news = std::move(news)] { this->planner.set_catalog(news); });
+  this->loop.post([this, news = std::move(news)] {
+    this->catalog = news;
+    this->planner.set_catalog(news);
+    if (this->term != 0) this->link_agents();
+  });
 }
 
 void planner_duty::set_servers(std::shared_ptr<const fleet::server_list> news) {
@@ -143,7 +146,12 @@
 void planner_duty::link_agents() {
   std::set<endpoint> wanted;
   for (const auto& [id, worker] : this->planner.workers()) {
-    if (worker.entry.models.empty() && worker.entry.on_disk.empty()) continue;
+    // A new worker holds nothing and has no copies; the catalog tells that it
+    // runs models.
+    const auto* service =
+        this->catalog ? this->catalog->find_service(worker.entry.service)
+                      : nullptr;
+    if (!service || !service->has_engine) continue;
     wanted.insert({worker.entry.address.address, this->settings.link_port});
   }
   for (auto each = this->agents.begin(); each != this->agents.end();) {
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -71,6 +71,7 @@
   wire::link_listener listener;
   asio::steady_timer timer;
   decide::residency_planner planner;
+  std::shared_ptr<const fleet::catalog> catalog;
   fleet::server_list servers;
   std::int64_t term = 0;
   std::uint64_t next_router = 0;
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -53,6 +53,26 @@
   EXPECT_TRUE(fleet.orders_were_sound());
 }
 
+TEST(calm_day_test, a_new_worker_that_is_empty_is_used) {
+  // A release replaces workers by new ones, which hold nothing and have no
+  // copies. The planner took them for plain servers and never reached their
+  // agents, so the fleet shrank to the workers that were left.
+  small_fleet fleet(1, 1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  // Its load from the store takes longer than callers stay: the first one is
+  // told when to come back, and is served then.
+  auto answer = fleet.call(1, "e0", "model-2", "/stream/x");
+  ASSERT_TRUE(answer);
+  if (answer->status == 503) {
+    const auto back = std::stod(answer->get_header_value("Retry-After"));
+    EXPECT_GT(back, 0);
+    std::this_thread::sleep_for(std::chrono::duration<double>(back));
+    answer = fleet.call(1, "e1", "model-2", "/stream/x");
+  }
+  EXPECT_TRUE(is_whole_stream(answer));
+  EXPECT_TRUE(fleet.orders_were_sound());
+}
+
 TEST(calm_day_test, a_changed_configuration_is_in_force_within_two_seconds) {
   small_fleet fleet(2, 1, 1, 1);
   ASSERT_TRUE(fleet.start());
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -39,7 +39,8 @@
 
 }  // namespace
 
-small_fleet::small_fleet(int routers, int workers, int plains, int models)
+small_fleet::small_fleet(int routers, int workers, int plains, int models,
+                         int empty_workers)
     : routers(routers), workers(workers), plains(plains), models(models) {
   // Runs beside each other get ports of their own.
   constexpr int first_port = 20000;
@@ -65,11 +66,18 @@
   for (int each = 1; each <= workers; ++each) {
     const auto name = numbered("worker", each);
     place(name);
-    this->add_standin(
-        name, "worker",
-        {"--id=i-" + name, "--service_name=assist", "--store=" + store, disk,
-         "--cached_memory=" + numbered("model", each), "--load_ms_disk=300",
-         "--disk_checkpoints=" + std::to_string(places), "--delay_ms=20"});
+    std::vector<std::string> flags{
+        "--id=i-" + name,
+        "--service_name=assist",
+        "--store=" + store,
+        "--load_ms_disk=300",
+        "--disk_checkpoints=" + std::to_string(places),
+        "--delay_ms=20"};
+    if (each <= workers - empty_workers) {
+      flags.push_back(disk);
+      flags.push_back("--cached_memory=" + numbered("model", each));
+    }
+    this->add_standin(name, "worker", flags);
     this->add_own("agent-" + std::to_string(each), "agent", name);
   }
   for (int each = 1; each <= plains; ++each) {
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -21,7 +21,10 @@
 /// so on.
 class small_fleet {
  public:
-  small_fleet(int routers, int workers, int plains, int models);
+  /// \param empty_workers That many of the workers, the last ones, start with
+  ///     nothing loaded and no copies.
+  small_fleet(int routers, int workers, int plains, int models,
+              int empty_workers = 0);
   ~small_fleet();
 
   /// Starts all; returns when every router is ready.
