--- a/src/decide/planned_worker.hpp
+++ b/src/decide/planned_worker.hpp
@@ -4,6 +4,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <boragehill/time_point.hpp>
 
@@ -24,6 +27,13 @@
   time_point reported;
   residency_target target;
   std::optional<planned_load> pending;
+  /// Models with a copy at hand; true if it is in main memory.
+  std::unordered_map<std::string, bool> copies;
+  /// What follows is reckoned anew in each step.
+  /// Memory that is left, in megabytes.
+  double room_mb = 0;
+  /// What could make room, with its cost, the cheapest first.
+  std::vector<std::pair<double, std::string>> droppable;
   /// When each resident model was first reported.
   std::map<std::string, time_point> since;
   /// Requests of all routers there, by model and by "model/adapter".
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -1,11 +1,10 @@
 #include "decide/residency_planner.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
-#include "decide/next_order.hpp"
-
 namespace boragehill::decide {
 
 namespace {
@@ -27,17 +26,11 @@
 constexpr milliseconds busy_margin{200};
 
 /// Where a worker would load a model from: its memory, its disk or the store.
-milliseconds load_time(const fleet::worker_report& report,
+milliseconds load_time(const planned_worker& worker,
                        const fleet::model& model) {
-  if (holds(report.in_memory, model.name)) return model.memory_load;
-  if (holds(report.on_disk, model.name)) return model.disk_load;
-  return model.store_load;
-}
-
-bool comes_from_store(const fleet::worker_report& report,
-                      const fleet::model& model) {
-  return !holds(report.in_memory, model.name) &&
-         !holds(report.on_disk, model.name);
+  const auto found = worker.copies.find(model.name);
+  if (found == worker.copies.end()) return model.store_load;
+  return found->second ? model.memory_load : model.disk_load;
 }
 
 void adopt_residents(planned_worker& worker) {
@@ -79,6 +72,10 @@
 void residency_planner::set_catalog(
     std::shared_ptr<const fleet::catalog> news) {
   this->catalog = std::move(news);
+  this->specs.clear();
+  for (const auto& service : this->catalog->services) {
+    for (const auto& each : service.models) this->specs[each.name] = &each;
+  }
 }
 
 void residency_planner::begin(time_point now) {
@@ -107,6 +104,9 @@
   auto& worker = found->second;
   worker.report = report;
   worker.reported = now;
+  worker.copies.clear();
+  for (const auto& each : report.on_disk) worker.copies[each] = false;
+  for (const auto& each : report.in_memory) worker.copies[each] = true;
   std::erase_if(worker.since, [&report](const auto& each) {
     return !report.find(each.first);
   });
@@ -151,7 +151,7 @@
   this->routers.erase(router);
 }
 
-void residency_planner::sum_up() {
+void residency_planner::sum_up(time_point now) {
   for (auto& [name, state] : this->models) {
     state.waiting = 0;
     state.waiting_worth = 0;
@@ -159,9 +159,16 @@
     state.flying = 0;
     state.adapter_waiting.clear();
   }
+  this->replicas.clear();
+  this->served.clear();
   for (auto& [id, worker] : this->known) {
     worker.flights.clear();
     worker.requests = 0;
+    if (worker.entry.draining || !this->fresh(worker, now)) continue;
+    for (const auto& name : worker.target.models) {
+      ++this->replicas[name];
+      if (worker.report->find(name)) this->served[name] = true;
+    }
   }
   for (const auto& [router, report] : this->routers) {
     for (const auto& each : report.demands) {
@@ -186,13 +193,56 @@
   }
 }
 
+const fleet::model* residency_planner::model_of(const std::string& name) const {
+  const auto found = this->specs.find(name);
+  return found == this->specs.end() ? nullptr : found->second;
+}
+
+void residency_planner::appraise(const fleet::service& service,
+                                 time_point now) {
+  for (auto& [id, worker] : this->known) {
+    if (worker.entry.service != service.name) continue;
+    if (this->fresh(worker, now)) this->appraise(worker, service, now);
+  }
+}
+
+void residency_planner::appraise(planned_worker& worker,
+                                 const fleet::service& service,
+                                 time_point now) {
+  worker.droppable.clear();
+  worker.room_mb = service.weights_mb;
+  for (const auto& each : worker.report->models) {
+    const auto* spec = this->model_of(each.name);
+    if (!spec) {
+      // Of unknown size: nothing more is planned here.
+      worker.room_mb = 0;
+      worker.droppable.clear();
+      return;
+    }
+    worker.room_mb -=
+        spec->weights_mb +
+        spec->adapter_mb * static_cast<double>(each.adapters.size());
+    const auto since = worker.since.find(each.name);
+    const bool is_new = since != worker.since.end() &&
+                        now < since->second + this->settings.settle;
+    const auto state = this->models.find(each.name);
+    const bool waited_for =
+        state != this->models.end() && state->second.waiting > 0;
+    if (is_new && waited_for) continue;
+    worker.droppable.emplace_back(this->cost_of_losing(worker, each.name, now),
+                                  each.name);
+  }
+  std::sort(worker.droppable.begin(), worker.droppable.end());
+}
+
 std::vector<residency_move> residency_planner::step(time_point now) {
   if (!this->catalog) return {};
-  this->sum_up();
+  this->sum_up(now);
   this->expectations.clear();
   this->claimed.clear();
   for (const auto& service : this->catalog->services) {
     if (!service.has_engine) continue;
+    this->appraise(service, now);
     this->wake_waiting(service, now);
     this->relieve_busy(service, now);
     this->place_adapters(service, now);
@@ -206,7 +256,7 @@
   for (const auto& model : service.models) {
     const auto found = this->models.find(model.name);
     if (found == this->models.end() || found->second.waiting == 0) continue;
-    if (this->replicas_of(model.name, now) == 0) asked.push_back(&model);
+    if (this->replicas_of(model.name) == 0) asked.push_back(&model);
   }
   // The most worth first; among equals the one that waits longest.
   std::sort(asked.begin(), asked.end(),
@@ -220,7 +270,8 @@
             });
   std::vector<const fleet::model*> unplaced;
   for (const auto* model : asked) {
-    const auto chosen = this->choose_worker(service, *model, now);
+    const auto chosen = this->choose_worker(
+        service, *model, std::numeric_limits<double>::max(), now);
     if (chosen) {
       this->carry_out(*chosen, *model, "wake", now);
     } else {
@@ -243,7 +294,7 @@
     at = std::max(worker.pending->due, now + busy_margin);
     const auto& model = worker.pending->model;
     // Where it stands already, nobody waits for this load.
-    if (this->served_anywhere(model, now)) continue;
+    if (this->served.contains(model)) continue;
     const auto known = this->expectations.try_emplace(model, at).first;
     known->second = std::min(known->second, at);
   }
@@ -251,7 +302,7 @@
     std::string soonest;
     time_point ready;
     for (const auto& [id, at] : free_at) {
-      const auto there = at + load_time(*this->known.at(id).report, *model);
+      const auto there = at + load_time(this->known.at(id), *model);
       if (!soonest.empty() && there >= ready) continue;
       soonest = id;
       ready = there;
@@ -267,7 +318,7 @@
   for (const auto& model : service.models) {
     const auto found = this->models.find(model.name);
     if (found == this->models.end()) continue;
-    const int replicas = this->replicas_of(model.name, now);
+    const int replicas = this->replicas_of(model.name);
     const double requests = found->second.flying + found->second.waiting;
     if (replicas == 0) continue;
     if (requests / replicas <= this->settings.requests_per_replica) continue;
@@ -276,10 +327,9 @@
       if (worker.meant_for(model.name)) load_there += worker.requests;
     }
     load_there = std::max(load_there, requests) / replicas;
-    const auto chosen = this->choose_worker(service, model, now);
+    const auto chosen = this->choose_worker(
+        service, model, this->settings.relief * load_there, now);
     if (!chosen || chosen->from_store) continue;
-    const auto& worker = this->known.at(chosen->worker);
-    if (worker.requests > this->settings.relief * load_there) continue;
     // What the others lose must be less than what these requests gain.
     if (chosen->loss > requests / replicas) continue;
     this->carry_out(*chosen, model, "relief", now);
@@ -287,12 +337,15 @@
 }
 
 std::optional<residency_planner::choice> residency_planner::choose_worker(
-    const fleet::service& service, const fleet::model& model, time_point now) {
+    const fleet::service& service, const fleet::model& model,
+    double most_requests, time_point now) {
   std::optional<choice> best;
+  const bool may_load = this->store_loads() < this->settings.store_loads &&
+                        !this->acquainting(service, now);
   for (const auto& [id, worker] : this->known) {
     if (worker.entry.service != service.name || worker.entry.draining) continue;
-    if (!this->fresh(worker, now)) continue;
-    auto found = this->consider(service, model, id, worker, now);
+    if (!this->fresh(worker, now) || worker.requests > most_requests) continue;
+    auto found = this->consider(model, id, worker, may_load, now);
     if (found && (!best || found->cost < best->cost)) best = std::move(found);
   }
   // The soonest is a worker that has to finish a load first: starting a longer
@@ -306,39 +359,23 @@
 }
 
 std::optional<residency_planner::choice> residency_planner::consider(
-    const fleet::service& service, const fleet::model& model,
-    const std::string& id, const planned_worker& worker, time_point now) {
+    const fleet::model& model, const std::string& id,
+    const planned_worker& worker, bool may_load, time_point now) const {
   if (worker.meant_for(model.name) || worker.report->find(model.name)) {
     return std::nullopt;
   }
   choice found{.worker = id,
-               .time = load_time(*worker.report, model),
-               .from_store = comes_from_store(*worker.report, model)};
-  if (found.from_store && (this->store_loads() >= this->settings.store_loads ||
-                           this->acquainting(service, now))) {
-    return std::nullopt;
-  }
-  std::vector<std::pair<double, std::string>> droppable;
-  for (const auto& each : worker.report->models) {
-    const auto since = worker.since.find(each.name);
-    const bool fresh = since != worker.since.end() &&
-                       now < since->second + this->settings.settle;
-    const auto state = this->models.find(each.name);
-    const bool waited_for =
-        state != this->models.end() && state->second.waiting > 0;
-    if (fresh && waited_for) continue;
-    droppable.emplace_back(
-        this->cost_of_losing(worker, each.name, service, now), each.name);
-  }
-  std::sort(droppable.begin(), droppable.end());
-  double room = free_memory_mb(*worker.report, service);
-  for (const auto& [cost, name] : droppable) {
+               .time = load_time(worker, model),
+               .from_store = !worker.copies.contains(model.name)};
+  if (found.from_store && !may_load) return std::nullopt;
+  double room = worker.room_mb;
+  for (const auto& [cost, name] : worker.droppable) {
     if (room >= model.weights_mb) break;
-    const auto* victim = service.find_model(name);
-    if (!victim) continue;
+    const auto* victim = this->model_of(name);
+    const auto* resident = worker.report->find(name);
+    if (!victim || !resident) continue;
     room += victim->weights_mb +
-            victim->adapter_mb *
-                static_cast<double>(worker.report->find(name)->adapters.size());
+            victim->adapter_mb * static_cast<double>(resident->adapters.size());
     found.victims.push_back(name);
     found.loss += cost;
   }
@@ -364,7 +401,6 @@
 
 double residency_planner::cost_of_losing(const planned_worker& worker,
                                          const std::string& model,
-                                         const fleet::service& service,
                                          time_point now) const {
   // The loss is reckoned over the time in which a model that was dropped
   // would come back by itself, asked for again.
@@ -377,8 +413,8 @@
   const auto flights = worker.flights.find(model);
   const bool in_use = flights != worker.flights.end() && flights->second > 0;
   double cost = in_use ? run_seconds : 0;
-  const int replicas = this->replicas_of(model, now);
-  const auto* spec = service.find_model(model);
+  const int replicas = this->replicas_of(model);
+  const auto* spec = this->model_of(model);
   const double reload = spec ? seconds_of(spec->disk_load) : 0;
   if (replicas <= 1) {
     const double expected = state.arrivals.per_second(now) * horizon_seconds;
@@ -403,11 +439,14 @@
                          .cost = chosen.cost,
                          .waiting = state.waiting,
                          .flying = state.flying,
-                         .replicas = this->replicas_of(model.name, now)});
+                         .replicas = this->replicas_of(model.name)});
   auto& worker = this->known.at(chosen.worker);
   for (const auto& victim : chosen.victims) {
     remove_name(worker.target.models, victim);
+    --this->replicas[victim];
   }
+  ++this->replicas[model.name];
+  this->appraise_holders(chosen.victims, now);
   worker.target.models.push_back(model.name);
   forget_lost(worker);
   worker.pending =
@@ -420,6 +459,19 @@
   if (!worker.meant_for(model.name)) worker.target.models.push_back(model.name);
 }
 
+void residency_planner::appraise_holders(
+    const std::vector<std::string>& dropped, time_point now) {
+  for (auto& [id, worker] : this->known) {
+    if (!this->fresh(worker, now)) continue;
+    const bool holds_one = std::any_of(
+        dropped.begin(), dropped.end(),
+        [&](const auto& name) { return worker.report->find(name) != nullptr; });
+    if (!holds_one) continue;
+    const auto* service = this->catalog->find_service(worker.entry.service);
+    if (service) this->appraise(worker, *service, now);
+  }
+}
+
 void residency_planner::place_adapters(const fleet::service& service,
                                        time_point now) {
   for (const auto& model : service.models) {
@@ -484,16 +536,9 @@
   return worker.report && now < worker.reported + this->settings.report_trust;
 }
 
-int residency_planner::replicas_of(const std::string& model,
-                                   time_point now) const {
-  int count = 0;
-  for (const auto& [id, worker] : this->known) {
-    // A worker that crashed stays listed for seconds; what it held serves
-    // nobody, and counting it would let the last living replica be dropped.
-    if (worker.entry.draining || !this->fresh(worker, now)) continue;
-    if (worker.meant_for(model)) ++count;
-  }
-  return count;
+int residency_planner::replicas_of(const std::string& model) const {
+  const auto found = this->replicas.find(model);
+  return found == this->replicas.end() ? 0 : found->second;
 }
 
 bool residency_planner::usable(const planned_worker& worker,
@@ -513,16 +558,6 @@
   return false;
 }
 
-bool residency_planner::served_anywhere(const std::string& model,
-                                        time_point now) const {
-  return std::any_of(this->known.begin(), this->known.end(),
-                     [&](const auto& each) {
-                       const auto& worker = each.second;
-                       return !worker.entry.draining &&
-                              this->fresh(worker, now) && worker.serves(model);
-                     });
-}
-
 int residency_planner::store_loads() const {
   int count = 0;
   for (const auto& [id, worker] : this->known) {
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <boragehill/time_point.hpp>
@@ -66,7 +67,16 @@
  private:
   struct choice;
 
-  void sum_up();
+  void sum_up(time_point now);
+  /// Reckons what each worker of a service could drop.
+  void appraise(const fleet::service& service, time_point now);
+  void appraise(planned_worker& worker, const fleet::service& service,
+                time_point now);
+  /// Reckons anew where models stand that were dropped elsewhere just now: the
+  /// last replica of a busy one must not go in the same step.
+  void appraise_holders(const std::vector<std::string>& dropped,
+                        time_point now);
+  const fleet::model* model_of(const std::string& name) const;
   void settle_pending(planned_worker& worker, time_point now);
   void wake_waiting(const fleet::service& service, time_point now);
   /// Reckons when models will be there that wait for a worker to be free.
@@ -79,21 +89,22 @@
                      const std::string& adapter, time_point now);
   std::optional<choice> choose_worker(const fleet::service& service,
                                       const fleet::model& model,
-                                      time_point now);
-  std::optional<choice> consider(const fleet::service& service,
-                                 const fleet::model& model,
+                                      double most_requests, time_point now);
+  std::optional<choice> consider(const fleet::model& model,
                                  const std::string& id,
-                                 const planned_worker& worker, time_point now);
+                                 const planned_worker& worker, bool may_load,
+                                 time_point now) const;
   double cost_of_losing(const planned_worker& worker, const std::string& model,
-                        const fleet::service& service, time_point now) const;
+                        time_point now) const;
   void carry_out(const choice& chosen, const fleet::model& model,
                  const char* why, time_point now);
   bool fresh(const planned_worker& worker, time_point now) const;
-  /// \return Workers that serve the model or soon will.
-  int replicas_of(const std::string& model, time_point now) const;
+  /// \return Fresh workers that serve the model or soon will. A worker that
+  ///     crashed stays listed for seconds; what it held serves nobody, and
+  ///     counting it would let the last living replica be dropped.
+  int replicas_of(const std::string& model) const;
   bool usable(const planned_worker& worker, const fleet::service& service,
               time_point now) const;
-  bool served_anywhere(const std::string& model, time_point now) const;
   int store_loads() const;
   /// \return True while a worker that may have a copy hasn't reported yet.
   bool acquainting(const fleet::service& service, time_point now) const;
@@ -102,7 +113,12 @@
   std::shared_ptr<const fleet::catalog> catalog;
   std::map<std::string, planned_worker> known;
   std::map<std::string, demand_report> routers;
+  std::unordered_map<std::string, const fleet::model*> specs;
   std::map<std::string, model_state> models;
+  /// By model, in this step: workers that serve it or soon will, and whether
+  /// one serves it now.
+  std::unordered_map<std::string, int> replicas;
+  std::unordered_map<std::string, bool> served;
   time_point began;
   std::vector<residency_move> moves;
   std::map<std::string, time_point> expectations;
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -143,6 +143,7 @@
   for (int step = 0; step < 10; ++step) {
     const auto holders = fleet.workers_for("m0");
     std::vector<model_flight> flights;
+    flights.reserve(holders.size());
     for (const auto& each : holders) {
       flights.push_back(
           {each, "m0", {}, 40 / static_cast<int>(holders.size())});
@@ -171,6 +172,7 @@
   planned_fleet fleet(12, 20);
   fleet.report();
   std::vector<model_demand> storm;
+  storm.reserve(20);
   for (int each = 0; each < 20; ++each) {
     storm.push_back(waiting("m" + std::to_string(each)));
   }
@@ -196,6 +198,33 @@
   EXPECT_EQ(fleet.workers_for("m0"), std::set<std::string>{"w1"});
 }
 
+TEST(residency_planner_test, two_wakes_at_once_leave_a_busy_model_one_replica) {
+  // A busy model stands twice, each time as the cheapest to drop. Two rare
+  // models are asked for in the same moment: each takes one of its places, and
+  // all its callers wait.
+  planned_fleet fleet(2, 8);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.hold("w1", {"m0", "m3", "m4"});
+  for (const char* worker : {"w0", "w1"}) {
+    fleet.copies_on_disk(worker, {"m6", "m7"});
+  }
+  fleet.report();
+  fleet.now += milliseconds(1200);
+  fleet.report();
+  std::vector<model_demand> demands{
+      {.service = "assist", .model = "m0", .arrivals = 40}};
+  for (const char* rare : {"m1", "m2", "m3", "m4"}) {
+    demands.push_back({.service = "assist", .model = rare, .arrivals = 6});
+  }
+  demands.push_back(waiting("m6"));
+  demands.push_back(waiting("m7"));
+  fleet.demand(demands);
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m6").size(), 1U);
+  EXPECT_EQ(fleet.workers_for("m7").size(), 1U);
+  EXPECT_EQ(fleet.workers_for("m0").size(), 1U);
+}
+
 TEST(residency_planner_test, waits_for_a_disk_copy_rather_than_the_store) {
   // All workers with a copy on disk are loading for a second more. A load from
   // the store that starts at once would be there five seconds later.
@@ -219,11 +248,13 @@
   // waiting for, and drafts came twenty seconds late beside idle workers.
   planned_fleet fleet(4, 12);
   std::vector<std::string> all;
+  all.reserve(12);
   for (int each = 0; each < 12; ++each)
     all.push_back("m" + std::to_string(each));
   fleet.copies_on_disk("w0", all);
   fleet.report();
   std::vector<model_demand> storm;
+  storm.reserve(all.size());
   for (const auto& each : all) storm.push_back(waiting(each));
   fleet.demand(storm);
   fleet.step();
