Make the newest code clean for the linter's compiler

clang-tidy's clang refuses a structured binding in a lambda and a nested brace initialiser of an optional vector, which g++ takes.

--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -461,7 +461,8 @@
 
 void residency_planner::appraise_holders(
     const std::vector<std::string>& dropped, time_point now) {
-  for (auto& [id, worker] : this->known) {
+  for (auto& each : this->known) {
+    auto& worker = each.second;
     if (!this->fresh(worker, now)) continue;
     const bool holds_one = std::any_of(
         dropped.begin(), dropped.end(),
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -6,13 +6,14 @@
 namespace {
 
 TEST(planner_codec_test, every_message_comes_back_as_it_was) {
+  const std::vector<fleet::resident_model> held{{"m", {"a1"}}, {"n", {}}};
+  const server_view told{.server = "i-1", .models = held, .other_requests = 4};
+  const server_view counted{
+      .server = "i-2", .models = std::nullopt, .other_requests = 7};
   const view_update update{.term = 9,
                            .routers = 3,
                            .whole = true,
-                           .servers = {{.server = "i-1",
-                                        .models = {{"m", {"a1"}}, {"n", {}}},
-                                        .other_requests = 4},
-                                       {.server = "i-2", .other_requests = 7}},
+                           .servers = {told, counted},
                            .expected = {{"k", milliseconds(900)}}};
   EXPECT_EQ(decode_view_update(encode(update)), update);
   const worker_target target{.term = 9,
