--- /dev/null
+++ b/src/decide/residency_adapters.cpp
@@ -0,0 +1,77 @@
+// Where the planner puts adapters.
+
+#include <algorithm>
+
+#include "decide/residency_planner.hpp"
+#include "decide/residency_support.hpp"
+
+namespace boragehill::decide {
+
+using detail::holds;
+using detail::remove_name;
+
+void residency_planner::place_adapters(const fleet::service& service,
+                                       time_point now) {
+  for (const auto& model : service.models) {
+    const auto found = this->models.find(model.name);
+    if (found == this->models.end()) continue;
+    const auto waiting = found->second.adapter_waiting;
+    for (const auto& [adapter, count] : waiting) {
+      this->place_adapter(service, model.name, adapter, now);
+    }
+  }
+}
+
+void residency_planner::place_adapter(const fleet::service& service,
+                                      const std::string& model,
+                                      const std::string& adapter,
+                                      time_point now) {
+  const std::string full = model + '/' + adapter;
+  planned_worker* best = nullptr;
+  std::size_t fewest = 0;
+  for (auto& [id, worker] : this->known) {
+    if (!worker.serves(model) || worker.entry.draining) continue;
+    if (worker.entry.service != service.name || !this->fresh(worker, now)) {
+      continue;
+    }
+    if (holds(worker.target.adapters, full)) return;
+    // A worker takes no adapter while it loads a model.
+    const std::size_t wait = worker.pending || worker.report->busy
+                                 ? static_cast<std::size_t>(1000)
+                                 : 0;
+    const std::size_t count = worker.target.adapters.size() + wait;
+    if (!best || count < fewest) {
+      best = &worker;
+      fewest = count;
+    }
+  }
+  if (!best) return;
+  auto& adapters = best->target.adapters;
+  if (adapters.size() >= static_cast<std::size_t>(service.adapter_places)) {
+    // The one that was asked for longest ago and that no request uses.
+    const std::string* oldest = nullptr;
+    time_point oldest_time;
+    for (const auto& each : adapters) {
+      const auto flights = best->flights.find(each);
+      if (flights != best->flights.end() && flights->second > 0) continue;
+      const auto slash = each.find('/');
+      const auto& asked = this->models[each.substr(0, slash)].adapter_asked;
+      const auto last = asked.find(each.substr(slash + 1));
+      const time_point time =
+          last == asked.end() ? time_point::min() : last->second;
+      if (oldest && time >= oldest_time) continue;
+      oldest = &each;
+      oldest_time = time;
+    }
+    if (!oldest) return;
+    remove_name(adapters, std::string(*oldest));
+  }
+  adapters.push_back(full);
+}
+
+bool residency_planner::fresh(const planned_worker& worker,
+                              time_point now) const {
+  return worker.report && now < worker.reported + this->settings.report_trust;
+}
+
+}  // namespace boragehill::decide
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -5,22 +5,15 @@
 #include <set>
 #include <utility>
 
-namespace boragehill::decide {
-
-namespace {
+#include "decide/residency_support.hpp"
 
-double seconds_of(milliseconds time) {
-  constexpr double ms_per_second = 1000;
-  return static_cast<double>(time.count()) / ms_per_second;
-}
+namespace boragehill::decide {
 
-bool holds(const std::vector<std::string>& names, const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
+using detail::holds;
+using detail::remove_name;
+using detail::seconds_of;
 
-void remove_name(std::vector<std::string>& names, const std::string& name) {
-  names.erase(std::remove(names.begin(), names.end(), name), names.end());
-}
+namespace {
 
 /// A load that is overdue is still taken to need so long.
 constexpr milliseconds busy_margin{200};
@@ -193,48 +186,6 @@
   }
 }
 
-const fleet::model* residency_planner::model_of(const std::string& name) const {
-  const auto found = this->specs.find(name);
-  return found == this->specs.end() ? nullptr : found->second;
-}
-
-void residency_planner::appraise(const fleet::service& service,
-                                 time_point now) {
-  for (auto& [id, worker] : this->known) {
-    if (worker.entry.service != service.name) continue;
-    if (this->fresh(worker, now)) this->appraise(worker, service, now);
-  }
-}
-
-void residency_planner::appraise(planned_worker& worker,
-                                 const fleet::service& service,
-                                 time_point now) {
-  worker.droppable.clear();
-  worker.room_mb = service.weights_mb;
-  for (const auto& each : worker.report->models) {
-    const auto* spec = this->model_of(each.name);
-    if (!spec) {
-      // Of unknown size: nothing more is planned here.
-      worker.room_mb = 0;
-      worker.droppable.clear();
-      return;
-    }
-    worker.room_mb -=
-        spec->weights_mb +
-        spec->adapter_mb * static_cast<double>(each.adapters.size());
-    const auto since = worker.since.find(each.name);
-    const bool is_new = since != worker.since.end() &&
-                        now < since->second + this->settings.settle;
-    const auto state = this->models.find(each.name);
-    const bool waited_for =
-        state != this->models.end() && state->second.waiting > 0;
-    if (is_new && waited_for) continue;
-    worker.droppable.emplace_back(this->cost_of_losing(worker, each.name, now),
-                                  each.name);
-  }
-  std::sort(worker.droppable.begin(), worker.droppable.end());
-}
-
 std::vector<residency_move> residency_planner::step(time_point now) {
   if (!this->catalog) return {};
   this->sum_up(now);
@@ -399,33 +350,6 @@
   return found;
 }
 
-double residency_planner::cost_of_losing(const planned_worker& worker,
-                                         const std::string& model,
-                                         time_point now) const {
-  // The loss is reckoned over the time in which a model that was dropped
-  // would come back by itself, asked for again.
-  constexpr double horizon_seconds = 5;
-  // An unload waits for the model's runs; they take about so long.
-  constexpr double run_seconds = 1.5;
-  const auto found = this->models.find(model);
-  if (found == this->models.end()) return 0;
-  const auto& state = found->second;
-  const auto flights = worker.flights.find(model);
-  const bool in_use = flights != worker.flights.end() && flights->second > 0;
-  double cost = in_use ? run_seconds : 0;
-  const int replicas = this->replicas_of(model);
-  const auto* spec = this->model_of(model);
-  const double reload = spec ? seconds_of(spec->disk_load) : 0;
-  if (replicas <= 1) {
-    const double expected = state.arrivals.per_second(now) * horizon_seconds;
-    return cost + (expected + state.flying + state.waiting) * reload;
-  }
-  const double each =
-      (state.flying + state.waiting) / static_cast<double>(replicas - 1);
-  const double over = each - this->settings.requests_per_replica;
-  return cost + std::max(over, 0.0) * reload;
-}
-
 void residency_planner::carry_out(const choice& chosen,
                                   const fleet::model& model, const char* why,
                                   time_point now) {
@@ -459,84 +383,6 @@
   if (!worker.meant_for(model.name)) worker.target.models.push_back(model.name);
 }
 
-void residency_planner::appraise_holders(
-    const std::vector<std::string>& dropped, time_point now) {
-  for (auto& each : this->known) {
-    auto& worker = each.second;
-    if (!this->fresh(worker, now)) continue;
-    const bool holds_one = std::any_of(
-        dropped.begin(), dropped.end(),
-        [&](const auto& name) { return worker.report->find(name) != nullptr; });
-    if (!holds_one) continue;
-    const auto* service = this->catalog->find_service(worker.entry.service);
-    if (service) this->appraise(worker, *service, now);
-  }
-}
-
-void residency_planner::place_adapters(const fleet::service& service,
-                                       time_point now) {
-  for (const auto& model : service.models) {
-    const auto found = this->models.find(model.name);
-    if (found == this->models.end()) continue;
-    const auto waiting = found->second.adapter_waiting;
-    for (const auto& [adapter, count] : waiting) {
-      this->place_adapter(service, model.name, adapter, now);
-    }
-  }
-}
-
-void residency_planner::place_adapter(const fleet::service& service,
-                                      const std::string& model,
-                                      const std::string& adapter,
-                                      time_point now) {
-  const std::string full = model + '/' + adapter;
-  planned_worker* best = nullptr;
-  std::size_t fewest = 0;
-  for (auto& [id, worker] : this->known) {
-    if (!worker.serves(model) || worker.entry.draining) continue;
-    if (worker.entry.service != service.name || !this->fresh(worker, now)) {
-      continue;
-    }
-    if (holds(worker.target.adapters, full)) return;
-    // A worker takes no adapter while it loads a model.
-    const std::size_t wait = worker.pending || worker.report->busy
-                                 ? static_cast<std::size_t>(1000)
-                                 : 0;
-    const std::size_t count = worker.target.adapters.size() + wait;
-    if (!best || count < fewest) {
-      best = &worker;
-      fewest = count;
-    }
-  }
-  if (!best) return;
-  auto& adapters = best->target.adapters;
-  if (adapters.size() >= static_cast<std::size_t>(service.adapter_places)) {
-    // The one that was asked for longest ago and that no request uses.
-    const std::string* oldest = nullptr;
-    time_point oldest_time;
-    for (const auto& each : adapters) {
-      const auto flights = best->flights.find(each);
-      if (flights != best->flights.end() && flights->second > 0) continue;
-      const auto slash = each.find('/');
-      const auto& asked = this->models[each.substr(0, slash)].adapter_asked;
-      const auto last = asked.find(each.substr(slash + 1));
-      const time_point time =
-          last == asked.end() ? time_point::min() : last->second;
-      if (oldest && time >= oldest_time) continue;
-      oldest = &each;
-      oldest_time = time;
-    }
-    if (!oldest) return;
-    remove_name(adapters, std::string(*oldest));
-  }
-  adapters.push_back(full);
-}
-
-bool residency_planner::fresh(const planned_worker& worker,
-                              time_point now) const {
-  return worker.report && now < worker.reported + this->settings.report_trust;
-}
-
 int residency_planner::replicas_of(const std::string& model) const {
   const auto found = this->replicas.find(model);
   return found == this->replicas.end() ? 0 : found->second;
--- /dev/null
+++ b/src/decide/residency_support.hpp
@@ -0,0 +1,32 @@
+#ifndef BORAGEHILL_DECIDE_RESIDENCY_SUPPORT_HPP
+#define BORAGEHILL_DECIDE_RESIDENCY_SUPPORT_HPP
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide::detail {
+
+/// \return True if the name is in the list.
+inline bool holds(const std::vector<std::string>& names,
+                  const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// Takes a name out of the list.
+inline void remove_name(std::vector<std::string>& names,
+                        const std::string& name) {
+  names.erase(std::remove(names.begin(), names.end(), name), names.end());
+}
+
+/// \return A duration in seconds, as costs are reckoned.
+inline double seconds_of(milliseconds time) {
+  constexpr double ms_per_second = 1000;
+  return static_cast<double>(time.count()) / ms_per_second;
+}
+
+}  // namespace boragehill::decide::detail
+
+#endif  // BORAGEHILL_DECIDE_RESIDENCY_SUPPORT_HPP
