--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -18,6 +18,8 @@
 /// Part of a server's connections that the routers share among them.
 constexpr double connection_share = 0.9;
 constexpr std::size_t fewest_connections = 4;
+/// A model that was just added is known here after a second or two.
+constexpr milliseconds next_catalog{1500};
 /// A caller that is refused by a router that stops reaches another one.
 constexpr milliseconds other_router_takes{50};
 
@@ -117,7 +119,18 @@
   return {request.service(), request.fields().model, request.fields().adapter};
 }
 
+bool dispatcher::knows_model(const exchange& request) const {
+  const auto& model = request.fields().model;
+  const auto* service = this->known_catalog->find_service(request.service());
+  if (model.empty() || !service || !service->has_engine) return true;
+  return service->find_model(model) != nullptr;
+}
+
 void dispatcher::place(const std::shared_ptr<exchange>& request) {
+  if (!this->knows_model(*request)) {
+    return request->refuse(result_code::unknown_model,
+                           "no such model in the configuration", next_catalog);
+  }
   const bool first = !request->sends().sent();
   if (first) {
     this->metrics.on_accepted();
--- a/test/fleet-test/bad_input_test.cpp
+++ b/test/fleet-test/bad_input_test.cpp
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <gtest/gtest.h>
 
 #include "fleet-test/small_fleet.hpp"
@@ -57,6 +58,17 @@
   }
 }
 
+TEST_F(bad_input_test, names_a_model_that_nobody_has) {
+  // A caller misspells a model. Nobody will ever hold it, so the caller is
+  // told at once and not held for its whole deadline.
+  const auto begin = std::chrono::steady_clock::now();
+  const auto answer = this->fleet.call(1, "typo", "model-none", "/stream/x");
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_NE(answer->body.find("1002"), std::string::npos) << answer->body;
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(1));
+}
+
 TEST_F(bad_input_test, cannot_smuggle_what_the_system_sets) {
   const auto answer = this->fleet.raw(
       1,
