--- a/src/value/endpoint.cpp
+++ b/src/value/endpoint.cpp
@@ -14,6 +14,9 @@
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
   const std::string host(text.substr(0, colon));
+  // inet_pton reads up to a NUL byte: what comes behind it would become part of
+  // an address that passed as good.
+  if (host.find('\0') != std::string::npos) return std::nullopt;
   std::array<unsigned char, sizeof(in6_addr)> bytes{};
   const bool is_ip = inet_pton(AF_INET, host.c_str(), bytes.data()) == 1 ||
                      inet_pton(AF_INET6, host.c_str(), bytes.data()) == 1;
