Lengthen the stand-ins' listen queue; check that "not run" is true

Cause, in two parts. The stand-ins listened with cpp-httplib's queue of five, so a burst of calls to the table overflowed it; a dropped connection request comes again after a second, later than the router's limit for connecting, and the write counts as never sent. And the check took every platform_down for one that was met while the key's row was read. A claim that is refused after the row was read and found missing is surely not run: the new test says_not_run_if_the_claim_is_ refused plays just that, with a table that refuses writes only.

Mend: the stand-ins use the same server with a long queue as the product. The check is as strict as before and says more: "no" during an outage is taken only if the caller never had an answer and the service never saw the order.

Ruled out: "no" from the look-up of the key (it answers "unknown" whenever the row can't be read).

--- a/test/process-test/orders_test.cpp
+++ b/test/process-test/orders_test.cpp
@@ -94,13 +94,27 @@
   }
 }
 
+/// Checks what a refusal during an outage says of whether the order ran. The
+/// key's row may be unreadable: then only "unknown" is true. Or the row was
+/// read and there is none, and the claim was refused: then "no" is true, and
+/// the service must not have seen the order.
+void expect_truthful_outage(cluster& own, const order& sent,
+                            const reply& refused) {
+  if (refused.ran != "no") {
+    EXPECT_EQ(refused.ran, "unknown") << refused.body;
+    return;
+  }
+  EXPECT_FALSE(sent.is_answered()) << refused.body;
+  EXPECT_EQ(own.counts("by_digest").count(sent.digest()), 0) << refused.body;
+}
+
 /// Sends every order again: the same answer, and no further run.
 void expect_same_again(cluster& own, std::vector<order>& sent) {
   std::atomic<int> unknown = 0;
   in_parallel(callers, orders, [&](int i) {
     reply again = make_call(own.callers(1 + i % 2), sent[i].sent);
     for (int tries = 1; again.code == platform_down && tries < 5; ++tries) {
-      EXPECT_EQ(again.ran, "unknown") << again.body;
+      expect_truthful_outage(own, sent[i], again);
       std::this_thread::sleep_for(milliseconds(1000));
       again = make_call(own.callers(1 + i % 2), sent[i].sent);
     }
@@ -169,5 +183,23 @@
   expect_same_again(own, sent);
 }
 
+// The platform's table serves reads and refuses writes. The router reads that
+// the order's key was never claimed, its claim is refused, and nothing is sent:
+// the co-op is told "not run" and may order elsewhere. "unknown" would leave it
+// without an answer for an order that surely did not run.
+TEST(orders_test, says_not_run_if_the_claim_is_refused) {
+  cluster own(only_orders());
+  ASSERT_TRUE(own.start());
+  own.fault("table", R"({"kind":"refuse_writes"})");
+  const order refused = make_order(1);
+  const reply got = make_call(own.callers(1), refused.sent);
+  EXPECT_EQ(got.code, platform_down) << got.body;
+  EXPECT_EQ(got.ran, "no") << got.body;
+  expect_truthful_outage(own, refused, got);
+  own.fault("table", R"({"kind":"none"})");
+  EXPECT_EQ(make_call(own.callers(2), refused.sent).status, 200);
+  EXPECT_EQ(own.counts("by_digest")[refused.digest()], 1);
+}
+
 }  // namespace
 }  // namespace boragehill::process_test
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -29,6 +29,8 @@
     this->clear();
   } else if (kind == "down") {
     this->down = true;
+  } else if (kind == "refuse_writes") {
+    this->read_only = true;
   } else if (kind == "freeze") {
     this->frozen = true;
   } else if (kind == "slow") {
@@ -47,6 +49,7 @@
 
 void fault_switch::clear() {
   this->down = false;
+  this->read_only = false;
   this->frozen = false;
   this->slow = std::chrono::milliseconds{0};
   this->lost_answers = 0;
@@ -77,6 +80,11 @@
   return this->down;
 }
 
+bool fault_switch::refuses_writes() {
+  const std::scoped_lock lock(this->mutex);
+  return this->read_only;
+}
+
 bool fault_switch::take_lost_answer() {
   const std::scoped_lock lock(this->mutex);
   return take(this->lost_answers);
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -30,6 +30,9 @@
 
   bool is_down();
 
+  /// \return True while writes are refused and reads are not.
+  bool refuses_writes();
+
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
@@ -43,6 +46,7 @@
   std::mutex mutex;
   std::condition_variable thawed;
   bool down = false;
+  bool read_only = false;
   bool frozen = false;
   std::chrono::milliseconds slow{0};
   std::uint32_t lost_answers = 0;
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -99,7 +99,9 @@
 }
 
 bool standin_server::listen() {
-  return this->server.listen(this->address, this->port);
+  if (!this->server.bind_to_port(this->address, this->port)) return false;
+  this->server.widen_listen_queue();
+  return this->server.listen_after_bind();
 }
 
 fault_switch& standin_server::faults() {
--- a/test/standin/standin_server.hpp
+++ b/test/standin/standin_server.hpp
@@ -6,6 +6,7 @@
 #include <json/json.h>
 #include <string>
 
+#include "kernel/http_server.hpp"
 #include "standin/fault_switch.hpp"
 
 namespace boragehill::standin {
@@ -46,7 +47,7 @@
   void answer(const handler& handle, const httplib::Request& request,
               httplib::Response& response);
 
-  httplib::Server server;
+  kernel::http_server server;
   fault_switch switched;
   std::string address;
   int port;
--- a/test/standin/table_standin.cpp
+++ b/test/standin/table_standin.cpp
@@ -29,7 +29,9 @@
 
 table_standin::table_standin(const standin_settings& settings,
                              standin_server& server)
-    : reads(settings.reads_per_s), writes(settings.writes_per_s) {
+    : faults(server.faults()),
+      reads(settings.reads_per_s),
+      writes(settings.writes_per_s) {
   server.on("POST", "/table/read", [this](const auto& request, auto& answer) {
     this->read(body_of(request), answer);
   });
@@ -78,6 +80,7 @@
 
 void table_standin::transact(const Json::Value& question,
                              httplib::Response& response) {
+  if (this->faults.refuses_writes()) return reply_error(response, 503, "down");
   const std::scoped_lock lock(this->mutex);
   const Json::Value& steps = question["writes"];
   const auto count =
--- a/test/standin/table_standin.hpp
+++ b/test/standin/table_standin.hpp
@@ -34,6 +34,7 @@
   std::string apply(const Json::Value& write);
   Json::Value truth();
 
+  fault_switch& faults;
   std::mutex mutex;
   std::map<std::string, row> rows;
   std::uint64_t last_etag = 0;
