Load as many models from the store at once as it serves at full speed

Cause: the planner loaded up to four models at once from a store that serves one. Each took four times as long (four begun at seconds 1.8 to 3.4 were there after second 50), and the planner expected each of them at full speed: an overdue load was expected within 200 ms, for ever.

Change: the number of loads follows what loads take (store_pace); it begins at two, since nobody says how many the store serves. A load that is overdue is expected to need as long again, and callers hear of the queue before the store.

Ruled out: the acquaint time and the ceiling of the store (no load was held back by them).

Tests: store_pace_test; residency_planner_test.loads_one_by_one_from_a_store_ that_serves_one. The planner tests' fleet now says that its store serves four, which was the planner's fixed number; their checks are as they were.

--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -7,9 +7,10 @@
 
 /// Limits of the residency planner.
 struct planner_settings {
-  /// Loads from the weight store at once; it serves this many at full speed,
-  /// and each further one makes all of them slower.
-  int store_loads = 4;
+  /// Loads from the weight store at once until their times have shown how many
+  /// it serves at full speed. Two tell one from more, at the price of a second
+  /// load's time if it serves only one.
+  int store_loads = 2;
   /// A model with fewer requests a replica gets no further replica: below it a
   /// worker's steps take nearly as long as when it is empty.
   double requests_per_replica = 6;
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -118,7 +118,14 @@
 }
 
 void residency_planner::settle_pending(planned_worker& worker, time_point now) {
+  if (worker.pending && worker.pending->from_store && worker.report->busy &&
+      !worker.pending->seen) {
+    worker.pending->seen = now;
+  }
   if (worker.pending && worker.report->find(worker.pending->model)) {
+    if (worker.pending->from_store) {
+      this->watch_load(*worker.pending, now);
+    }
     worker.pending.reset();
   }
   if (worker.pending && now > worker.pending->give_up) {
@@ -189,6 +196,7 @@
 std::vector<residency_move> residency_planner::step(time_point now) {
   if (!this->catalog) return {};
   this->sum_up(now);
+  this->watch_store(now);
   this->expectations.clear();
   this->claimed.clear();
   for (const auto& service : this->catalog->services) {
@@ -249,17 +257,27 @@
     const auto known = this->expectations.try_emplace(model, at).first;
     known->second = std::min(known->second, at);
   }
+  auto store_free = this->store_free_at(now);
   for (const auto* model : unplaced) {
     std::string soonest;
     time_point ready;
+    bool from_store = false;
     for (const auto& [id, at] : free_at) {
-      const auto there = at + load_time(this->known.at(id), *model);
+      const auto& worker = this->known.at(id);
+      const bool fetched = !worker.copies.contains(model->name);
+      const auto begin = fetched ? std::max(at, store_free.front()) : at;
+      const auto there = begin + load_time(worker, *model);
       if (!soonest.empty() && there >= ready) continue;
       soonest = id;
       ready = there;
+      from_store = fetched;
     }
     if (soonest.empty()) return;
     free_at[soonest] = ready;
+    if (from_store) {
+      store_free.front() = ready;
+      std::sort(store_free.begin(), store_free.end());
+    }
     this->expectations[model->name] = ready;
   }
 }
@@ -291,7 +309,7 @@
     const fleet::service& service, const fleet::model& model,
     double most_requests, time_point now) {
   std::optional<choice> best;
-  const bool may_load = this->store_loads() < this->settings.store_loads &&
+  const bool may_load = this->store_loads() < this->pace.at_once() &&
                         !this->acquainting(service, now);
   for (const auto& [id, worker] : this->known) {
     if (worker.entry.service != service.name || worker.entry.draining) continue;
@@ -376,6 +394,7 @@
   worker.pending =
       planned_load{.model = model.name,
                    .from_store = chosen.from_store,
+                   .usual = chosen.time,
                    .due = now + chosen.time,
                    .give_up = now + chosen.time * this->settings.patience +
                               milliseconds(3000)};
@@ -405,12 +424,4 @@
   return false;
 }
 
-int residency_planner::store_loads() const {
-  int count = 0;
-  for (const auto& [id, worker] : this->known) {
-    if (worker.pending && worker.pending->from_store) ++count;
-  }
-  return count;
-}
-
 }  // namespace boragehill::decide
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -15,6 +15,7 @@
 #include "decide/planned_worker.hpp"
 #include "decide/planner_settings.hpp"
 #include "decide/residency_move.hpp"
+#include "decide/store_pace.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/server_list.hpp"
 
@@ -35,7 +36,7 @@
 class residency_planner {
  public:
   explicit residency_planner(const planner_settings& settings)
-      : settings(settings) {}
+      : settings(settings), pace(settings.store_loads) {}
 
   void set_catalog(std::shared_ptr<const fleet::catalog> news);
   void set_servers(const fleet::server_list& list, time_point now);
@@ -106,6 +107,12 @@
   bool usable(const planned_worker& worker, const fleet::service& service,
               time_point now) const;
   int store_loads() const;
+  /// Learns from the loads under way how many the store serves.
+  void watch_store(time_point now);
+  void watch_load(planned_load& load, time_point now);
+  /// \return When the store can begin one more load, for each load that it
+  ///     serves at once, the soonest first.
+  std::vector<time_point> store_free_at(time_point now) const;
   /// \return True while a worker that may have a copy hasn't reported yet.
   bool acquainting(const fleet::service& service, time_point now) const;
 
@@ -124,6 +131,8 @@
   std::map<std::string, time_point> expectations;
   /// Loading time of models that wait for a busy worker, in this step.
   std::map<std::string, milliseconds> claimed;
+  store_pace pace;
+  time_point store_watched;
 };
 
 }  // namespace boragehill::decide
--- /dev/null
+++ b/src/decide/residency_store.cpp
@@ -0,0 +1,69 @@
+// What the planner knows of the weight store.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "decide/residency_planner.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+/// \return Loads from the store while one of them ran, itself included, in the
+///     mean.
+double mean_crowd(const planned_load& load, milliseconds took) {
+  if (took <= milliseconds(0)) return 0;
+  return load.crowd_ms / static_cast<double>(took.count());
+}
+
+}  // namespace
+
+int residency_planner::store_loads() const {
+  int count = 0;
+  for (const auto& [id, worker] : this->known) {
+    if (worker.pending && worker.pending->from_store) ++count;
+  }
+  return count;
+}
+
+void residency_planner::watch_store(time_point now) {
+  const int at_once = this->store_loads();
+  const auto since = std::chrono::duration<double, std::milli>(
+      now - std::exchange(this->store_watched, now));
+  for (auto& [id, worker] : this->known) {
+    if (!worker.pending || !worker.pending->from_store) continue;
+    auto& load = *worker.pending;
+    if (!load.seen) continue;
+    load.crowd_ms += since.count() * at_once;
+    if (now > load.due) this->watch_load(load, now);
+  }
+}
+
+void residency_planner::watch_load(planned_load& load, time_point now) {
+  // An order that the worker left undone for a while tells nothing.
+  if (!load.seen) return;
+  const auto took = std::chrono::ceil<milliseconds>(now - *load.seen);
+  this->pace.on_load(load.usual, took, mean_crowd(load, took), now);
+  // How slow the store is shows only at the end. Until then a load that is
+  // overdue is taken to need as long again: told that it comes any moment,
+  // callers would wait for a model that can't come in time.
+  if (now > load.due) load.due = now + took;
+}
+
+std::vector<time_point> residency_planner::store_free_at(time_point now) const {
+  std::vector<time_point> free;
+  for (const auto& [id, worker] : this->known) {
+    if (!worker.pending || !worker.pending->from_store) continue;
+    free.push_back(std::max(worker.pending->due, now));
+  }
+  std::sort(free.begin(), free.end());
+  const auto places = static_cast<std::size_t>(this->pace.at_once());
+  // With more under way than the store serves, all but the last ones end before
+  // a further one may begin.
+  if (free.size() > places) free.erase(free.begin(), free.end() - places);
+  while (free.size() < places) free.insert(free.begin(), now);
+  return free;
+}
+
+}  // namespace boragehill::decide
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -10,6 +10,8 @@
 /// planner decides.
 class planned_fleet {
  public:
+  static constexpr int store_loads = 4;
+
   explicit planned_fleet(int workers, int models) {
     fleet::service service{.name = "assist",
                            .has_engine = true,
@@ -81,7 +83,8 @@
     return found;
   }
 
-  residency_planner planner{planner_settings{}};
+  /// The fleet's store serves four loads at full speed, and that is known.
+  residency_planner planner{planner_settings{.store_loads = store_loads}};
   fleet::server_list list;
   std::map<std::string, fleet::worker_report> reports;
   time_point now{std::chrono::seconds(100)};
@@ -182,7 +185,7 @@
   for (const auto& [id, worker] : fleet.planner.workers()) {
     if (worker.pending) ++loads;
   }
-  EXPECT_EQ(loads, planner_settings{}.store_loads);
+  EXPECT_EQ(loads, planned_fleet::store_loads);
 }
 
 TEST(residency_planner_test, wakes_elsewhere_when_a_worker_falls_silent) {
@@ -266,6 +269,48 @@
   EXPECT_FALSE(fleet.planner.workers().at("w0").pending->from_store);
 }
 
+TEST(residency_planner_test, loads_one_by_one_from_a_store_that_serves_one) {
+  // Nearly all workers of a fleet are replaced by empty ones, and the store
+  // serves one load at full speed. Two at once are slow; from then on the
+  // models come one after the other, and callers of the others hear when.
+  planned_fleet fleet(6, 12);
+  fleet.report();
+  std::vector<model_demand> storm;
+  for (int each = 0; each < 6; ++each) {
+    storm.push_back(waiting("m" + std::to_string(each), 6 - each));
+  }
+  const auto pass = [&fleet, &storm](milliseconds time) {
+    for (milliseconds left = time; left.count() > 0;
+         left -= milliseconds(100)) {
+      fleet.now += milliseconds(100);
+      fleet.report();
+      fleet.demand(storm);
+      fleet.step();
+    }
+  };
+  fleet.demand(storm);
+  fleet.step();
+  for (const auto& [id, worker] : fleet.planner.workers()) {
+    if (worker.pending) fleet.reports[id].busy = true;
+  }
+  // Four at a store that serves one: after the usual six seconds it shows.
+  pass(milliseconds(6500));
+  const auto& expected = fleet.planner.expected();
+  ASSERT_TRUE(expected.contains("m0"));
+  ASSERT_TRUE(expected.contains("m5"));
+  EXPECT_GT(expected.at("m0"), fleet.now + milliseconds(5000));
+  EXPECT_GE(expected.at("m5"), expected.at("m0") + milliseconds(6000));
+  pass(milliseconds(18500));
+  for (auto& [id, report] : fleet.reports) report.busy = false;
+  fleet.carry_out();
+  fleet.step();
+  int from_store = 0;
+  for (const auto& [id, worker] : fleet.planner.workers()) {
+    if (worker.pending && worker.pending->from_store) ++from_store;
+  }
+  EXPECT_EQ(from_store, 1);
+}
+
 TEST(residency_planner_test, a_new_planner_waits_for_reports_before_the_store) {
   // All machines come back from a power loss. The first agent to report has no
   // copy of the busy model, the next one, a moment later, has: a load from the
--- /dev/null
+++ b/test/decide-test/store_pace_test.cpp
@@ -0,0 +1,76 @@
+#include "decide/store_pace.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace boragehill::decide {
+namespace {
+
+constexpr milliseconds usual{13200};
+
+/// A store that serves `full` loads at full speed, and the loads that a pace
+/// lets it have, all begun together.
+milliseconds play_round(store_pace& pace, int full, time_point& now) {
+  const int loads = pace.at_once();
+  const double factor = std::max(1.0, static_cast<double>(loads) / full);
+  const auto took = std::chrono::duration_cast<milliseconds>(usual * factor);
+  now += took;
+  for (int each = 0; each < loads; ++each) {
+    pace.on_load(usual, took, loads, now);
+  }
+  return took;
+}
+
+TEST(store_pace_test, finds_a_store_that_serves_one_at_a_time) {
+  // A fleet's workers are replaced and the store serves one load at full
+  // speed. Four at once each took 53 s and no caller was served meanwhile.
+  store_pace pace(2);
+  time_point now{std::chrono::hours(1)};
+  play_round(pace, 1, now);
+  EXPECT_EQ(pace.at_once(), 1);
+  EXPECT_EQ(play_round(pace, 1, now), usual);
+  EXPECT_EQ(play_round(pace, 1, now), usual);
+  EXPECT_EQ(pace.at_once(), 1);
+}
+
+TEST(store_pace_test, finds_a_store_that_serves_four) {
+  store_pace pace(2);
+  time_point now{std::chrono::hours(1)};
+  play_round(pace, 4, now);
+  EXPECT_EQ(pace.at_once(), 3);
+  play_round(pace, 4, now);
+  EXPECT_EQ(pace.at_once(), 4);
+  for (int round = 0; round < 4; ++round) play_round(pace, 4, now);
+  EXPECT_GE(pace.at_once(), 4);
+  EXPECT_LE(pace.at_once(), 5);
+}
+
+TEST(store_pace_test, tries_more_again_after_a_while) {
+  store_pace pace(2);
+  time_point now{std::chrono::hours(1)};
+  play_round(pace, 1, now);
+  ASSERT_EQ(pace.at_once(), 1);
+  now += store_pace::remember;
+  play_round(pace, 4, now);
+  EXPECT_EQ(pace.at_once(), 2);
+}
+
+TEST(store_pace_test, takes_a_slow_load_alone_for_no_proof) {
+  // A worker leaves an order undone for seconds. Its load was late by itself.
+  store_pace pace(1);
+  pace.on_load(usual, usual * 3, 1, time_point(std::chrono::hours(1)));
+  EXPECT_EQ(pace.at_once(), 1);
+  store_pace wide(4);
+  wide.on_load(usual, usual * 3, 1, time_point(std::chrono::hours(1)));
+  EXPECT_EQ(wide.at_once(), 4);
+}
+
+TEST(store_pace_test, learns_nothing_from_few_loads) {
+  store_pace pace(4);
+  pace.on_load(usual, usual, 1.5, time_point(std::chrono::hours(1)));
+  EXPECT_EQ(pace.at_once(), 4);
+}
+
+}  // namespace
+}  // namespace boragehill::decide
