Load what is missed most into places that are free

Cause: a new worker has no copies. A load from the store there takes longer than the next load on an old worker's disk, so a wake never chose it; a further replica was never loaded from the store.

Change: a worker with a free place and nothing to do gets the model that is missed most, from its disk if it has a copy, else from the store while that has a place to spare. Models that nobody asks for are not loaded.

Tests: uses_new_workers_that_have_no_copies, fills_a_crashed_worker_from_its_ disk (both fail without it), leaves_places_free_for_what_nobody_asks_for.

--- a/src/decide/residency_appraisal.cpp
+++ b/src/decide/residency_appraisal.cpp
@@ -69,9 +69,6 @@
 double residency_planner::cost_of_losing(const planned_worker& worker,
                                          const std::string& model,
                                          time_point now) const {
-  // The loss is reckoned over the time in which a model that was dropped
-  // would come back by itself, asked for again.
-  constexpr double horizon_seconds = 5;
   // An unload waits for the model's runs; they take about so long.
   constexpr double run_seconds = 1.5;
   const auto found = this->models.find(model);
--- a/src/decide/residency_move.hpp
+++ b/src/decide/residency_move.hpp
@@ -12,7 +12,7 @@
 struct residency_move {
   std::string server;
   std::string model;
-  /// "wake" or "relief".
+  /// "wake", "relief" or "stock".
   std::string why;
   /// Models that make room for it.
   std::vector<std::string> victims;
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "decide/residency_choice.hpp"
 #include "decide/residency_support.hpp"
 
 namespace boragehill::decide {
@@ -50,18 +51,6 @@
 
 }  // namespace
 
-/// A worker for a model, with what has to go for it.
-struct residency_planner::choice {
-  std::string worker;
-  std::vector<std::string> victims;
-  milliseconds time{0};
-  bool from_store = false;
-  /// In seconds of waiting, over all requests.
-  double cost = 0;
-  /// The part of it that the victims' requests pay.
-  double loss = 0;
-};
-
 void residency_planner::set_catalog(
     std::shared_ptr<const fleet::catalog> news) {
   this->catalog = std::move(news);
@@ -204,6 +193,7 @@
     this->appraise(service, now);
     this->wake_waiting(service, now);
     this->relieve_busy(service, now);
+    this->stock_free_places(service, now);
     this->place_adapters(service, now);
   }
   return std::exchange(this->moves, {});
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <boragehill/time_point.hpp>
@@ -68,6 +69,10 @@
  private:
   struct choice;
 
+  /// Losses and gains are reckoned over the time in which a model that isn't
+  /// there would be asked for and come back by itself.
+  static constexpr double horizon_seconds = 5;
+
   void sum_up(time_point now);
   /// Reckons what each worker of a service could drop.
   void appraise(const fleet::service& service, time_point now);
@@ -85,6 +90,19 @@
                     const std::vector<const fleet::model*>& unplaced,
                     time_point now);
   void relieve_busy(const fleet::service& service, time_point now);
+  /// Loads what is missed most into places that are free.
+  ///
+  /// The load it answers: a release or a failure domain's loss replaces workers
+  /// by empty ones, or crashed ones come back with nothing loaded. Asked-for
+  /// models went on to share the few old workers, one load after the other,
+  /// while the new ones stood idle: they had no copy, and a load there was
+  /// always slower than the next one on an old worker's disk.
+  void stock_free_places(const fleet::service& service, time_point now);
+  /// \return Seconds of waiting, over all requests to come, that one more
+  ///     replica saves.
+  double gain_of_placing(const fleet::model& model, time_point now) const;
+  void count_copies();
+  bool may_stock_from_store() const;
   void place_adapters(const fleet::service& service, time_point now);
   void place_adapter(const fleet::service& service, const std::string& model,
                      const std::string& adapter, time_point now);
@@ -131,6 +149,8 @@
   std::map<std::string, time_point> expectations;
   /// Loading time of models that wait for a busy worker, in this step.
   std::map<std::string, milliseconds> claimed;
+  /// Models with a copy at hand on some worker that stays, in this step.
+  std::unordered_set<std::string> copies;
   store_pace pace;
   time_point store_watched;
 };
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -311,6 +311,44 @@
   EXPECT_EQ(from_store, 1);
 }
 
+TEST(residency_planner_test, uses_new_workers_that_have_no_copies) {
+  // A release replaces a worker by an empty one. The old ones are full and load
+  // one asked-for model after the other from disk; the new one is never the
+  // soonest place for any of them and stood idle for the rest of the day.
+  planned_fleet fleet(2, 8);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.copies_on_disk("w0", {"m0", "m1", "m2", "m3", "m4"});
+  fleet.report();
+  fleet.demand({{.service = "assist", .model = "m3", .arrivals = 2},
+                {.service = "assist", .model = "m4", .arrivals = 1}});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m3"), std::set<std::string>{"w1"});
+}
+
+TEST(residency_planner_test, fills_a_crashed_worker_from_its_disk) {
+  // A worker crashes and is back with nothing loaded and all copies on disk.
+  // The busy model that stood there is loaded before its callers queue up at
+  // the replica that is left.
+  planned_fleet fleet(2, 8);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.copies_on_disk("w1", {"m0", "m3", "m4"});
+  fleet.report();
+  fleet.demand({{.service = "assist", .model = "m3", .arrivals = 3}});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m3"), std::set<std::string>{"w1"});
+}
+
+TEST(residency_planner_test, leaves_places_free_for_what_nobody_asks_for) {
+  planned_fleet fleet(2, 8);
+  fleet.copies_on_disk("w1", {"m0", "m3", "m4"});
+  fleet.report();
+  fleet.demand({});
+  fleet.step();
+  for (const auto& [id, worker] : fleet.planner.workers()) {
+    EXPECT_FALSE(worker.pending) << id;
+  }
+}
+
 TEST(residency_planner_test, a_new_planner_waits_for_reports_before_the_store) {
   // All machines come back from a power loss. The first agent to report has no
   // copy of the busy model, the next one, a moment later, has: a load from the
