Refuse a request that crashes servers at every router

Change: a run that breaks off is a strike against the request (caller, method, host, target, body). Routers tell the planner their strikes with their reports; it sums them up and tells all routers whom three strikes convict. A convicted request is refused at once, without a time to come back. Any whole answer to the same request that a router has seen acquits it there, so that requests that are alike to the letter aren't refused for a few cut connections. Without a planner a router convicts by its own strikes; a new planner hears the convicted ones from all. Refused with 503 ("not run" is true), not with the product's 422: an innocent caller may come again.

The hash of a request stands once now (kernel/fingerprint), for both platforms.

--- a/src/router/request_reader.cpp
+++ b/src/router/request_reader.cpp
@@ -1,19 +1,16 @@
 #include "router/request_reader.hpp"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cstdio>
 #include <httplib.h>
 #include <json/json.h>
-#include <memory>
-#include <xxhash.h>
 
 #include <boragehill/model_ref.hpp>
 #include <boragehill/profile.hpp>
 
 #include "decide/catalog.hpp"
 #include "decide/target_name.hpp"
+#include "kernel/fingerprint.hpp"
 
 namespace boragehill::router {
 
@@ -65,23 +62,9 @@
 }
 
 std::string hash_of(const accepted_request& request) {
-  XXH3_state_t* const state = XXH3_createState();
-  const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(
-      state, &XXH3_freeState);
-  XXH3_128bits_reset(state);
-  for (const std::string* part :
-       {&request.service, &request.target, &request.adapter, &request.method,
-        &request.path, &request.body}) {
-    const std::uint64_t size = part->size();
-    XXH3_128bits_update(state, &size, sizeof size);
-    XXH3_128bits_update(state, part->data(), part->size());
-  }
-  const XXH128_hash_t hash = XXH3_128bits_digest(state);
-  std::array<char, 33> text{};
-  std::snprintf(text.data(), text.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
-  return text.data();
+  return kernel::fingerprint_of({request.service, request.target,
+                                 request.adapter, request.method, request.path,
+                                 request.body});
 }
 
 std::optional<refusal> read_deadline(const httplib::Request& raw,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -101,6 +101,13 @@
   for (const auto& each : update.expected) {
     this->expected[each.model] = now + each.ready_in;
   }
+  // The first update on a link may be a new planner's, who knows of no crash.
+  if (update.whole) this->crashes.tell_again(now);
+  for (const auto& each : update.convicted) {
+    if (this->crashes.is_convicted(each, now)) continue;
+    this->crashes.on_convicted(each, now);
+    kernel::log_event(kernel::event::convicted, {{"fingerprint", each}});
+  }
   this->metrics.set_planner_term(static_cast<double>(update.term));
   this->serve_waiting();
   this->judge_waiting();
@@ -131,6 +138,12 @@
     return request->refuse(result_code::unknown_model,
                            "no such model in the configuration", next_catalog);
   }
+  if (this->crashes.is_convicted(request->fingerprint(),
+                                 time_point::clock::now())) {
+    // Nothing is said of coming back: it would only be refused again.
+    return request->refuse(result_code::request_convicted,
+                           "this request crashes servers", milliseconds(0));
+  }
   const bool first = !request->sends().sent();
   if (first) {
     this->metrics.on_accepted();
@@ -270,6 +283,12 @@
       {{"request", request.fields().attempt},
        {"server", request.server()},
        {"reason", reached ? "answer broke off" : "connection failed"}});
+  if (!reached) return;
+  this->crashes.on_broken(request.fingerprint(), time_point::clock::now());
+  kernel::log_event(kernel::event::striked,
+                    {{"request", request.fields().attempt},
+                     {"server", request.server()},
+                     {"fingerprint", request.fingerprint()}});
 }
 
 void dispatcher::on_server_replaced(const exchange& request) {
@@ -310,6 +329,9 @@
 void dispatcher::on_finished(const exchange& request) {
   const auto& ended = request.result();
   this->metrics.on_ended(ended.code);
+  if (ended.code == result_code::ok) {
+    this->crashes.on_answered(request.fingerprint());
+  }
   const auto now = time_point::clock::now();
   const auto received = request.request().received;
   const auto& asked = request.fields();
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -13,6 +13,7 @@
 
 #include <boragehill/time_point.hpp>
 
+#include "decide/crash_watch.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/send_budget.hpp"
 #include "decide/stop_gate.hpp"
@@ -44,6 +45,10 @@
 
   /// \return The demand since the last call, and the requests out now.
   decide::demand_report take_report();
+  /// \return Requests whose runs broke off since the last call.
+  std::vector<std::string> take_strikes() {
+    return this->crashes.take_strikes();
+  }
   /// Sets what is called when a request begins to wait.
   void on_waiting(std::function<void()> told) { this->waits = std::move(told); }
 
@@ -122,6 +127,7 @@
   std::map<flight_key, int> flights;
   std::map<std::string, decide::send_budget> budgets;
   std::function<void()> waits;
+  decide::crash_watch crashes;
   decide::stop_gate gate;
   bool serving = false;
 };
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -199,9 +199,13 @@
   this->requests.judge_waiting();
   if (!this->finder->linked()) return;
   auto report = this->requests.take_report();
-  if (report == this->last_report && report.demands.empty()) return;
-  this->finder->send(wire::encode(
-      wire::router_report{.router = this->settings.id, .demand = report}));
+  auto strikes = this->requests.take_strikes();
+  const bool same = report == this->last_report && report.demands.empty();
+  if (same && strikes.empty()) return;
+  this->finder->send(
+      wire::encode(wire::router_report{.router = this->settings.id,
+                                       .demand = report,
+                                       .strikes = std::move(strikes)}));
   this->last_report = std::move(report);
 }
 
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -9,6 +9,7 @@
 #include "fleet/request_codec.hpp"
 #include "fleet/server.hpp"
 #include "http/head_text.hpp"
+#include "kernel/fingerprint.hpp"
 #include "kernel/random.hpp"
 #include "serve/caller_session.hpp"
 #include "serve/exchange_host.hpp"
@@ -45,6 +46,13 @@
   return target.substr(0, target.find('?'));
 }
 
+std::string print_of(const caller_request& request) {
+  const auto* host = request.head.headers.find("Host");
+  return kernel::fingerprint_of({request.caller, request.head.method,
+                                 host ? std::string_view(*host) : "",
+                                 request.head.target, request.body});
+}
+
 /// The most urgent is 0, the least 9.
 int priority_for(const fleet::route& route) {
   constexpr int lowest = 9;
@@ -60,6 +68,7 @@
       host(host),
       what(std::move(request)),
       session(std::move(session)),
+      print(print_of(this->what)),
       record(fleet::repeat_rule::once, false, 1),
       timer(context) {}
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -61,6 +61,9 @@
   void on_broken() override;
 
   const caller_request& request() const { return this->what; }
+  /// \return Equal for requests that are alike in caller, method, host, target
+  ///     and body.
+  const std::string& fingerprint() const { return this->print; }
   const fleet::request_fields& fields() const { return this->asked; }
   /// \return Null if it was refused before it was routed.
   const fleet::route* route() const { return this->way.get(); }
@@ -102,6 +105,7 @@
   exchange_host& host;
   caller_request what;
   std::weak_ptr<caller_session> session;
+  std::string print;
   fleet::request_fields asked;
   std::shared_ptr<const fleet::route> way;
   std::string target;
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -127,6 +127,10 @@
   this->planner.on_demand(report.router, report.demand,
                           time_point::clock::now());
   this->demands[report.router] = std::move(report.demand);
+  for (const auto& each : report.strikes) {
+    if (!this->crashes.on_strike(each, time_point::clock::now())) continue;
+    this->convicted = this->crashes.convicted(time_point::clock::now());
+  }
   this->plan_soon();
 }
 
@@ -324,7 +328,14 @@
       if (news) update.servers.push_back(std::move(*news));
     }
     const bool same = this->expects_the_same(each);
-    if (update.servers.empty() && each.greeted && same) continue;
+    const bool same_convicted = each.convicted == this->convicted;
+    if (update.servers.empty() && each.greeted && same && same_convicted) {
+      continue;
+    }
+    if (!same_convicted) {
+      update.convicted = this->convicted;
+      each.convicted = this->convicted;
+    }
     if (!same) each.expected = this->planner.expected();
     for (const auto& [model, at] : this->planner.expected()) {
       update.expected.push_back(
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -7,9 +7,11 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boragehill/endpoint.hpp>
 
+#include "decide/crash_tally.hpp"
 #include "decide/residency_planner.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
@@ -42,6 +44,7 @@
     std::string router;
     std::map<std::string, wire::server_view> told;
     std::map<std::string, time_point> expected;
+    std::vector<std::string> convicted;
     bool greeted = false;
   };
   struct agent_link {
@@ -79,6 +82,9 @@
   std::map<std::string, decide::demand_report> demands;
   std::map<endpoint, agent_link> agents;
   std::map<endpoint, time_point> agent_retry;
+  decide::crash_tally crashes;
+  /// Requests that no router should run, as last summed up.
+  std::vector<std::string> convicted;
   time_point last_plan;
   bool soon = false;
 };
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -97,6 +97,9 @@
   for (const auto& each : update.expected) {
     message["expected"][each.model] = Json::Int64(each.ready_in.count());
   }
+  if (!update.convicted.empty()) {
+    message["convicted"] = encode_texts(update.convicted);
+  }
   return message;
 }
 
@@ -115,6 +118,7 @@
     update.expected.push_back(
         {.model = model, .ready_in = milliseconds(expected[model].asInt64())});
   }
+  update.convicted = decode_texts(message["convicted"]);
   return update;
 }
 
@@ -178,6 +182,9 @@
   for (const auto& each : report.demand.flights) {
     flights.append(encode_flight(each));
   }
+  if (!report.strikes.empty()) {
+    message["strikes"] = encode_texts(report.strikes);
+  }
   return message;
 }
 
@@ -189,6 +196,7 @@
   for (const auto& each : message["flights"]) {
     report.demand.flights.push_back(decode_flight(each));
   }
+  report.strikes = decode_texts(message["strikes"]);
   return report;
 }
 
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_WIRE_ROUTER_REPORT_HPP
 
 #include <string>
+#include <vector>
 
 #include "decide/demand_report.hpp"
 
@@ -11,6 +12,8 @@
 struct router_report {
   std::string router;
   decide::demand_report demand;
+  /// Requests whose runs broke off since the last report, one entry a run.
+  std::vector<std::string> strikes;
 
   bool operator==(const router_report&) const = default;
 };
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -21,6 +21,9 @@
   std::vector<server_view> servers;
   /// Models that are asked for and stand nowhere; all of them each time.
   std::vector<expected_model> expected;
+  /// Requests that crash servers and must not run; all of them whenever they
+  /// changed, else none.
+  std::vector<std::string> convicted;
 
   bool operator==(const view_update&) const = default;
 };
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -161,6 +161,43 @@
   }
 }
 
+TEST(calm_day_test, a_request_that_crashes_servers_is_refused_everywhere) {
+  // A caller's request takes down each server that begins to run it, and the
+  // caller sends it again at another router. Without a word between routers
+  // every server goes down; with it the fourth is spared, and so are others'
+  // requests.
+  small_fleet fleet(2, 1, 4, 1);
+  ASSERT_TRUE(fleet.start());
+  for (int each = 1; each <= 4; ++each) {
+    fleet.crash_on("plain-" + std::to_string(each), "poison");
+  }
+  const auto send = [&fleet](int router, const std::string& attempt) {
+    return fleet.raw(router,
+                     "POST /plain/x HTTP/1.1\r\nHost: valves.example\r\n"
+                     "Connection: close\r\nBoragehill-Attempt-Id: " +
+                         attempt + "\r\nContent-Length: 6\r\n\r\npoison");
+  };
+  for (int each = 0; each < 3; ++each) {
+    const auto answer = send(1 + each % 2, "c" + std::to_string(each));
+    EXPECT_NE(answer.find(" 502 "), std::string::npos) << answer;
+  }
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (const int router : {1, 2}) {
+    const auto answer = send(router, "late-" + std::to_string(router));
+    EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("1009 "), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("Retry-After"), std::string::npos) << answer;
+  }
+  int alive = 0;
+  for (int each = 1; each <= 4; ++each) {
+    if (fleet["plain-" + std::to_string(each)].is_running()) ++alive;
+  }
+  EXPECT_EQ(alive, 1);
+  const auto other = fleet.call(1, "innocent", {});
+  ASSERT_TRUE(other);
+  EXPECT_EQ(other->status, 200) << other->body;
+}
+
 TEST(calm_day_test, a_planned_stop_under_load_cuts_off_nothing) {
   // Callers go on connecting to a router that stops, to its last moment. Each
   // request is answered, refused, or never read; none runs and is cut off.
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -330,6 +330,14 @@
   this->post(worker, "/standin/drain", "{}");
 }
 
+void small_fleet::crash_on(const std::string& worker,
+                           const std::string& marker) {
+  Json::Value fault;
+  fault["kind"] = "crash_on";
+  fault["marker"] = marker;
+  this->post(worker, "/standin/fault", kernel::write_json(fault));
+}
+
 std::string small_fleet::planner() {
   httplib::Client client(this->address_of("store"),
                          this->port_base + store_port_offset);
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -57,6 +57,8 @@
   /// \return True if no worker was ordered beyond its memory or by two.
   bool orders_were_sound();
   void drain(const std::string& worker);
+  /// Lets a worker's process end when a request's body holds the marker.
+  void crash_on(const std::string& worker, const std::string& marker);
   /// Kills a plain server and starts another lifetime at its address; the
   /// store goes on listing the first one, too.
   void replace_plain(int number, const std::string& id);
