Refuse adapters that the configuration doesn't have

Finding that was open: names of adapters that callers make up were kept in the planner without bound, as adapters that are asked for, and took the places of those that exist; their callers were held to their limit.

Change: the catalog knows each model's adapters, and a request for another one is refused at once, as one for an unknown model is.

Ruled out: a bound on the planner's memory alone; the caller would still wait.

--- a/src/fleet/model.hpp
+++ b/src/fleet/model.hpp
@@ -1,7 +1,9 @@
 #ifndef BORAGEHILL_FLEET_MODEL_HPP
 #define BORAGEHILL_FLEET_MODEL_HPP
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include <boragehill/time_point.hpp>
 
@@ -19,8 +21,16 @@
   milliseconds store_load{0};
   milliseconds disk_load{0};
   milliseconds memory_load{0};
+  /// Names of its adapters, sorted.
+  std::vector<std::string> adapters;
 
   bool operator==(const model&) const = default;
+
+  /// \return True if an adapter of that name exists.
+  bool has_adapter(const std::string& wanted) const {
+    return std::binary_search(this->adapters.begin(), this->adapters.end(),
+                              wanted);
+  }
 };
 
 }  // namespace boragehill::fleet
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -130,7 +130,9 @@
   const auto& model = request.fields().model;
   const auto* service = this->known_catalog->find_service(request.service());
   if (model.empty() || !service || !service->has_engine) return true;
-  return service->find_model(model) != nullptr;
+  const auto* found = service->find_model(model);
+  const auto& adapter = request.fields().adapter;
+  return found && (adapter.empty() || found->has_adapter(adapter));
 }
 
 void dispatcher::place(const std::shared_ptr<exchange>& request) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -98,9 +98,9 @@
   static demand_key key_of(const exchange& request);
   std::optional<milliseconds> in_vain(const exchange& request,
                                       time_point now) const;
-  /// \return False for a model that the configuration doesn't have: nobody will
-  ///     ever hold it, and names that callers make up must not fill the
-  ///     planner's memory.
+  /// \return False for a model or adapter that the configuration doesn't have:
+  ///     nobody will ever hold it, and names that callers make up must not fill
+  ///     the planner's memory.
   bool knows_model(const exchange& request) const;
   bool try_send(const std::shared_ptr<exchange>& request);
   bool can_take(const server_state& server, const exchange& request) const;
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -47,6 +47,8 @@
   ASSERT_NE(service, nullptr);
   EXPECT_TRUE(service->has_engine);
   EXPECT_EQ(service->find_model("m")->disk_load, milliseconds(1300));
+  EXPECT_TRUE(service->find_model("m")->has_adapter("a3"));
+  EXPECT_FALSE(service->find_model("m")->has_adapter("a4"));
   EXPECT_FALSE(catalog.find_service("s2")->has_engine);
   EXPECT_EQ(catalog.limits.idle_timeout, milliseconds(15000));
 }
--- a/test/fleet-test/bad_input_test.cpp
+++ b/test/fleet-test/bad_input_test.cpp
@@ -69,6 +69,23 @@
   EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(1));
 }
 
+TEST_F(bad_input_test, names_an_adapter_that_nobody_has) {
+  // Callers make up adapters of a model that stands. Each was kept as one that
+  // is asked for, and took a place of those that exist.
+  for (const char* name : {"model-1/a4", "model-1/", "model-1/a1/b"}) {
+    const auto answer =
+        this->fleet.call(1, std::string("made-up-") + name, name, "/stream/x");
+    ASSERT_TRUE(answer) << name;
+    const bool refused =
+        answer->status == 503 && answer->body.find("1002") != std::string::npos;
+    EXPECT_TRUE(refused || answer->status == 200) << name << answer->body;
+  }
+  const auto unknown = this->fleet.call(1, "a4", "model-1/a4", "/stream/x");
+  ASSERT_TRUE(unknown);
+  EXPECT_EQ(unknown->status, 503);
+  EXPECT_NE(unknown->body.find("1002"), std::string::npos) << unknown->body;
+}
+
 TEST_F(bad_input_test, cannot_smuggle_what_the_system_sets) {
   const auto answer = this->fleet.raw(
       1,
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -196,6 +196,7 @@
     model["name"] = numbered("model", each);
     model["weightsMb"] = weights_mb;
     model["adapterMb"] = 0.1;
+    model["adapters"] = 3;
     model["loadS"] = 2;
     model["diskS"] = 0.3;
     model["warmS"] = 0.1;
