Refuse at once where no server is listed

Change: a request is refused at once, with a time to come back, if no server of its service is listed that stays and hasn't failed it. A stream that broke off in the middle waits as before: it goes on as soon as there is a server.

--- a/src/decide/wait_case.hpp
+++ b/src/decide/wait_case.hpp
@@ -19,6 +19,8 @@
   milliseconds gap_objective{0};
   /// When the planner expects a worker to have its model, if it said.
   std::optional<milliseconds> ready_in;
+  /// A server is listed that may take it, now or once it has room or the model.
+  bool has_server = true;
 
   bool operator==(const wait_case&) const = default;
 };
--- a/src/decide/wait_limit.cpp
+++ b/src/decide/wait_limit.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds retry_slack{100};
 /// Where nobody knows when the model will be there.
 constexpr milliseconds unknown_retry{1000};
+/// Where no server is left. A crashed one is back, or a new one is listed,
+/// within seconds; a caller comes back once, so not at the first moment.
+constexpr milliseconds new_server_retry{1000};
 
 }  // namespace
 
@@ -31,6 +34,7 @@
 }
 
 std::optional<milliseconds> refuse_waiting_now(const wait_case& waiting) {
+  if (!waiting.has_server) return new_server_retry;
   const auto remaining = patience_of(waiting) - waiting.waited - start_needs;
   if (remaining <= milliseconds(0)) {
     return waiting.ready_in.value_or(unknown_retry) + retry_slack;
--- a/src/engine/running_request.cpp
+++ b/src/engine/running_request.cpp
@@ -112,7 +112,7 @@
   const auto host = asio::ip::make_address(this->address.address, error);
   if (error) return error;
   const asio::ip::tcp::endpoint peer(host, this->address.port);
-  error = this->wait_for(connect_timeout, [&](step done) {
+  error = this->wait_for(connect_timeout, [&](const step& done) {
     this->socket.async_connect(
         peer, [done](std::error_code failed) { done(failed, 0); });
   });
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -158,6 +158,10 @@
                            other_router_takes);
   }
   if (this->try_send(request)) return;
+  const auto back = this->in_vain(*request, time_point::clock::now());
+  if (back && !this->may_get_server(*request)) {
+    return this->refuse_in_vain(request, *back);
+  }
   this->wait_in_line(request);
 }
 
@@ -171,6 +175,18 @@
   return server.serves(asked.model, asked.adapter, this->planner_linked);
 }
 
+bool dispatcher::may_get_server(const exchange& request) const {
+  // Which models a worker will hold changes; that it serves the service and
+  // hasn't failed this request doesn't.
+  return std::any_of(this->servers.begin(), this->servers.end(),
+                     [&](const auto& each) {
+                       const auto& server = each.second;
+                       return server.entry.service == request.service() &&
+                              !server.entry.draining && !server.replaced &&
+                              !request.sends().tried(each.first);
+                     });
+}
+
 bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
   const auto now = time_point::clock::now();
   std::vector<decide::server_candidate> candidates;
@@ -414,6 +430,9 @@
       .stream = route.rule == fleet::repeat_rule::stream,
       .objective = route.latency_objective,
       .gap_objective = route.gap_objective};
+  // A stream that broke off goes on as soon as there is a server.
+  waiting.has_server =
+      request.answered().has_value() || this->may_get_server(request);
   const auto known = this->expected.find(request.fields().model);
   if (known != this->expected.end()) {
     waiting.ready_in =
@@ -434,9 +453,17 @@
   }
   for (const auto& [request, back] : refused) {
     this->withdraw(*request);
-    request->refuse(result_code::deadline_unreachable,
-                    "no worker has the model in time", back);
+    this->refuse_in_vain(request, back);
+  }
+}
+
+void dispatcher::refuse_in_vain(const std::shared_ptr<exchange>& request,
+                                milliseconds back) {
+  if (!this->may_get_server(*request)) {
+    return request->refuse(result_code::no_server, "no server is listed", back);
   }
+  request->refuse(result_code::deadline_unreachable,
+                  "no worker has the model in time", back);
 }
 
 void dispatcher::begin_stop(time_point until) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -104,6 +104,11 @@
   bool knows_model(const exchange& request) const;
   bool try_send(const std::shared_ptr<exchange>& request);
   bool can_take(const server_state& server, const exchange& request) const;
+  /// Says why no server takes the request in time.
+  void refuse_in_vain(const std::shared_ptr<exchange>& request,
+                      milliseconds back);
+  /// \return False if no server is listed that could ever take the request.
+  bool may_get_server(const exchange& request) const;
   std::size_t most_connections(const std::string& service) const;
   void wait_in_line(const std::shared_ptr<exchange>& request);
   void serve_waiting();
--- a/test/decide-test/wait_limit_test.cpp
+++ b/test/decide-test/wait_limit_test.cpp
@@ -21,6 +21,16 @@
   EXPECT_EQ(refuse_waiting_now(waiting), std::nullopt);
 }
 
+TEST(wait_limit_test, refuses_at_once_where_no_server_is_left) {
+  // The last server of a service crashes and is taken off the list. Callers
+  // were held until their limit passed, and had no time left to come back.
+  auto waiting = chat;
+  waiting.stream = false;
+  waiting.waited = milliseconds(0);
+  waiting.has_server = false;
+  EXPECT_EQ(refuse_waiting_now(waiting), milliseconds(1000));
+}
+
 TEST(wait_limit_test, waits_on_while_nobody_knows_and_the_caller_stays) {
   EXPECT_EQ(refuse_waiting_now(chat), std::nullopt);
   auto waiting = chat;
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -198,6 +198,22 @@
   EXPECT_EQ(other->status, 200) << other->body;
 }
 
+TEST(calm_day_test, callers_of_a_service_without_servers_are_told_at_once) {
+  // The only server of a service crashes. Its callers were held for ten seconds
+  // each, until their limit, and were told then that nobody was there.
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet["plain-1"].kill();
+  for (int each = 0; each < 3; ++each) {
+    const auto begin = steady_clock::now();
+    const auto answer = fleet.call(1, "n" + std::to_string(each), {});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503) << answer->body;
+    EXPECT_GT(std::stod(answer->get_header_value("Retry-After")), 0);
+    EXPECT_LT(steady_clock::now() - begin, milliseconds(1000));
+  }
+}
+
 TEST(calm_day_test, a_planned_stop_under_load_cuts_off_nothing) {
   // Callers go on connecting to a router that stops, to its last moment. Each
   // request is answered, refused, or never read; none runs and is cut off.
