Soak: real processes under seeded faults from outside

boragehill_soak draws a seed's faults (kills, planned stops, pauses and SIGHUP of routers and agents; servers replaced; proxies that delay, reset, cut one way or silence the links to the store and to servers; the store down, slow, losing answers; new configurations), which come in series and overlap, and plays them against a fleet of processes while callers go on over kept connections. It checks from what callers and servers saw that nothing ran twice, refusals were true, answers were whole and the caller's own, final answers came in time, only kills and harmed servers cut a run off, no process ended by itself, workers were not ordered beyond their memory, and all is served again afterwards.

--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -276,6 +276,7 @@
   planned_fleet fleet(6, 12);
   fleet.report();
   std::vector<model_demand> storm;
+  storm.reserve(6);
   for (int each = 0; each < 6; ++each) {
     storm.push_back(waiting("m" + std::to_string(each), 6 - each));
   }
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -24,6 +24,7 @@
 constexpr int ready_port_offset = 2;
 constexpr int link_port_offset = 3;
 constexpr int worker_port_offset = 5;
+constexpr int proxy_port_offset = 6;
 /// A worker of the stand-in holds this many models.
 constexpr int places = 2;
 constexpr double weights_mb = 70000;
@@ -40,8 +41,12 @@
 }  // namespace
 
 small_fleet::small_fleet(int routers, int workers, int plains, int models,
-                         int empty_workers)
-    : routers(routers), workers(workers), plains(plains), models(models) {
+                         int empty_workers, bool behind_proxies)
+    : routers(routers),
+      workers(workers),
+      plains(plains),
+      models(models),
+      behind_proxies(behind_proxies) {
   // Runs beside each other get ports of their own.
   constexpr int first_port = 20000;
   constexpr int port_step = 8;
@@ -61,23 +66,15 @@
   for (int each = 1; each <= models; ++each) {
     disk += numbered("model", each) + (each < models ? "," : "");
   }
-  const std::string store = this->address_of("store") + ":" +
-                            std::to_string(this->port_base + store_port_offset);
   for (int each = 1; each <= workers; ++each) {
     const auto name = numbered("worker", each);
     place(name);
-    std::vector<std::string> flags{
-        "--id=i-" + name,
-        "--service_name=assist",
-        "--store=" + store,
-        "--load_ms_disk=300",
-        "--disk_checkpoints=" + std::to_string(places),
-        "--delay_ms=20"};
+    std::vector<std::string> flags;
     if (each <= workers - empty_workers) {
       flags.push_back(disk);
       flags.push_back("--cached_memory=" + numbered("model", each));
     }
-    this->add_standin(name, "worker", flags);
+    this->add_worker(name, "i-" + name, flags);
     this->add_own("agent-" + std::to_string(each), "agent", name);
   }
   for (int each = 1; each <= plains; ++each) {
@@ -132,7 +129,7 @@
       {"zone", "zone-1"},
       {"ip", ip},
       {"portRange.0", std::to_string(this->port_base + link_port_offset)},
-      {"platform.addr", at(this->address_of("store"), store_port_offset)},
+      {"platform.addr", this->advertised("store")},
       {"listen.front", at(ip, caller_port_offset)},
       {"listen.ready", at(ip, ready_port_offset)},
       {"app", at(ip, worker_port_offset)},
@@ -313,7 +310,86 @@
                             std::to_string(this->port_base + store_port_offset);
   this->add_standin(name, "worker",
                     {"--id=" + id, "--service_name=sheets", "--store=" + store,
-                     "--delay_ms=5"});
+                     "--advertise=" + this->advertised(name), "--delay_ms=5"});
+}
+
+void small_fleet::add_worker(const std::string& name, const std::string& id,
+                             const std::vector<std::string>& flags) {
+  std::vector<std::string> all{
+      "--id=" + id,
+      "--service_name=assist",
+      "--store=" + this->real_address("store").to_string(),
+      "--advertise=" + this->advertised(name),
+      "--load_ms_disk=300",
+      "--disk_checkpoints=" + std::to_string(places),
+      "--delay_ms=20"};
+  all.insert(all.end(), flags.begin(), flags.end());
+  this->add_standin(name, "worker", all);
+}
+
+endpoint small_fleet::real_address(const std::string& standin) const {
+  const int offset =
+      standin == "store" ? store_port_offset : worker_port_offset;
+  return {this->address_of(standin),
+          static_cast<std::uint16_t>(this->port_base + offset)};
+}
+
+endpoint small_fleet::proxy_address(const std::string& standin) const {
+  return {this->address_of(standin),
+          static_cast<std::uint16_t>(this->port_base + proxy_port_offset)};
+}
+
+endpoint small_fleet::caller_address(int router) const {
+  return {this->address_of(numbered("router", router)),
+          static_cast<std::uint16_t>(this->port_base + caller_port_offset)};
+}
+
+std::string small_fleet::advertised(const std::string& name) const {
+  return this->behind_proxies ? this->proxy_address(name).to_string()
+                              : this->real_address(name).to_string();
+}
+
+void small_fleet::fault(const std::string& standin, const std::string& json) {
+  this->post(standin, "/standin/fault", json);
+}
+
+void small_fleet::forget_server(const std::string& id) {
+  Json::Value call;
+  call["table"] = "servers";
+  call["key"] = id;
+  call["deleted"] = true;
+  this->post("store", "/standin/put", kernel::write_json(call));
+}
+
+void small_fleet::replace_worker(int number, const std::string& id) {
+  const auto name = numbered("worker", number);
+  (*this)[name].kill();
+  std::string disk = "--cached_disk=";
+  for (int each = 1; each <= this->models; ++each) {
+    disk += numbered("model", each) + (each < this->models ? "," : "");
+  }
+  this->add_worker(name, id, {disk});
+  (*this)[name].start();
+}
+
+std::string small_fleet::keep_logs(const std::string& name) const {
+  const auto kept = this->folder + "-" + name;
+  std::filesystem::copy(this->folder, kept,
+                        std::filesystem::copy_options::overwrite_existing |
+                            std::filesystem::copy_options::recursive);
+  return kept;
+}
+
+std::map<std::string, int> small_fleet::all_runs() const {
+  std::map<std::string, int> runs;
+  for (const auto& each : std::filesystem::directory_iterator(this->folder)) {
+    std::ifstream log(each.path());
+    std::string line;
+    while (std::getline(log, line)) {
+      if (line.starts_with("ran ")) ++runs[line.substr(4)];
+    }
+  }
+  return runs;
 }
 
 void small_fleet::replace_plain(int number, const std::string& id) {
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -8,6 +8,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
+
+#include <boragehill/endpoint.hpp>
 
 #include "process-test/process.hpp"
 
@@ -23,8 +26,10 @@
  public:
   /// \param empty_workers That many of the workers, the last ones, start with
   ///     nothing loaded and no copies.
+  /// \param behind_proxies The processes of ours reach the store and the
+  ///     servers at their `proxy_address`, where the test has to listen.
   small_fleet(int routers, int workers, int plains, int models,
-              int empty_workers = 0);
+              int empty_workers = 0, bool behind_proxies = false);
   ~small_fleet();
 
   /// Starts all; returns when every router is ready.
@@ -59,6 +64,24 @@
   void drain(const std::string& worker);
   /// Lets a worker's process end when a request's body holds the marker.
   void crash_on(const std::string& worker, const std::string& marker);
+  /// Sets a fault of a stand-in, "store" among them.
+  void fault(const std::string& standin, const std::string& json);
+  /// Kills a model worker and starts another lifetime at its address, empty
+  /// but for its disk.
+  void replace_worker(int number, const std::string& id);
+  /// Takes a server's entry out of the store.
+  void forget_server(const std::string& id);
+  /// \return Where a stand-in listens, and where others take it to be.
+  endpoint real_address(const std::string& standin) const;
+  endpoint proxy_address(const std::string& standin) const;
+  /// \return Where callers reach a router.
+  endpoint caller_address(int router) const;
+  /// Copies the logs of all processes into a folder beside the fleet's own,
+  /// which goes with the fleet.
+  /// \return That folder.
+  std::string keep_logs(const std::string& name) const;
+  /// \return How often each attempt ran, by the logs of all servers.
+  std::map<std::string, int> all_runs() const;
   /// Kills a plain server and starts another lifetime at its address; the
   /// store goes on listing the first one, too.
   void replace_plain(int number, const std::string& id);
@@ -72,6 +95,9 @@
   void add_own(const std::string& name, const std::string& role,
                const std::string& machine);
   void add_plain(const std::string& name, const std::string& id);
+  void add_worker(const std::string& name, const std::string& id,
+                  const std::vector<std::string>& flags);
+  std::string advertised(const std::string& name) const;
   std::string address_of(const std::string& machine) const;
   void post(const std::string& standin, const std::string& path,
             const std::string& body);
@@ -80,6 +106,7 @@
   int workers;
   int plains;
   int models;
+  bool behind_proxies;
   std::string folder;
   int port_base;
   std::map<std::string, std::string> addresses;
--- /dev/null
+++ b/test/soak/call_record.hpp
@@ -0,0 +1,28 @@
+#ifndef BORAGEHILL_SOAK_CALL_RECORD_HPP
+#define BORAGEHILL_SOAK_CALL_RECORD_HPP
+
+#include <chrono>
+#include <string>
+
+namespace boragehill::soak {
+
+/// What a caller saw of one request.
+struct call_record {
+  std::string attempt;
+  int router = 0;
+  std::chrono::steady_clock::time_point begin;
+  std::chrono::steady_clock::time_point end;
+  std::chrono::milliseconds deadline{0};
+  /// 0 if the connection ended without a whole answer.
+  int status = 0;
+  /// The answer is the whole one to this very request.
+  bool own_answer = false;
+  /// The router was reached.
+  bool connected = true;
+
+  bool operator==(const call_record&) const = default;
+};
+
+}  // namespace boragehill::soak
+
+#endif  // BORAGEHILL_SOAK_CALL_RECORD_HPP
--- /dev/null
+++ b/test/soak/checks.cpp
@@ -0,0 +1,79 @@
+#include "soak/checks.hpp"
+
+#include <algorithm>
+
+namespace boragehill::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// On a busy machine a timer fires late, and so does the caller's.
+constexpr milliseconds late_slack{800};
+/// A connection that was harmed shows it up to so much later.
+constexpr milliseconds aftermath{1500};
+
+bool promises_not_run(int status) {
+  constexpr int timeout_status = 408;
+  constexpr int misdirected_status = 421;
+  constexpr int too_many_status = 429;
+  constexpr int unavailable_status = 503;
+  return status == timeout_status || status == misdirected_status ||
+         status == too_many_status || status == unavailable_status;
+}
+
+bool overlaps(const call_record& call, const fault_span& fault) {
+  return fault.begin <= call.end && call.begin <= fault.end + aftermath;
+}
+
+bool stops_router(const fault_span& fault, int router) {
+  const bool halts = fault.kind == fault_kind::router_kill ||
+                     fault.kind == fault_kind::router_pause;
+  return halts && fault.target == router;
+}
+
+bool may_cut(const fault_span& fault, int router) {
+  if (fault.kind == fault_kind::router_kill) return fault.target == router;
+  return fault.kind == fault_kind::worker_replace ||
+         fault.kind == fault_kind::plain_replace ||
+         fault.kind == fault_kind::worker_link;
+}
+
+template <class Excuse>
+bool excused(const call_record& call, const std::vector<fault_span>& faults,
+             Excuse excuse) {
+  return std::any_of(faults.begin(), faults.end(), [&](const auto& fault) {
+    return overlaps(call, fault) && excuse(fault, call.router);
+  });
+}
+
+}  // namespace
+
+std::vector<std::string> broken_promises(
+    const std::vector<call_record>& calls,
+    const std::map<std::string, int>& runs,
+    const std::vector<fault_span>& faults) {
+  std::vector<std::string> broken;
+  for (const auto& call : calls) {
+    const auto say = [&](const char* what) {
+      broken.push_back(call.attempt + " at router " +
+                       std::to_string(call.router) + ", status " +
+                       std::to_string(call.status) + ": " + what);
+    };
+    const auto found = runs.find(call.attempt);
+    const int count = found == runs.end() ? 0 : found->second;
+    constexpr int ok_status = 200;
+    if (count > 1) say("ran more than once");
+    if (promises_not_run(call.status) && count > 0)
+      say("ran, refused as not run");
+    if (call.status == ok_status && !call.own_answer) say("not its own answer");
+    if (call.status == ok_status && count == 0) say("answered and never ran");
+    const bool late = call.end - call.begin > call.deadline + late_slack;
+    if (late && !excused(call, faults, stops_router)) say("no answer in time");
+    const bool cut = call.status == 0 && call.connected && count > 0;
+    if (cut && !excused(call, faults, may_cut)) say("ran and was cut off");
+  }
+  return broken;
+}
+
+}  // namespace boragehill::soak
--- /dev/null
+++ b/test/soak/checks.hpp
@@ -0,0 +1,32 @@
+#ifndef BORAGEHILL_SOAK_CHECKS_HPP
+#define BORAGEHILL_SOAK_CHECKS_HPP
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "soak/call_record.hpp"
+#include "soak/fault_span.hpp"
+
+namespace boragehill::soak {
+
+/// Checks the promises of our pages against what callers and servers saw.
+///
+/// - No request runs twice: here all run at most once.
+/// - A refusal that says "not run" is true.
+/// - Each whole answer is the request's own.
+/// - Each request is answered, refused or cut off by its deadline, but at a
+///   router that was paused or dead.
+/// - A request that runs is cut off only if its router was killed or its
+///   server harmed: not by a planned stop, a reload, a new configuration, or
+///   any trouble of the store or of agents.
+///
+/// \param runs How often each attempt ran, by the servers' own account.
+/// \return A line for each broken promise.
+std::vector<std::string> broken_promises(const std::vector<call_record>& calls,
+                                         const std::map<std::string, int>& runs,
+                                         const std::vector<fault_span>& faults);
+
+}  // namespace boragehill::soak
+
+#endif  // BORAGEHILL_SOAK_CHECKS_HPP
--- /dev/null
+++ b/test/soak/fault_kind.hpp
@@ -0,0 +1,32 @@
+#ifndef BORAGEHILL_SOAK_FAULT_KIND_HPP
+#define BORAGEHILL_SOAK_FAULT_KIND_HPP
+
+namespace boragehill::soak {
+
+/// What the soak does to the fleet from outside.
+enum class fault_kind {
+  router_kill,
+  router_stop,
+  router_pause,
+  router_hangup,
+  agent_kill,
+  agent_stop,
+  agent_pause,
+  worker_replace,
+  plain_replace,
+  store_link,
+  worker_link,
+  store_down,
+  store_slow,
+  store_answers_lost,
+  configuration
+};
+
+constexpr int fault_kinds = 15;
+
+/// \return The kind's name, for the log.
+const char* name_of(fault_kind kind);
+
+}  // namespace boragehill::soak
+
+#endif  // BORAGEHILL_SOAK_FAULT_KIND_HPP
--- /dev/null
+++ b/test/soak/soak_callers.cpp
@@ -0,0 +1,112 @@
+#include "soak/soak_callers.hpp"
+
+#include <httplib.h>
+#include <memory>
+#include <random>
+#include <utility>
+
+namespace boragehill::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds deadline{4000};
+/// Longer than any promise, so that a late answer is seen as late.
+constexpr milliseconds patience{9000};
+constexpr milliseconds longest_pause{40};
+constexpr int events_of_a_stream = 8;
+
+bool is_own_stream(const std::string& body, const std::string& attempt) {
+  std::string whole;
+  for (int each = 1; each <= events_of_a_stream; ++each) {
+    whole += "id: " + std::to_string(each) + "\ndata: " + attempt + "\n\n";
+  }
+  return body == whole;
+}
+
+/// What one caller sends next.
+struct wanted_call {
+  std::string attempt;
+  /// Empty for the plain service.
+  std::string model;
+};
+
+call_record send(httplib::Client& client, const wanted_call& wanted) {
+  httplib::Headers headers{
+      {"Host", "valves.example"},
+      {"Boragehill-Attempt-Id", wanted.attempt},
+      {"Boragehill-Deadline-Ms", std::to_string(deadline.count())}};
+  const bool streams = !wanted.model.empty();
+  if (streams) headers.emplace("Boragehill-Model", wanted.model);
+  call_record seen{.attempt = wanted.attempt, .deadline = deadline};
+  seen.begin = steady_clock::now();
+  const auto answer = client.Post(streams ? "/stream/x" : "/plain/x", headers,
+                                  wanted.attempt, "text/plain");
+  seen.end = steady_clock::now();
+  if (!answer) {
+    seen.connected = answer.error() != httplib::Error::Connection;
+    return seen;
+  }
+  seen.status = answer->status;
+  const bool echoed =
+      answer->get_header_value("Boragehill-Attempt-Id") == wanted.attempt;
+  seen.own_answer =
+      echoed && (streams ? is_own_stream(answer->body, wanted.attempt)
+                         : answer->body == "plain answer to " + wanted.attempt);
+  return seen;
+}
+
+}  // namespace
+
+soak_callers::soak_callers(std::vector<endpoint> reached, int known_models,
+                           std::uint64_t drawn)
+    : routers(std::move(reached)), models(known_models), seed(drawn) {}
+
+soak_callers::~soak_callers() {
+  this->stop();
+}
+
+void soak_callers::start(int callers) {
+  for (int each = 0; each < callers; ++each) {
+    this->threads.emplace_back([this, each] { this->run(each); });
+  }
+}
+
+void soak_callers::stop() {
+  this->over = true;
+  for (auto& each : this->threads) each.join();
+  this->threads.clear();
+}
+
+void soak_callers::run(int number) {
+  std::mt19937_64 source(this->seed * 1000 + static_cast<unsigned>(number));
+  std::vector<std::unique_ptr<httplib::Client>> clients;
+  for (const auto& each : this->routers) {
+    clients.push_back(
+        std::make_unique<httplib::Client>(each.address, each.port));
+    clients.back()->set_keep_alive(true);
+    clients.back()->set_tcp_nodelay(true);
+    clients.back()->set_connection_timeout(std::chrono::seconds(1));
+    clients.back()->set_read_timeout(patience);
+  }
+  for (int count = 0; !this->over; ++count) {
+    const auto router = source() % clients.size();
+    const bool streams = source() % 2 == 0;
+    wanted_call wanted{.attempt = std::to_string(number) + "-" +
+                                  std::to_string(count)};
+    if (streams) {
+      wanted.model = "model-" + std::to_string(1 + source() % this->models);
+    }
+    auto seen = send(*clients[router], wanted);
+    seen.router = static_cast<int>(router) + 1;
+    {
+      const std::scoped_lock lock(this->mutex);
+      this->records.push_back(std::move(seen));
+    }
+    std::this_thread::sleep_for(milliseconds(source() % longest_pause.count()));
+  }
+}
+
+}  // namespace boragehill::soak
--- /dev/null
+++ b/test/soak/soak_callers.hpp
@@ -0,0 +1,49 @@
+#ifndef BORAGEHILL_SOAK_SOAK_CALLERS_HPP
+#define BORAGEHILL_SOAK_SOAK_CALLERS_HPP
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boragehill/endpoint.hpp>
+
+#include "soak/call_record.hpp"
+
+namespace boragehill::soak {
+
+/// Callers that send one request after the other, each on connections that it
+/// keeps open to all routers until they are closed on it.
+class soak_callers {
+ public:
+  /// \param routers Where callers reach each router.
+  /// \param seed Each caller draws its requests from a source of its own.
+  soak_callers(std::vector<endpoint> routers, int models, std::uint64_t seed);
+  ~soak_callers();
+  soak_callers(const soak_callers&) = delete;
+  soak_callers& operator=(const soak_callers&) = delete;
+
+  void start(int callers);
+  /// Ends after each caller's current request.
+  void stop();
+
+  /// \return All that was seen; called after `stop`.
+  const std::vector<call_record>& seen() const { return this->records; }
+
+ private:
+  void run(int number);
+
+  std::vector<endpoint> routers;
+  int models;
+  std::uint64_t seed;
+  std::atomic<bool> over{false};
+  std::mutex mutex;
+  std::vector<call_record> records;
+  std::vector<std::thread> threads;
+};
+
+}  // namespace boragehill::soak
+
+#endif  // BORAGEHILL_SOAK_SOAK_CALLERS_HPP
--- /dev/null
+++ b/test/soak/soak_run.cpp
@@ -0,0 +1,257 @@
+#include "soak/soak_run.hpp"
+
+#include <cstdio>
+#include <thread>
+
+#include "soak/checks.hpp"
+#include "soak/fault_plan.hpp"
+#include "soak/soak_callers.hpp"
+
+namespace boragehill::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick{20};
+constexpr int callers = 8;
+/// Everything is back after the last fault within this.
+constexpr milliseconds recovery_limit{15000};
+constexpr int ok_status = 200;
+
+std::string numbered(const char* name, int number) {
+  return std::string(name) + "-" + std::to_string(number);
+}
+
+}  // namespace
+
+soak_run::soak_run(std::uint64_t drawn, milliseconds played,
+                   const fleet_size& wanted)
+    : seed(drawn),
+      length(played),
+      size(wanted),
+      fleet(wanted.routers, wanted.workers, wanted.plains, wanted.models, 0,
+            true) {}
+
+bool soak_run::start() {
+  std::vector<std::string> names{"store"};
+  for (int each = 1; each <= this->size.workers; ++each) {
+    names.push_back(numbered("worker", each));
+  }
+  for (int each = 1; each <= this->size.plains; ++each) {
+    names.push_back(numbered("plain", each));
+  }
+  for (const auto& each : names) {
+    auto& proxy = this->proxies[each] = std::make_unique<fault_proxy>(
+        this->fleet.proxy_address(each), this->fleet.real_address(each));
+    if (!proxy->start()) return false;
+  }
+  return this->fleet.start();
+}
+
+std::vector<std::string> soak_run::play() {
+  if (!this->start()) return {"the fleet did not start"};
+  std::vector<endpoint> routers;
+  for (int each = 1; each <= this->size.routers; ++each) {
+    routers.push_back(this->fleet.caller_address(each));
+  }
+  soak_callers traffic(routers, this->size.models, this->seed);
+  traffic.start(callers);
+  this->play_faults(clock::now());
+  this->lift_all();
+  const auto lost = this->recover();
+  traffic.stop();
+  // What a worker still holds may begin to run until its deadline.
+  std::this_thread::sleep_for(milliseconds(300));
+  for (const auto& each :
+       broken_promises(traffic.seen(), this->fleet.all_runs(), this->spans)) {
+    this->found.push_back(each);
+  }
+  this->found.insert(this->found.end(), lost.begin(), lost.end());
+  if (!this->fleet.orders_were_sound()) {
+    this->found.emplace_back("a worker was ordered beyond its memory");
+  }
+  int answered = 0;
+  for (const auto& each : traffic.seen()) {
+    if (each.status == ok_status) ++answered;
+  }
+  std::printf("seed %llu: %zu faults, %zu calls, %d answered, %zu broken\n",
+              static_cast<unsigned long long>(this->seed), this->spans.size(),
+              traffic.seen().size(), answered, this->found.size());
+  if (!this->found.empty()) {
+    std::printf("logs: %s\n",
+                this->fleet.keep_logs(std::to_string(this->seed)).c_str());
+  }
+  return this->found;
+}
+
+void soak_run::play_faults(clock::time_point begin) {
+  for (const auto& step : draw_faults(this->seed, this->length, this->size)) {
+    while (clock::now() < begin + step.at) {
+      this->end_faults(clock::now());
+      this->revive();
+      std::this_thread::sleep_for(tick);
+    }
+    this->begin_fault(step);
+  }
+}
+
+std::string soak_run::process_of(const fault_step& step) const {
+  switch (step.kind) {
+    case fault_kind::agent_kill:
+    case fault_kind::agent_stop:
+    case fault_kind::agent_pause:
+      return numbered("agent", step.target);
+    case fault_kind::store_link:
+      return "store";
+    case fault_kind::worker_link:
+      return step.target <= this->size.workers
+                 ? numbered("worker", step.target)
+                 : numbered("plain", step.target - this->size.workers);
+    default:
+      return numbered("router", step.target);
+  }
+}
+
+void soak_run::begin_fault(const fault_step& step) {
+  const auto now = clock::now();
+  this->spans.push_back({step.kind, step.target, now, now + step.lasts});
+  this->open.push_back({step, now + step.lasts, this->spans.size() - 1});
+  switch (step.kind) {
+    case fault_kind::store_link:
+    case fault_kind::worker_link:
+      return this->proxies.at(this->process_of(step))->set(step.link);
+    case fault_kind::store_down:
+      return this->fleet.fault("store", R"({"kind":"down"})");
+    case fault_kind::store_slow:
+      return this->fleet.fault("store", R"({"kind":"slow","ms":400})");
+    case fault_kind::store_answers_lost:
+      return this->fleet.fault("store", R"({"kind":"lose_answers","count":3})");
+    case fault_kind::configuration:
+      return this->fleet.configure(++this->version, "/plain/");
+    case fault_kind::worker_replace:
+    case fault_kind::plain_replace:
+      return this->replace(step);
+    default:
+      return this->begin_signal(step);
+  }
+}
+
+void soak_run::begin_signal(const fault_step& step) {
+  const auto name = this->process_of(step);
+  auto& process = this->fleet[name];
+  switch (step.kind) {
+    case fault_kind::router_kill:
+    case fault_kind::agent_kill:
+      this->down.insert(name);
+      return process.kill();
+    case fault_kind::router_stop:
+    case fault_kind::agent_stop:
+      this->down.insert(name);
+      return process.signal(SIGTERM);
+    case fault_kind::router_pause:
+    case fault_kind::agent_pause:
+      return process.signal(SIGSTOP);
+    default:
+      return process.signal(SIGHUP);
+  }
+}
+
+void soak_run::replace(const fault_step& step) {
+  const auto id = numbered("i-new", ++this->replaced);
+  if (step.kind == fault_kind::plain_replace) {
+    return this->fleet.replace_plain(step.target, id);
+  }
+  this->fleet.replace_worker(step.target, id);
+}
+
+void soak_run::end_faults(clock::time_point now) {
+  for (auto each = this->open.begin(); each != this->open.end();) {
+    if (now < each->until) {
+      ++each;
+      continue;
+    }
+    this->end_fault(*each);
+    this->spans[each->span].end = clock::now();
+    each = this->open.erase(each);
+  }
+}
+
+void soak_run::end_fault(const open_fault& fault) {
+  switch (fault.step.kind) {
+    case fault_kind::store_link:
+    case fault_kind::worker_link:
+      return this->proxies.at(this->process_of(fault.step))
+          ->set(link_fault::none);
+    case fault_kind::router_pause:
+    case fault_kind::agent_pause:
+      return this->fleet[this->process_of(fault.step)].signal(SIGCONT);
+    case fault_kind::store_down:
+    case fault_kind::store_slow:
+    case fault_kind::store_answers_lost:
+      return this->fleet.fault("store", R"({"kind":"none"})");
+    default:
+      return;
+  }
+}
+
+void soak_run::revive() {
+  const auto look = [this](const std::string& name) {
+    if (this->fleet[name].is_running()) return;
+    if (this->down.erase(name) == 0) {
+      this->found.push_back(name + " ended by itself");
+    }
+    this->fleet[name].start();
+  };
+  for (int each = 1; each <= this->size.routers; ++each) {
+    look(numbered("router", each));
+  }
+  for (int each = 1; each <= this->size.workers; ++each) {
+    look(numbered("agent", each));
+  }
+}
+
+void soak_run::lift_all() {
+  this->end_faults(clock::time_point::max());
+  for (auto& [name, proxy] : this->proxies) proxy->set(link_fault::none);
+  for (int each = 1; each <= this->size.routers; ++each) {
+    this->fleet[numbered("router", each)].signal(SIGCONT);
+  }
+  for (int each = 1; each <= this->size.workers; ++each) {
+    this->fleet[numbered("agent", each)].signal(SIGCONT);
+  }
+}
+
+bool soak_run::answers(int router, const std::string& model) {
+  const auto answer =
+      this->fleet.call(router, "probe-" + std::to_string(++this->probes), model,
+                       model.empty() ? "/plain/x" : "/stream/x");
+  return answer && answer->status == ok_status;
+}
+
+std::vector<std::string> soak_run::recover() {
+  const auto limit = clock::now() + recovery_limit;
+  std::vector<std::string> lost;
+  const auto wait_for = [&](const std::string& what, const auto& holds) {
+    while (!holds()) {
+      this->revive();
+      if (clock::now() >= limit) return lost.push_back(what);
+      std::this_thread::sleep_for(tick);
+    }
+  };
+  for (int each = 1; each <= this->size.routers; ++each) {
+    const auto router = numbered("router", each);
+    wait_for(router + " is not ready again",
+             [&] { return this->fleet.is_ready(each); });
+    wait_for(router + " answers no plain call",
+             [&] { return this->answers(each, {}); });
+  }
+  for (int each = 1; each <= this->size.models; ++each) {
+    const auto model = numbered("model", each);
+    wait_for(model + " is not served", [&] { return this->answers(1, model); });
+  }
+  this->fleet.configure(++this->version, "/plain/");
+  return lost;
+}
+
+}  // namespace boragehill::soak
--- /dev/null
+++ b/test/soak/soak_run.hpp
@@ -0,0 +1,69 @@
+#ifndef BORAGEHILL_SOAK_SOAK_RUN_HPP
+#define BORAGEHILL_SOAK_SOAK_RUN_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet-test/small_fleet.hpp"
+#include "soak/fault_proxy.hpp"
+#include "soak/fault_span.hpp"
+#include "soak/fault_step.hpp"
+#include "soak/fleet_size.hpp"
+
+namespace boragehill::soak {
+
+/// One seed's run: a fleet of real processes on loopback, callers, and faults
+/// from outside.
+class soak_run {
+ public:
+  soak_run(std::uint64_t seed, std::chrono::milliseconds length,
+           const fleet_size& size);
+
+  /// Plays the run.
+  /// \return A line for each broken promise; none if all were kept.
+  std::vector<std::string> play();
+
+ private:
+  using clock = std::chrono::steady_clock;
+  struct open_fault {
+    fault_step step;
+    clock::time_point until;
+    std::size_t span = 0;
+  };
+
+  bool start();
+  void play_faults(clock::time_point begin);
+  void begin_fault(const fault_step& step);
+  void begin_signal(const fault_step& step);
+  void end_faults(clock::time_point now);
+  void end_fault(const open_fault& fault);
+  void lift_all();
+  void revive();
+  void replace(const fault_step& step);
+  std::string process_of(const fault_step& step) const;
+  std::vector<std::string> recover();
+  bool answers(int router, const std::string& model);
+
+  std::uint64_t seed;
+  std::chrono::milliseconds length;
+  fleet_size size;
+  fleet_test::small_fleet fleet;
+  std::map<std::string, std::unique_ptr<fault_proxy>> proxies;
+  std::vector<fault_span> spans;
+  std::vector<open_fault> open;
+  /// Processes of ours that were told to end, or killed.
+  std::set<std::string> down;
+  std::vector<std::string> found;
+  int replaced = 0;
+  std::int64_t version = 1;
+  int probes = 0;
+};
+
+}  // namespace boragehill::soak
+
+#endif  // BORAGEHILL_SOAK_SOAK_RUN_HPP
--- /dev/null
+++ b/test/soak_checks-test/checks_test.cpp
@@ -0,0 +1,87 @@
+#include "soak/checks.hpp"
+
+#include <gtest/gtest.h>
+
+#include "soak/fault_plan.hpp"
+
+namespace boragehill::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::chrono::steady_clock::time_point start{std::chrono::hours(1)};
+
+call_record answered() {
+  return {.attempt = "a",
+          .router = 1,
+          .begin = start,
+          .end = start + milliseconds(50),
+          .deadline = milliseconds(3000),
+          .status = 200,
+          .own_answer = true};
+}
+
+fault_span fault(fault_kind kind, int target = 1) {
+  return {.kind = kind,
+          .target = target,
+          .begin = start - milliseconds(100),
+          .end = start + milliseconds(100)};
+}
+
+std::size_t broken(const call_record& call, int runs,
+                   const std::vector<fault_span>& faults = {}) {
+  return broken_promises({call}, {{"a", runs}}, faults).size();
+}
+
+TEST(checks_test, a_good_call_breaks_nothing) {
+  EXPECT_EQ(broken(answered(), 1), 0U);
+}
+
+TEST(checks_test, each_check_fires) {
+  EXPECT_EQ(broken(answered(), 2), 1U);
+  auto refused = answered();
+  refused.status = 503;
+  EXPECT_EQ(broken(refused, 0), 0U);
+  EXPECT_EQ(broken(refused, 1), 1U);
+  auto foreign = answered();
+  foreign.own_answer = false;
+  EXPECT_EQ(broken(foreign, 1), 1U);
+  EXPECT_EQ(broken(answered(), 0), 1U);
+  auto late = answered();
+  late.end = start + milliseconds(4000);
+  EXPECT_EQ(broken(late, 1), 1U);
+  auto cut = answered();
+  cut.status = 0;
+  EXPECT_EQ(broken(cut, 0), 0U);
+  EXPECT_EQ(broken(cut, 1), 1U);
+}
+
+TEST(checks_test, only_what_explains_it_excuses_a_cut) {
+  auto cut = answered();
+  cut.status = 0;
+  for (const auto kind : {fault_kind::router_stop, fault_kind::router_hangup,
+                          fault_kind::agent_kill, fault_kind::store_down,
+                          fault_kind::store_link, fault_kind::configuration}) {
+    EXPECT_EQ(broken(cut, 1, {fault(kind)}), 1U) << name_of(kind);
+  }
+  EXPECT_EQ(broken(cut, 1, {fault(fault_kind::router_kill)}), 0U);
+  EXPECT_EQ(broken(cut, 1, {fault(fault_kind::router_kill, 2)}), 1U);
+  EXPECT_EQ(broken(cut, 1, {fault(fault_kind::plain_replace)}), 0U);
+}
+
+TEST(checks_test, a_pause_excuses_lateness_and_nothing_else) {
+  auto late = answered();
+  late.end = start + milliseconds(5000);
+  EXPECT_EQ(broken(late, 1, {fault(fault_kind::router_pause)}), 0U);
+  EXPECT_EQ(broken(late, 2, {fault(fault_kind::router_pause)}), 1U);
+}
+
+TEST(fault_plan_test, a_seed_draws_the_same_faults) {
+  const auto one = draw_faults(7, milliseconds(20000), {});
+  EXPECT_EQ(one, draw_faults(7, milliseconds(20000), {}));
+  EXPECT_NE(one, draw_faults(8, milliseconds(20000), {}));
+  EXPECT_GT(one.size(), 20U);
+}
+
+}  // namespace
+}  // namespace boragehill::soak
--- a/test/standin/standin_settings.hpp
+++ b/test/standin/standin_settings.hpp
@@ -37,6 +37,8 @@
   /// The worker's lifetime, its service and the store it registers with.
   std::string id;
   std::string service_name;
+  /// Where it says that it is, if not where it listens.
+  std::string advertise;
   std::string store;
 };
 
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/escaping.h>
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include "kernel/json_text.hpp"
@@ -31,7 +32,9 @@
                                standin_server& server)
     : id(settings.id),
       service(settings.service_name),
-      address(settings.address + ":" + std::to_string(settings.port)),
+      address(settings.advertise.empty()
+                  ? settings.address + ":" + std::to_string(settings.port)
+                  : settings.advertise),
       store(settings.store),
       load_ms(settings.load_disk.count()),
       delay_ms(settings.delay.count()),
@@ -118,13 +121,20 @@
   return true;
 }
 
+void worker_standin::note_run(const std::string& attempt) {
+  ++this->runs[attempt];
+  // In the log it outlives this process.
+  std::printf("ran %s\n", attempt.c_str());
+  std::fflush(stdout);
+}
+
 void worker_standin::run(const httplib::Request& request,
                          httplib::Response& response) {
   const std::string attempt = request.get_header_value("Boragehill-Attempt-Id");
   {
     const std::scoped_lock lock(this->mutex);
     if (this->refuses(request, response)) return;
-    ++this->runs[attempt];
+    this->note_run(attempt);
     ++this->running;
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(this->delay_ms));
@@ -141,7 +151,7 @@
   {
     const std::scoped_lock lock(this->mutex);
     if (this->refuses(request, response)) return;
-    ++this->runs[attempt];
+    this->note_run(attempt);
   }
   response.set_header("Boragehill-Attempt-Id", attempt);
   response.set_header("Boragehill-Response-Stamp", this->id);
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -25,6 +25,7 @@
   ~worker_standin();
 
  private:
+  void note_run(const std::string& attempt);
   void run(const httplib::Request& request, httplib::Response& response);
   void stream(const httplib::Request& request, httplib::Response& response);
   void order(const httplib::Request& request, httplib::Response& response);
