Don't close a connection as idle that got a request while the router was paused

Found by the soak, seed 100 (12 s, 2 routers, 3 workers, 3 plain servers, 5 models): two requests ran and their callers' connections ended without an answer, at a router that was paused for 1.7 s.

Cause: a process that wakes finds timers run out and bytes that have come, both at once. The bytes' handler begins the request and cancels the idle timer, yet the timer's handler is queued already, without an error; it took the request in hand for a slow one and closed the connection without a word to it. The router's log shows both as request_answered with status=0 and first_ms=-1.

Mend: a timer's handler looks whether it was set anew or switched off since (kernel/timer_support), and an idle connection with bytes to read isn't idle. The same queue had the link to the planner ended after each pause, and could have failed a new call to the store by the timer of the one before it.

Ruled out: the planned stop that came in the same moment (the second request of one of the callers was answered on a new connection); the proxies.

--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -7,6 +7,7 @@
 #include <boragehill/result_code.hpp>
 
 #include "kernel/socket_options.hpp"
+#include "kernel/timer_support.hpp"
 
 namespace boragehill::http {
 
@@ -34,7 +35,8 @@
   this->timer.expires_after(limit);
   this->timer.async_wait(
       [self = this->shared_from_this()](std::error_code error) {
-        if (!error && self->receive) self->fail();
+        if (error || kernel::is_outdated(self->timer)) return;
+        if (self->receive) self->fail();
       });
   if (this->connected) {
     this->write();
@@ -106,7 +108,7 @@
 }
 
 void call_connection::finish(result<whole_answer> answer) {
-  this->timer.cancel();
+  kernel::switch_off(this->timer);
   if (!this->receive) return;
   std::exchange(this->receive, nullptr)(std::move(answer));
 }
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -7,6 +7,7 @@
 #include "fleet/caller_limits.hpp"
 #include "http/head_text.hpp"
 #include "kernel/socket_options.hpp"
+#include "kernel/timer_support.hpp"
 #include "serve/caller_request.hpp"
 #include "serve/exchange.hpp"
 #include "serve/session_host.hpp"
@@ -45,16 +46,24 @@
   this->timer.expires_after(limit);
   this->timer.async_wait(
       [self = this->shared_from_this(), why](std::error_code cancelled) {
-        if (!cancelled && !self->closed) self->on_timeout(why);
+        if (cancelled || self->closed) return;
+        if (!kernel::is_outdated(self->timer)) self->on_timeout(why);
       });
 }
 
 void caller_session::on_timeout(const char* why) {
-  if (this->lingering || this->current) return this->close();
-  if (!this->parser.begun()) return this->finish_sending();
+  if (this->lingering) return this->close();
+  if (!this->parser.begun()) return this->on_idle();
   this->reject(timeout_status, why);
 }
 
+void caller_session::on_idle() {
+  // A request that came while the process was paused is there to be read.
+  std::error_code ignored;
+  if (this->socket.available(ignored) > 0) return;
+  this->finish_sending();
+}
+
 void caller_session::read() {
   if (this->reading || this->closed) return;
   if (this->incoming.size() > most_read_ahead) return;
@@ -111,7 +120,7 @@
 }
 
 void caller_session::begin_request() {
-  this->timer.cancel();
+  kernel::switch_off(this->timer);
   const auto& head = this->parser.head();
   this->head_request = head.method == "HEAD";
   this->keep_alive = head.keep_alive;
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -63,6 +63,7 @@
  private:
   void arm(milliseconds limit, const char* why);
   void on_timeout(const char* why);
+  void on_idle();
   void read();
   void on_bytes(std::size_t size);
   void process();
--- a/src/wire/message_link.cpp
+++ b/src/wire/message_link.cpp
@@ -6,6 +6,7 @@
 
 #include "kernel/json_text.hpp"
 #include "kernel/socket_options.hpp"
+#include "kernel/timer_support.hpp"
 
 namespace boragehill::wire {
 
@@ -122,7 +123,7 @@
   this->silence.expires_after(silence_limit);
   this->silence.async_wait(
       [self = this->shared_from_this()](std::error_code cancelled) {
-        if (!cancelled) self->end();
+        if (!cancelled && !kernel::is_outdated(self->silence)) self->end();
       });
 }
 
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <gtest/gtest.h>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -214,6 +215,43 @@
   }
 }
 
+TEST(calm_day_test, a_router_that_wakes_serves_what_came_on_idle_connections) {
+  // A router is paused for longer than connections may be idle, and callers
+  // send on theirs meanwhile. When it woke it read and sent the requests on,
+  // then saw that the connections had been idle for too long and closed them:
+  // the requests ran and their callers heard nothing.
+  small_fleet fleet(1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  constexpr int callers = 8;
+  std::vector<std::unique_ptr<httplib::Client>> clients;
+  const auto router = fleet.caller_address(1);
+  const auto send = [&clients](int caller, const std::string& attempt) {
+    const httplib::Headers headers{{"Host", "valves.example"},
+                                   {"Boragehill-Attempt-Id", attempt},
+                                   {"Boragehill-Deadline-Ms", "5000"}};
+    return clients[caller]->Post("/plain/x", headers, "?", "text/plain");
+  };
+  for (int each = 0; each < callers; ++each) {
+    clients.push_back(
+        std::make_unique<httplib::Client>(router.address, router.port));
+    clients.back()->set_keep_alive(true);
+    ASSERT_TRUE(send(each, "first-" + std::to_string(each)));
+  }
+  fleet["router-1"].signal(SIGSTOP);
+  std::vector<std::thread> threads;
+  std::atomic<int> answered{0};
+  for (int each = 0; each < callers; ++each) {
+    threads.emplace_back([&, each] {
+      const auto answer = send(each, "second-" + std::to_string(each));
+      if (answer && answer->status == 200) ++answered;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(2000));
+  fleet["router-1"].signal(SIGCONT);
+  for (auto& each : threads) each.join();
+  EXPECT_EQ(answered, callers);
+}
+
 TEST(calm_day_test, a_planned_stop_under_load_cuts_off_nothing) {
   // Callers go on connecting to a router that stops, to its last moment. Each
   // request is answered, refused, or never read; none runs and is cut off.
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -18,32 +19,39 @@
 ABSL_FLAG(int, workers, 3, "model workers, each with an agent");
 ABSL_FLAG(int, plains, 3, "plain servers");
 ABSL_FLAG(int, models, 5, "models");
-ABSL_FLAG(
-    std::string, seeds_file, "",
-    "a file with a seed at the begin of each line, run before the others");
+ABSL_FLAG(std::string, seeds_file, "",
+          "a file of runs to play before the others");
 // NOLINTEND(readability-identifier-naming)
 
 namespace {
 
 using boragehill::soak::fleet_size;
 
-std::vector<std::uint64_t> read_seeds() {
-  std::vector<std::uint64_t> seeds;
-  std::ifstream file(absl::GetFlag(FLAGS_seeds_file));
+/// One run to play.
+struct wanted_run {
+  std::uint64_t seed = 0;
+  int seconds = 0;
+  fleet_size size;
+};
+
+std::vector<wanted_run> read_runs(const std::string& path) {
+  std::vector<wanted_run> runs;
+  std::ifstream file(path);
   std::string line;
   while (std::getline(file, line)) {
-    if (line.empty() || line.front() == '#') continue;
-    seeds.push_back(std::stoull(line));
-  }
-  for (int each = 0; each < absl::GetFlag(FLAGS_count); ++each) {
-    seeds.push_back(absl::GetFlag(FLAGS_seed) + static_cast<unsigned>(each));
+    std::istringstream fields(line);
+    wanted_run run;
+    fields >> run.seed >> run.seconds >> run.size.routers >> run.size.workers >>
+        run.size.plains >> run.size.models;
+    if (fields) runs.push_back(run);
   }
-  return seeds;
+  return runs;
 }
 
-bool keeps_promises(std::uint64_t seed, const fleet_size& size) {
-  const int seconds = absl::GetFlag(FLAGS_seconds);
-  boragehill::soak::soak_run run(seed, std::chrono::seconds(seconds), size);
+bool keeps_promises(const wanted_run& wanted) {
+  const auto& size = wanted.size;
+  boragehill::soak::soak_run run(wanted.seed,
+                                 std::chrono::seconds(wanted.seconds), size);
   const auto broken = run.play();
   for (const auto& each : broken) std::printf("  %s\n", each.c_str());
   if (broken.empty()) return true;
@@ -51,8 +59,8 @@
       "again: BORAGEHILL=... BORAGEHILL_STANDIN=... BORAGEHILL_DEPLOY=... "
       "boragehill_soak --seed=%llu --seconds=%d --routers=%d --workers=%d "
       "--plains=%d --models=%d\n",
-      static_cast<unsigned long long>(seed), seconds, size.routers,
-      size.workers, size.plains, size.models);
+      static_cast<unsigned long long>(wanted.seed), wanted.seconds,
+      size.routers, size.workers, size.plains, size.models);
   return false;
 }
 
@@ -61,14 +69,20 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("plays seeded faults against real processes");
   absl::ParseCommandLine(argc, argv);
+  auto runs = read_runs(absl::GetFlag(FLAGS_seeds_file));
   const fleet_size size{.routers = absl::GetFlag(FLAGS_routers),
                         .workers = absl::GetFlag(FLAGS_workers),
                         .plains = absl::GetFlag(FLAGS_plains),
                         .models = absl::GetFlag(FLAGS_models)};
   int passed = 0;
   int failed = 0;
-  for (const auto seed : read_seeds()) {
-    ++(keeps_promises(seed, size) ? passed : failed);
+  for (int each = 0; each < absl::GetFlag(FLAGS_count); ++each) {
+    runs.push_back({.seed = absl::GetFlag(FLAGS_seed) + each,
+                    .seconds = absl::GetFlag(FLAGS_seconds),
+                    .size = size});
+  }
+  for (const auto& each : runs) {
+    ++(keeps_promises(each) ? passed : failed);
     std::fflush(stdout);
   }
   std::printf("seeds: %d passed, %d failed\n", passed, failed);
