Bound the memory of request bodies over all connections

Change: all bodies together may take an eighth of the process's memory, which the template fills in (process.memory_mb). One that finds no room is refused with 503, unread, and its connection closes; what it held is free at once.

Test: bad_input_test.bodies_that_never_end_leave_room_for_others; without the bound none of the sixty is refused.

--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -27,6 +27,7 @@
 constexpr int timeout_status = 408;
 constexpr int body_too_large_status = 413;
 constexpr int head_too_large_status = 431;
+constexpr int unavailable_status = 503;
 
 }  // namespace
 
@@ -100,7 +101,7 @@
     }
     if (!this->parser.head_complete()) return;
     this->body += this->parser.take_body();
-    if (!this->check_size()) return;
+    if (!this->check_size() || !this->hold_body()) return;
     if (this->parser.complete()) return this->begin_request();
     if (!had_head &&
         this->parser.head().headers.has_token("Expect", "100-continue")) {
@@ -119,6 +120,21 @@
   return false;
 }
 
+bool caller_session::hold_body() {
+  if (this->body.size() <= this->held) return true;
+  const auto more = this->body.size() - this->held;
+  if (!this->host.take_body_memory(more)) {
+    this->reject(unavailable_status, "no memory for the body");
+    return false;
+  }
+  this->held += more;
+  return true;
+}
+
+void caller_session::let_go_body() {
+  this->host.give_body_memory(std::exchange(this->held, 0));
+}
+
 void caller_session::begin_request() {
   kernel::switch_off(this->timer);
   const auto& head = this->parser.head();
@@ -178,6 +194,7 @@
   if (this->closed) return;
   if (this->chunked && !this->head_request) this->queue(http::chunk({}));
   this->current.reset();
+  this->let_go_body();
   this->answering = false;
   if (!this->keep_alive) return this->finish_sending();
   this->next_request();
@@ -251,6 +268,7 @@
 void caller_session::close() {
   if (this->closed) return;
   this->closed = true;
+  this->let_go_body();
   this->timer.cancel();
   std::error_code ignored;
   this->socket.close(ignored);
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -68,6 +68,9 @@
   void on_bytes(std::size_t size);
   void process();
   bool check_size();
+  /// Counts the body's bytes that were read against the memory of all.
+  bool hold_body();
+  void let_go_body();
   void begin_request();
   void reject(int status, const char* why);
   void queue(const std::string& bytes);
@@ -85,6 +88,8 @@
   std::array<char, 16384> buffer{};
   std::string incoming;
   std::string body;
+  /// Bytes counted against the memory of all bodies, until the answer is out.
+  std::size_t held = 0;
   std::string outgoing;
   std::string in_flight;
   bool reading = false;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -169,6 +169,16 @@
                                     std::move(request), session);
 }
 
+bool entry::take_body_memory(std::size_t bytes) {
+  if (this->body_bytes + bytes > this->settings.body_memory()) return false;
+  this->body_bytes += bytes;
+  return true;
+}
+
+void entry::give_body_memory(std::size_t bytes) {
+  this->body_bytes -= bytes;
+}
+
 void entry::on_bad_input(int status, const char* why) {
   this->metrics.on_bad_input();
   kernel::log_event(kernel::event::bad_input,
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -49,6 +49,8 @@
       caller_request request,
       const std::shared_ptr<caller_session>& session) override;
   bool closing() const override { return this->close_connections; }
+  bool take_body_memory(std::size_t bytes) override;
+  void give_body_memory(std::size_t bytes) override;
   void on_bad_input(int status, const char* why) override;
   void on_closed(const caller_session* session) override;
 
@@ -81,6 +83,8 @@
   status_server scrape;
   fleet::caller_limits caller_limits;
   std::map<const caller_session*, std::weak_ptr<caller_session>> sessions;
+  /// Bytes of all request bodies that are read or being served.
+  std::size_t body_bytes = 0;
   decide::demand_report last_report;
   bool report_armed = false;
   std::atomic<bool> knows_fleet{false};
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -60,6 +60,10 @@
   constexpr double most_mbps = 10000000;
   settings.link_mbps =
       process.real("link_mbps", settings.link_mbps, 0, most_mbps);
+  constexpr double least_memory_mb = 1;
+  constexpr double most_memory_mb = 1000000;
+  settings.memory_mb = process.real("memory_mb", settings.memory_mb,
+                                    least_memory_mb, most_memory_mb);
   settings.queue_share = entry.real("queue_share", settings.queue_share, 0, 10);
   read_budget(document, settings.budget);
   read_planner(document, settings.planner);
--- a/src/serve/entry_settings.hpp
+++ b/src/serve/entry_settings.hpp
@@ -38,6 +38,8 @@
   double link_mbps = 1000;
   /// From SIGTERM to the end of the process.
   milliseconds stop_within{8000};
+  /// What the process may use at the most, in megabytes.
+  double memory_mb = 256;
   decide::send_budget_settings budget;
   decide::planner_settings planner;
   /// How far above its slots a server may be filled.
@@ -45,6 +47,15 @@
 
   bool operator==(const entry_settings&) const = default;
 
+  /// \return The most bytes of request bodies at once, over all connections. A
+  ///     body is held up to three times: as it was read, for a second send, and
+  ///     on its way to the server; an eighth leaves more than half of the
+  ///     memory to all else.
+  std::size_t body_memory() const {
+    constexpr double share = 0.125;
+    constexpr double bytes_per_mb = 1 << 20;
+    return static_cast<std::size_t>(this->memory_mb * share * bytes_per_mb);
+  }
   endpoint planner_address() const { return {this->address, this->link_port}; }
   endpoint metrics_address() const {
     return {this->address, static_cast<std::uint16_t>(this->link_port + 1)};
--- a/src/serve/session_host.hpp
+++ b/src/serve/session_host.hpp
@@ -29,6 +29,11 @@
   /// \return True if connections shall end after their current answer.
   virtual bool closing() const = 0;
 
+  /// Takes memory for bytes of request bodies, which all connections share.
+  /// \return False if there is none left.
+  virtual bool take_body_memory(std::size_t bytes) = 0;
+  virtual void give_body_memory(std::size_t bytes) = 0;
+
   /// A request was refused before it could be routed.
   virtual void on_bad_input(int status, const char* why) = 0;
 
--- a/test/fleet-test/bad_input_test.cpp
+++ b/test/fleet-test/bad_input_test.cpp
@@ -1,5 +1,11 @@
+#include <array>
 #include <chrono>
 #include <gtest/gtest.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
 
 #include "fleet-test/small_fleet.hpp"
 #include "fleet-test/template.hpp"
@@ -86,6 +92,37 @@
   EXPECT_NE(unknown->body.find("1002"), std::string::npos) << unknown->body;
 }
 
+TEST_F(bad_input_test, bodies_that_never_end_leave_room_for_others) {
+  // Callers begin to send large bodies and stop in the middle, on hundreds of
+  // connections. Each was kept, up to the limit of a body; together they used
+  // up the router's memory, and it was killed with all requests on it.
+  constexpr int callers = 60;
+  std::vector<int> sockets;
+  int refused = 0;
+  for (int each = 0; each < callers; ++each) {
+    sockets.push_back(this->fleet.connect(1));
+    const std::string part =
+        "POST /plain/x HTTP/1.1\r\nHost: valves.example\r\n"
+        "Boragehill-Attempt-Id: big\r\nContent-Length: 4096\r\n\r\n" +
+        std::string(4000, 'x');
+    ::send(sockets.back(), part.data(), part.size(), MSG_NOSIGNAL);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  for (const int each : sockets) {
+    std::array<char, 512> buffer{};
+    const auto size = ::recv(each, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    const std::string got(buffer.data(), size > 0 ? size : 0);
+    if (got.starts_with("HTTP/1.1 503")) ++refused;
+  }
+  EXPECT_GT(refused, 10);
+  EXPECT_LT(refused, callers - 10);
+  for (const int each : sockets) ::close(each);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const auto other = this->fleet.call(1, "after", {});
+  ASSERT_TRUE(other);
+  EXPECT_EQ(other->status, 200) << other->body;
+}
+
 TEST_F(bad_input_test, cannot_smuggle_what_the_system_sets) {
   const auto answer = this->fleet.raw(
       1,
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -135,6 +135,8 @@
       {"app", at(ip, worker_port_offset)},
       {"service", "assist"},
       {"limits.linkMbps", "1000.0"},
+      // Little, so that a test can use it up.
+      {"limits.memoryMb", "1"},
       {"bounds.graceS", "8"},
       {"bounds.budgetRatio", "0.2"},
       {"bounds.budgetExtra", "54"},
@@ -254,24 +256,27 @@
   return client.Post(path, headers, "which spool?", "text/plain");
 }
 
-std::string small_fleet::raw(int router, const std::string& bytes) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+int small_fleet::connect(int router) const {
+  const auto address = this->caller_address(router);
   sockaddr_in to{};
   to.sin_family = AF_INET;
-  to.sin_port =
-      htons(static_cast<std::uint16_t>(this->port_base + caller_port_offset));
-  ::inet_pton(AF_INET, this->address_of(numbered("router", router)).c_str(),
-              &to.sin_addr);
-  std::string got;
+  to.sin_port = htons(address.port);
+  ::inet_pton(AF_INET, address.address.c_str(), &to.sin_addr);
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   const timeval limit{.tv_sec = 5, .tv_usec = 0};
   ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  if (::connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0) {
-    ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    char buffer[4096];
-    for (ssize_t size = 1; size > 0;) {
-      size = ::recv(socket, buffer, sizeof(buffer), 0);
-      if (size > 0) got.append(buffer, static_cast<std::size_t>(size));
-    }
+  ::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  return socket;
+}
+
+std::string small_fleet::raw(int router, const std::string& bytes) {
+  const int socket = this->connect(router);
+  std::string got;
+  ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  char buffer[4096];
+  for (ssize_t size = 1; size > 0;) {
+    size = ::recv(socket, buffer, sizeof(buffer), 0);
+    if (size > 0) got.append(buffer, static_cast<std::size_t>(size));
   }
   ::close(socket);
   return got;
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -53,6 +53,8 @@
                        const std::string& path = "/plain/x",
                        int deadline_ms = 5000);
 
+  /// \return A socket that is connected to a router; the caller closes it.
+  int connect(int router) const;
   /// Sends bytes and returns all that comes until the router closes.
   std::string raw(int router, const std::string& bytes);
 
