Explain a request from logs alone

It needs no running process; `explain` by a router's address still serves the other platform.

Tests: log_line_test, log_story_test.

--- a/src/app/status_command.cpp
+++ b/src/app/status_command.cpp
@@ -4,6 +4,7 @@
 
 #include "app/admin_client.hpp"
 #include "app/command_registry.hpp"
+#include "app/explain_log.hpp"
 #include "app/output.hpp"
 
 namespace boragehill::app {
@@ -98,6 +99,7 @@
     std::cerr << "boragehill: explain takes a model, pool:NAME or request id\n";
     return exit_code::usage;
   }
+  if (wants_log()) return explain_from_log(arguments.front());
   const auto client = client_of_flags();
   if (!client) return exit_code::usage;
   const auto answer = client->get("explain/" + arguments.front());
@@ -130,9 +132,10 @@
 const command_registrar explain_command{
     {.name = "explain",
      .usage = "explain MODEL|pool:NAME|REQUEST_ID --router IP:PORT "
-              "--token_file FILE [--output json]",
+              "--token_file FILE [--output json]; or explain REQUEST_ID "
+              "--log FILE|- [--output json]",
      .summary = "shows each decision about it with its reason",
-     .flags = {"router", "token_file", "output"},
+     .flags = {"router", "token_file", "log", "output"},
      .run = run_explain}};
 
 }  // namespace
