Give the store's places to the models that are asked for most

Cause, in three parts. A further replica was never loaded from the store, and no other worker had a copy. The store's few places went to whoever asked first, after a restart to rare models that one request had named. And a new planner didn't count loads that an earlier one had ordered.

Change: loads from the store are collected in each step and the places given to the models that lack most requests; a model whose requests find no room for 0.3 s counts among them; a planner that just began uses the store for those asked for most only, for a second; a worker that is busy with an unknown order counts as a load from the store.

Ruled out by trials: letting a starved model load at once, in the catalog's order (two places went to one model at its seventh request), and in the order of crowding (the places were taken by wakes).

Tests: a_starved_model_gets_a_replica_from_the_store, the_store_serves_the_most_ asked_first. Also the linter's finding in crash_watch_test.

--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -17,6 +17,13 @@
   /// A further replica goes only to a worker with less than this part of the
   /// load of those that have the model.
   double relief = 0.6;
+  /// Requests that wait so long for a model that stands somewhere find no room
+  /// there: it gets a further replica even from the store. Adapters, which they
+  /// may wait for instead, come within a few hundredths of a second.
+  milliseconds starved{300};
+  /// A planner that just began knows who asks for what only after a while;
+  /// until then it uses the store for what is asked for most only.
+  milliseconds observe{1000};
   /// A model that was just loaded stays at least so long, so that the requests
   /// that wait for it reach it.
   milliseconds settle{1000};
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Requests that wait at one moment, taken over the time over which arrivals
+/// count: they stay for a little over two seconds, arrivals for fifteen.
+constexpr double waits_of_a_while = 6;
 /// A load that is overdue is still taken to need so long.
 constexpr milliseconds busy_margin{200};
 
@@ -191,16 +194,19 @@
   for (const auto& service : this->catalog->services) {
     if (!service.has_engine) continue;
     this->appraise(service, now);
-    this->wake_waiting(service, now);
+    this->from_store.clear();
+    const auto unplaced = this->wake_waiting(service, now);
     this->relieve_busy(service, now);
+    this->load_from_store(service, now);
+    this->expect_later(service, unplaced, now);
     this->stock_free_places(service, now);
     this->place_adapters(service, now);
   }
   return std::exchange(this->moves, {});
 }
 
-void residency_planner::wake_waiting(const fleet::service& service,
-                                     time_point now) {
+std::vector<const fleet::model*> residency_planner::wake_waiting(
+    const fleet::service& service, time_point now) {
   std::vector<const fleet::model*> asked;
   for (const auto& model : service.models) {
     const auto found = this->models.find(model.name);
@@ -221,13 +227,16 @@
   for (const auto* model : asked) {
     const auto chosen = this->choose_worker(
         service, *model, std::numeric_limits<double>::max(), now);
-    if (chosen) {
+    if (chosen && !chosen->from_store) {
       this->carry_out(*chosen, *model, "wake", now);
-    } else {
-      unplaced.push_back(model);
+      continue;
     }
+    unplaced.push_back(model);
+    if (!chosen) continue;
+    const auto asked_lately = this->models.at(model->name).arrivals.value(now);
+    this->from_store.push_back({model, "wake", asked_lately});
   }
-  this->expect_later(service, unplaced, now);
+  return unplaced;
 }
 
 void residency_planner::expect_later(
@@ -249,6 +258,8 @@
   }
   auto store_free = this->store_free_at(now);
   for (const auto* model : unplaced) {
+    // It is on its way from the store by now.
+    if (this->replicas_of(model->name) > 0) continue;
     std::string soonest;
     time_point ready;
     bool from_store = false;
@@ -274,25 +285,49 @@
 
 void residency_planner::relieve_busy(const fleet::service& service,
                                      time_point now) {
+  std::vector<std::pair<double, const fleet::model*>> busy;
   for (const auto& model : service.models) {
     const auto found = this->models.find(model.name);
     if (found == this->models.end()) continue;
     const int replicas = this->replicas_of(model.name);
-    const double requests = found->second.flying + found->second.waiting;
     if (replicas == 0) continue;
-    if (requests / replicas <= this->settings.requests_per_replica) continue;
-    double load_there = 0;
-    for (const auto& [id, worker] : this->known) {
-      if (worker.meant_for(model.name)) load_there += worker.requests;
+    const double requests = found->second.flying + found->second.waiting;
+    const double each = requests / replicas;
+    if (each > this->settings.requests_per_replica) {
+      busy.emplace_back(each, &model);
     }
-    load_there = std::max(load_there, requests) / replicas;
-    const auto chosen = this->choose_worker(
-        service, model, this->settings.relief * load_there, now);
-    if (!chosen || chosen->from_store) continue;
-    // What the others lose must be less than what these requests gain.
-    if (chosen->loss > requests / replicas) continue;
-    this->carry_out(*chosen, model, "relief", now);
   }
+  // Free workers and places of the store are few: the most crowded first.
+  std::sort(busy.begin(), busy.end(), [](const auto& left, const auto& right) {
+    return left.first > right.first;
+  });
+  for (const auto& [each, model] : busy) {
+    this->relieve(service, *model, each, now);
+  }
+}
+
+void residency_planner::relieve(const fleet::service& service,
+                                const fleet::model& model, double each,
+                                time_point now) {
+  const auto& state = this->models.at(model.name);
+  const int replicas = this->replicas_of(model.name);
+  double load_there = 0;
+  for (const auto& [id, worker] : this->known) {
+    if (worker.meant_for(model.name)) load_there += worker.requests;
+  }
+  load_there = std::max(load_there / replicas, each);
+  const auto chosen = this->choose_worker(
+      service, model, this->settings.relief * load_there, now);
+  if (!chosen) return;
+  // What the others lose must be less than what these requests gain.
+  if (chosen->loss > each) return;
+  if (!chosen->from_store) {
+    return this->carry_out(*chosen, model, "relief", now);
+  }
+  // Slower by many times, so only for requests that have no room at all.
+  if (!this->starves(model.name, state)) return;
+  this->from_store.push_back(
+      {&model, "relief", state.waiting * waits_of_a_while});
 }
 
 std::optional<residency_planner::choice> residency_planner::choose_worker(
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -68,6 +68,13 @@
 
  private:
   struct choice;
+  /// A load from the store that is wanted in this step.
+  struct store_wish {
+    const fleet::model* model = nullptr;
+    const char* why = "";
+    /// Requests that lack it, over the while for which arrivals count.
+    double requests = 0;
+  };
 
   /// Losses and gains are reckoned over the time in which a model that isn't
   /// there would be asked for and come back by itself.
@@ -84,12 +91,27 @@
                         time_point now);
   const fleet::model* model_of(const std::string& name) const;
   void settle_pending(planned_worker& worker, time_point now);
-  void wake_waiting(const fleet::service& service, time_point now);
+  /// \return Models that are asked for and can't be woken now.
+  std::vector<const fleet::model*> wake_waiting(const fleet::service& service,
+                                                time_point now);
+  /// Gives the store's places to the models that are asked for most.
+  ///
+  /// The load it answers: all routers and workers restart at once, and the
+  /// first requests to come are for rare models without any copy. They took the
+  /// store for the next quarter of a minute, while the busiest model, asked for
+  /// a hundred times a second, had one replica for the rest of the day.
+  void load_from_store(const fleet::service& service, time_point now);
   /// Reckons when models will be there that wait for a worker to be free.
   void expect_later(const fleet::service& service,
                     const std::vector<const fleet::model*>& unplaced,
                     time_point now);
   void relieve_busy(const fleet::service& service, time_point now);
+  /// \param each Requests for each replica.
+  void relieve(const fleet::service& service, const fleet::model& model,
+               double each, time_point now);
+  /// \return True if requests for a model that stands somewhere find no room,
+  ///     and no load from the store is on its way for them.
+  bool starves(const std::string& model, const model_state& state) const;
   /// Loads what is missed most into places that are free.
   ///
   /// The load it answers: a release or a failure domain's loss replaces workers
@@ -151,6 +173,7 @@
   std::map<std::string, milliseconds> claimed;
   /// Models with a copy at hand on some worker that stays, in this step.
   std::unordered_set<std::string> copies;
+  std::vector<store_wish> from_store;
   store_pace pace;
   time_point store_watched;
 };
--- a/src/decide/residency_store.cpp
+++ b/src/decide/residency_store.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
+#include "decide/residency_choice.hpp"
 #include "decide/residency_planner.hpp"
 
 namespace boragehill::decide {
@@ -22,11 +24,43 @@
 int residency_planner::store_loads() const {
   int count = 0;
   for (const auto& [id, worker] : this->known) {
-    if (worker.pending && worker.pending->from_store) ++count;
+    // What an earlier planner ordered may come from the store, too.
+    const bool unknown = !worker.pending && worker.report &&
+                         worker.report->busy && !worker.entry.draining;
+    const bool known = worker.pending && worker.pending->from_store;
+    if (known || unknown) ++count;
   }
   return count;
 }
 
+bool residency_planner::starves(const std::string& model,
+                                const model_state& state) const {
+  if (state.waiting < this->settings.requests_per_replica) return false;
+  if (state.oldest < this->settings.starved) return false;
+  // One load from the store at a time for each: others starve, too.
+  return std::none_of(
+      this->known.begin(), this->known.end(), [&model](const auto& each) {
+        const auto& pending = each.second.pending;
+        return pending && pending->from_store && pending->model == model;
+      });
+}
+
+void residency_planner::load_from_store(const fleet::service& service,
+                                        time_point now) {
+  std::sort(this->from_store.begin(), this->from_store.end(),
+            [](const auto& left, const auto& right) {
+              return left.requests > right.requests;
+            });
+  const bool is_new = now < this->began + this->settings.observe;
+  for (const auto& wanted : this->from_store) {
+    if (is_new && wanted.requests < this->settings.requests_per_replica) return;
+    if (this->store_loads() >= this->pace.at_once()) return;
+    const auto chosen = this->choose_worker(
+        service, *wanted.model, std::numeric_limits<double>::max(), now);
+    if (chosen) this->carry_out(*chosen, *wanted.model, wanted.why, now);
+  }
+}
+
 void residency_planner::watch_store(time_point now) {
   const int at_once = this->store_loads();
   const auto since = std::chrono::duration<double, std::milli>(
--- a/test/decide-test/crash_watch_test.cpp
+++ b/test/decide-test/crash_watch_test.cpp
@@ -14,7 +14,7 @@
 class crash_watch_test : public testing::Test {
  protected:
   /// What the planner hears of a router and tells all of them.
-  void exchange_news(std::vector<crash_watch*> routers) {
+  void exchange_news(const std::vector<crash_watch*>& routers) {
     for (auto* each : routers) {
       for (const auto& strike : each->take_strikes()) {
         this->tally.on_strike(strike, this->now);
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -159,6 +159,57 @@
   EXPECT_EQ(fleet.workers_for("m0").size(), 4U);
 }
 
+TEST(residency_planner_test, a_starved_model_gets_a_replica_from_the_store) {
+  // Demand moves to a model that stands on one worker and has no copy on any
+  // other: those that had one were taken away. Its one worker was full, and
+  // three in four of its callers were refused for as long as the day went on.
+  planned_fleet fleet(3, 12);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.hold("w1", {"m3", "m4", "m5"});
+  fleet.hold("w2", {"m6", "m7", "m8"});
+  fleet.report();
+  auto asked = waiting("m0", 20);
+  asked.oldest = milliseconds(100);
+  fleet.now += std::chrono::seconds(2);
+  fleet.report();
+  fleet.demand({asked}, {{"w0", "m0", {}, 40}});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m0").size(), 1U);
+  asked.oldest = milliseconds(600);
+  fleet.demand({asked}, {{"w0", "m0", {}, 40}});
+  fleet.step();
+  EXPECT_GT(fleet.workers_for("m0").size(), 1U);
+}
+
+TEST(residency_planner_test, the_store_serves_the_most_asked_first) {
+  // A new planner after a restart of everything. A rare model without a copy is
+  // asked for first; the store's places would be gone for a quarter of a minute
+  // when the demand for the busy one shows.
+  planned_fleet fleet(8, 20);
+  fleet.report();
+  fleet.planner.begin(fleet.now);
+  fleet.report();
+  std::vector<model_demand> asked;
+  for (int each = 0; each < 6; ++each) {
+    asked.push_back(waiting("m" + std::to_string(each)));
+  }
+  fleet.demand(asked);
+  fleet.step();
+  EXPECT_TRUE(fleet.workers_for("m0").empty());
+  asked.push_back(waiting("m9", 30));
+  fleet.now += milliseconds(500);
+  fleet.report();
+  fleet.demand(asked);
+  fleet.step();
+  EXPECT_GE(fleet.workers_for("m9").size(), 1U);
+  EXPECT_TRUE(fleet.workers_for("m0").empty());
+  fleet.now += std::chrono::seconds(2);
+  fleet.report();
+  fleet.demand(asked);
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m0").size(), 1U);
+}
+
 TEST(residency_planner_test, a_quiet_model_gets_no_further_replica) {
   planned_fleet fleet(4, 8);
   fleet.hold("w0", {"m0"});
