Ask another server where one fails a request that may be repeated

Change: a failure of the server's own is kept, and the request goes to another server within its route's attempts and the retry budget; if none answers, the first failure is the answer. Orders and streams get their failure as before.

Ruled out: marking the server as suspect; all servers of the service fail alike, and nothing would be left to prefer.

Tests: calm_day_test.another_server_answers_where_one_fails (fails before), send_record_test.repeats_a_failure_only_of_what_may_be_repeated.

--- a/src/app/explain_log.cpp
+++ b/src/app/explain_log.cpp
@@ -31,7 +31,9 @@
   std::string text;
   for (const auto& [key, value] : line.fields) {
     if (!text.empty()) text += ' ';
-    text += key + '=' + value;
+    text += key;
+    text += '=';
+    text += value;
   }
   return text;
 }
--- a/src/decide/send_record.cpp
+++ b/src/decide/send_record.cpp
@@ -41,4 +41,11 @@
   return repeatable && this->runs < this->attempts;
 }
 
+bool send_record::may_repeat_failure() const {
+  // A stream is resumed when it breaks off; a failure is an answer to it.
+  const bool repeatable = this->rule == fleet::repeat_rule::idempotent;
+  return repeatable && this->sends < most_sends &&
+         this->runs + 1 < this->attempts;
+}
+
 }  // namespace boragehill::decide
--- a/src/decide/send_record.hpp
+++ b/src/decide/send_record.hpp
@@ -31,6 +31,9 @@
 
   /// \return True if it may go to a server again.
   bool may_send() const;
+  /// \return True if it may go to another server though the one that has it now
+  ///     answered with a failure of its own.
+  bool may_repeat_failure() const;
   /// \return True if no server has run it or may yet run it.
   bool surely_not_run() const { return this->runs == 0 && !this->out; }
   /// \return True if it was handed to a server at least once.
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -26,6 +26,7 @@
 constexpr int bad_gateway_status = 502;
 constexpr int unavailable_status = 503;
 constexpr int gateway_timeout_status = 504;
+constexpr int first_server_failure = 500;
 
 /// Answers up to this length are passed on in one piece once they are whole, so
 /// that a broken one can still be answered otherwise. Longer ones and streams
@@ -287,14 +288,44 @@
     this->leave_server();
     return this->again("server did not run it");
   }
+  if (this->repeat_failure()) return;
   this->leave_server();
-  if (this->small_head) {
-    const auto head = std::exchange(this->small_head, std::nullopt);
-    this->pass_head(*head);
-    this->pass(this->small_body);
-  } else if (this->way->resumable) {
-    this->pass(this->events.incomplete());
+  if (this->small_head) return this->pass_small_answer();
+  if (this->way->resumable) this->pass(this->events.incomplete());
+  this->end_answer();
+}
+
+bool exchange::repeat_failure() {
+  if (!this->small_head || this->small_head->status < first_server_failure) {
+    return false;
   }
+  const bool in_time = time_point::clock::now() < this->limit;
+  if (!in_time || !this->record.may_repeat_failure()) return false;
+  if (!this->host.take_repeat(*this)) return false;
+  this->kept_head = std::exchange(this->small_head, std::nullopt);
+  this->kept_body = std::exchange(this->small_body, {});
+  this->record.on_perhaps_run();
+  this->leave_server();
+  this->host.place(this->shared_from_this());
+  return true;
+}
+
+bool exchange::pass_kept_failure() {
+  if (!this->kept_head || this->head_passed || this->done) return false;
+  this->small_head = std::exchange(this->kept_head, std::nullopt);
+  this->small_body = std::exchange(this->kept_body, {});
+  this->pass_small_answer();
+  return true;
+}
+
+void exchange::pass_small_answer() {
+  const auto head = std::exchange(this->small_head, std::nullopt);
+  this->pass_head(*head);
+  this->pass(this->small_body);
+  this->end_answer();
+}
+
+void exchange::end_answer() {
   const auto caller = this->session.lock();
   this->finish(
       {.code = result_code::ok,
@@ -334,6 +365,7 @@
     this->leave_server();
   }
   if (this->head_passed) return this->break_off("time is over");
+  if (this->pass_kept_failure()) return;
   if (this->record.surely_not_run()) {
     return this->answer_own(unavailable_status, result_code::deadline_passed,
                             "no server in time", milliseconds(0));
@@ -346,6 +378,7 @@
                       milliseconds retry_after) {
   if (this->done) return;
   if (this->head_passed) return this->break_off(reason);
+  if (this->pass_kept_failure()) return;
   if (this->record.surely_not_run()) {
     const auto true_code =
         code == result_code::outcome_unknown ? result_code::no_server : code;
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -91,6 +91,14 @@
   void choose_service();
   void on_limit();
   void again(const char* why);
+  /// Sends a request that may be repeated to another server, after this one
+  /// answered with a failure of its own; keeps that answer.
+  /// \return False if the failure is the answer.
+  bool repeat_failure();
+  /// Passes on the failure that was kept, if one was.
+  bool pass_kept_failure();
+  void pass_small_answer();
+  void end_answer();
   void leave_server();
   void note_piece();
   void answer_began();
@@ -117,6 +125,9 @@
   std::shared_ptr<server_connection> connection;
   std::optional<http::message_head> small_head;
   std::string small_body;
+  /// The failure of a server before, if no other one answers.
+  std::optional<http::message_head> kept_head;
+  std::string kept_body;
   http::event_splitter events;
   std::optional<time_point> first_byte;
   std::optional<time_point> offered;
--- a/test/decide-test/send_record_test.cpp
+++ b/test/decide-test/send_record_test.cpp
@@ -34,6 +34,20 @@
   EXPECT_FALSE(lookup.may_send());
 }
 
+TEST(send_record_test, repeats_a_failure_only_of_what_may_be_repeated) {
+  send_record lookup(repeat_rule::idempotent, false, 2);
+  lookup.on_send("a");
+  EXPECT_TRUE(lookup.may_repeat_failure());
+  lookup.on_perhaps_run();
+  lookup.on_send("b");
+  EXPECT_FALSE(lookup.may_repeat_failure());
+  for (const auto rule : {repeat_rule::once, repeat_rule::stream}) {
+    send_record other(rule, true, 3);
+    other.on_send("a");
+    EXPECT_FALSE(other.may_repeat_failure());
+  }
+}
+
 TEST(send_record_test, resumes_only_streams_that_may_be) {
   for (const bool resumable : {false, true}) {
     send_record stream(repeat_rule::stream, resumable, 2);
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -239,6 +239,7 @@
   }
   fleet["router-1"].signal(SIGSTOP);
   std::vector<std::thread> threads;
+  threads.reserve(callers);
   std::atomic<int> answered{0};
   for (int each = 0; each < callers; ++each) {
     threads.emplace_back([&, each] {
@@ -252,6 +253,37 @@
   EXPECT_EQ(answered, callers);
 }
 
+TEST(calm_day_test, another_server_answers_where_one_fails) {
+  // A catalogue server fails a part of its lookups while it says that it is
+  // well. A lookup may be repeated, and a title that is held isn't shown as
+  // missing; an order may not, and its caller gets the failure.
+  small_fleet fleet(1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  const auto fail = [&fleet](const char* server, int count) {
+    fleet.fault(server, R"({"kind":"none"})");
+    fleet.fault(server, R"({"kind":"fail_runs","count":)" +
+                            std::to_string(count) + "}");
+  };
+  fail("plain-1", 1000);
+  for (int each = 0; each < 12; ++each) {
+    const auto attempt = "lookup-" + std::to_string(each);
+    const auto answer = fleet.call(1, attempt, {}, "/lookup/x");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+    EXPECT_LE(fleet.runs_of(attempt), 2);
+  }
+  fail("plain-2", 1000);
+  const auto all_fail = fleet.call(1, "lookup-all", {}, "/lookup/x");
+  ASSERT_TRUE(all_fail);
+  EXPECT_EQ(all_fail->status, 500);
+  EXPECT_EQ(all_fail->body, "failed");
+  EXPECT_EQ(fleet.runs_of("lookup-all"), 2);
+  const auto order = fleet.call(1, "order", {});
+  ASSERT_TRUE(order);
+  EXPECT_EQ(order->status, 500);
+  EXPECT_EQ(fleet.runs_of("order"), 1);
+}
+
 TEST(calm_day_test, a_planned_stop_under_load_cuts_off_nothing) {
   // Callers go on connecting to a router that stops, to its last moment. Each
   // request is answered, refused, or never read; none runs and is cut off.
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet-test/small_fleet.hpp"
 
 #include <absl/strings/escaping.h>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -182,6 +183,12 @@
   plain["service"] = "sheets";
   config["routes"].append(stream);
   config["routes"].append(plain);
+  Json::Value lookup = plain;
+  lookup["name"] = "r-lookup";
+  lookup["prefix"] = "/lookup/";
+  lookup["kind"] = "idempotent";
+  lookup["attempts"] = 2;
+  config["routes"].append(lookup);
   Json::Value assist;
   assist["name"] = "assist";
   assist["maxConns"] = 100;
@@ -265,7 +272,10 @@
   const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
   const timeval limit{.tv_sec = 5, .tv_usec = 0};
   ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  ::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+  if (::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) !=
+      0) {
+    std::perror("connect");
+  }
   return socket;
 }
 
@@ -378,7 +388,7 @@
 }
 
 std::string small_fleet::keep_logs(const std::string& name) const {
-  const auto kept = this->folder + "-" + name;
+  auto kept = this->folder + "-" + name;
   std::filesystem::copy(this->folder, kept,
                         std::filesystem::copy_options::overwrite_existing |
                             std::filesystem::copy_options::recursive);
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -26,8 +26,9 @@
   /// \return A number from `low` to `high`, both included. Not by a
   ///     distribution of the library: these differ between its versions.
   int roll(int low, int high) {
-    const auto range = static_cast<std::uint64_t>(high - low + 1);
-    return low + static_cast<int>(this->source() % range);
+    const int range = high - low + 1;
+    const auto drawn = this->source() % static_cast<unsigned>(range);
+    return low + static_cast<int>(drawn);
   }
 
  private:
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -37,6 +37,8 @@
     this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "lose_answers") {
     this->lost_answers = fault.get("count", 1).asUInt();
+  } else if (kind == "fail_runs") {
+    this->failed_runs = fault.get("count", 1).asUInt();
   } else if (kind == "cut_stream") {
     this->cut_streams = fault.get("count", 1).asUInt();
   } else if (kind == "crash_on") {
@@ -53,6 +55,7 @@
   this->frozen = false;
   this->slow = std::chrono::milliseconds{0};
   this->lost_answers = 0;
+  this->failed_runs = 0;
   this->cut_streams = 0;
   this->marker.clear();
 }
@@ -90,6 +93,11 @@
   return take(this->lost_answers);
 }
 
+bool fault_switch::take_failed_run() {
+  const std::scoped_lock lock(this->mutex);
+  return take(this->failed_runs);
+}
+
 bool fault_switch::take_cut_stream() {
   const std::scoped_lock lock(this->mutex);
   return take(this->cut_streams);
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -36,6 +36,9 @@
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
+  /// Uses up one of the runs that "fail_runs" fails.
+  bool take_failed_run();
+
   /// Uses up one of the streams that "cut_stream" cuts.
   bool take_cut_stream();
 
@@ -50,6 +53,7 @@
   bool frozen = false;
   std::chrono::milliseconds slow{0};
   std::uint32_t lost_answers = 0;
+  std::uint32_t failed_runs = 0;
   std::uint32_t cut_streams = 0;
   std::string marker;
 };
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -18,6 +18,7 @@
 constexpr int bad_status = 400;
 constexpr int conflict_status = 409;
 constexpr int misdirected_status = 421;
+constexpr int failed_status = 500;
 constexpr int events_of_a_stream = 8;
 
 std::pair<std::string, std::string> split_model(const std::string& text) {
@@ -30,7 +31,8 @@
 
 worker_standin::worker_standin(const standin_settings& settings,
                                standin_server& server)
-    : id(settings.id),
+    : faults(server.faults()),
+      id(settings.id),
       service(settings.service_name),
       address(settings.advertise.empty()
                   ? settings.address + ":" + std::to_string(settings.port)
@@ -49,9 +51,11 @@
   server.on("POST", "/stream/.*", [this](const auto& request, auto& response) {
     this->stream(request, response);
   });
-  server.on("POST", "/plain/.*", [this](const auto& request, auto& response) {
-    this->run(request, response);
-  });
+  for (const char* path : {"/plain/.*", "/lookup/.*"}) {
+    server.on("POST", path, [this](const auto& request, auto& response) {
+      this->run(request, response);
+    });
+  }
   server.on_control("/standin/drain", [this](const auto&, auto& response) {
     {
       const std::scoped_lock lock(this->mutex);
@@ -140,7 +144,12 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(this->delay_ms));
   response.set_header("Boragehill-Attempt-Id", attempt);
   response.set_header("Boragehill-Response-Stamp", this->id);
-  response.set_content("plain answer to " + request.body, "text/plain");
+  if (this->faults.take_failed_run()) {
+    response.status = failed_status;
+    response.set_content("failed", "text/plain");
+  } else {
+    response.set_content("plain answer to " + request.body, "text/plain");
+  }
   const std::scoped_lock lock(this->mutex);
   --this->running;
 }
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -13,6 +13,7 @@
 
 namespace boragehill::standin {
 
+class fault_switch;
 class standin_server;
 struct standin_settings;
 
@@ -36,6 +37,7 @@
   Json::Value models_shown() const;
   Json::Value truth();
 
+  fault_switch& faults;
   std::string id;
   std::string service;
   std::string address;
