--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -148,7 +148,6 @@
       .received = time_point::clock::now(),
       .caller = ignored ? std::string() : peer.address().to_string()};
   this->parser.next();
-  this->answering = false;
   // It may be answered, and so forgotten here, while it starts.
   const auto begun =
       this->host.begin(std::move(request), this->shared_from_this());
@@ -173,7 +172,6 @@
 void caller_session::begin_answer(int status, http::header_list headers,
                                   std::optional<std::uint64_t> length) {
   if (this->closed) return;
-  this->answering = true;
   this->chunked = !length;
   if (this->host.closing()) this->keep_alive = false;
   if (length) {
@@ -195,7 +193,6 @@
   if (this->chunked && !this->head_request) this->queue(http::chunk({}));
   this->current.reset();
   this->let_go_body();
-  this->answering = false;
   if (!this->keep_alive) return this->finish_sending();
   this->next_request();
 }
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -97,8 +97,6 @@
   bool head_request = false;
   bool chunked = false;
   bool keep_alive = true;
-  bool answering = false;
-  bool told_congested = false;
   bool lingering = false;
   bool closed = false;
 };
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
 #include "serve/exchange.hpp"
+#include "serve/time_between.hpp"
 
 namespace boragehill::serve {
 
@@ -23,10 +24,6 @@
 /// A caller that is refused by a router that stops reaches another one.
 constexpr milliseconds other_router_takes{50};
 
-std::int64_t ms_between(time_point from, time_point to) {
-  return std::chrono::duration_cast<milliseconds>(to - from).count();
-}
-
 bool more_urgent(const exchange& left, const exchange& right) {
   if (left.route()->priority != right.route()->priority) {
     return left.route()->priority < right.route()->priority;
@@ -344,83 +341,6 @@
       .first->second;
 }
 
-void dispatcher::on_finished(const exchange& request) {
-  const auto& ended = request.result();
-  this->metrics.on_ended(ended.code);
-  if (ended.code == result_code::ok) {
-    this->crashes.on_answered(request.fingerprint());
-  }
-  const auto now = time_point::clock::now();
-  const auto received = request.request().received;
-  const auto& asked = request.fields();
-  if (request.answered()) {
-    this->metrics.on_first_byte(
-        milliseconds(ms_between(received, *request.answered())),
-        !asked.model.empty());
-  }
-  if (request.first_sent()) {
-    this->metrics.on_waited(
-        milliseconds(ms_between(received, *request.first_sent())));
-  }
-  const auto which =
-      ended.code == result_code::ok            ? kernel::event::request_answered
-      : ended.code == result_code::caller_gone ? kernel::event::caller_hung_up
-      : ended.code == result_code::answer_broken ? kernel::event::answer_broken
-      : ended.code == result_code::outcome_unknown
-          ? kernel::event::outcome_unknown
-          : kernel::event::request_refused;
-  kernel::log_event(
-      which,
-      {{"request", asked.attempt},
-       {"route", request.route() ? request.route()->name : std::string()},
-       {"service", request.service()},
-       {"model", asked.model},
-       {"adapter", asked.adapter},
-       {"status", ended.status},
-       {"code", static_cast<int>(ended.code)},
-       {"reason", ended.reason},
-       {"server", request.last_server()},
-       {"sends", request.sends().send_count()},
-       {"waited_ms", request.first_sent()
-                         ? ms_between(received, *request.first_sent())
-                         : ms_between(received, now)},
-       {"first_ms",
-        request.answered() ? ms_between(received, *request.answered()) : -1},
-       {"gap_ms", request.longest_gap().count()},
-       {"all_ms", ms_between(received, now)},
-       {"config", this->known_catalog ? this->known_catalog->version : -1}});
-}
-
-decide::demand_report dispatcher::take_report() {
-  const auto now = time_point::clock::now();
-  decide::demand_report report;
-  std::map<demand_key, decide::model_demand> demands;
-  for (const auto& [key, count] : this->arrivals) {
-    demands[key].arrivals = count;
-  }
-  for (const auto& [key, line] : this->lines) {
-    auto& demand = demands[key];
-    demand.waiting = static_cast<int>(line.size());
-    for (const auto& each : line) {
-      demand.oldest =
-          std::max(demand.oldest,
-                   milliseconds(ms_between(each->request().received, now)));
-      demand.worth += 1.0 / (1 + each->route()->priority);
-    }
-  }
-  for (auto& [key, demand] : demands) {
-    std::tie(demand.service, demand.model, demand.adapter) = key;
-    if (!demand.model.empty()) report.demands.push_back(std::move(demand));
-  }
-  for (const auto& [key, count] : this->flights) {
-    const auto& [server, model, adapter] = key;
-    if (!model.empty())
-      report.flights.push_back({server, model, adapter, count});
-  }
-  this->arrivals.clear();
-  return report;
-}
-
 std::optional<milliseconds> dispatcher::in_vain(const exchange& request,
                                                 time_point now) const {
   const auto& route = *request.route();
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -190,6 +190,7 @@
   fleet.planner.begin(fleet.now);
   fleet.report();
   std::vector<model_demand> asked;
+  asked.reserve(7);
   for (int each = 0; each < 6; ++each) {
     asked.push_back(waiting("m" + std::to_string(each)));
   }
