Read the settings that routers and agents share in one place

[process] and [store] were read twice, line for line (entry_settings and sidecar_settings), and each struct had its own link and metrics address.

--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -57,7 +57,7 @@
       finder(std::make_unique<planner_finder>(
           this->loop, *this->store,
           fleet::planner_row{.router = settings.id,
-                             .address = settings.planner_address()},
+                             .address = settings.link_address()},
           settings.link_mbps < weak_link_mbps ? weak_machine_waits
                                               : milliseconds(0))),
       acceptor(this->loop.context()),
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr std::int64_t lowest_port = 1;
-constexpr std::int64_t highest_port = 65534;
-
 milliseconds seconds_read(kernel::settings_section& section, const char* key,
                           double fallback, double most) {
   constexpr double ms_per_second = 1000;
@@ -42,17 +39,9 @@
 entry_settings read_entry_settings(kernel::settings_document& document) {
   constexpr double most_seconds = 3600;
   entry_settings settings;
+  read_node_settings(document, settings);
   auto process = document.section("process");
-  settings.id = process.text("id", std::nullopt);
   settings.failure_domain = process.text("failure_domain", std::nullopt);
-  settings.address = process.text("address", std::nullopt);
-  settings.link_port = static_cast<std::uint16_t>(
-      process.number("link_port", std::nullopt, lowest_port, highest_port));
-  auto store = document.section("store");
-  settings.store_plugin = store.text("plugin", "rows");
-  settings.store = store.address("address", std::nullopt);
-  settings.feed_wait = store.duration("feed_wait_ms", settings.feed_wait,
-                                      milliseconds(100), milliseconds(30000));
   auto entry = document.section("entry");
   settings.listen = entry.address("listen", std::nullopt);
   settings.ready = entry.address("ready", std::nullopt);
--- a/src/serve/entry_settings.hpp
+++ b/src/serve/entry_settings.hpp
@@ -8,6 +8,7 @@
 
 #include "decide/planner_settings.hpp"
 #include "decide/send_budget_settings.hpp"
+#include "serve/node_settings.hpp"
 
 namespace boragehill::kernel {
 class settings_document;
@@ -16,23 +17,12 @@
 namespace boragehill::serve {
 
 /// The settings of a router on the platform's store.
-struct entry_settings {
-  std::string id;
+struct entry_settings : node_settings {
   std::string failure_domain;
-  /// Where the other processes of ours reach this one.
-  std::string address;
-  /// The plug-in that speaks the store's protocol, and the store's address.
-  std::string store_plugin;
-  endpoint store;
-  /// How long one poll of the store's feeds waits; a feed that is silent for
-  /// longer is taken for lost.
-  milliseconds feed_wait{2000};
   /// Where callers connect.
   endpoint listen;
   /// Where the platform asks whether the router is ready.
   endpoint ready;
-  /// The planner's port, and the agents'; metrics are on the next one.
-  std::uint16_t link_port = 0;
   /// What the machine's link carries, in megabits a second; a weak machine is
   /// the last to become the planner.
   double link_mbps = 1000;
@@ -56,10 +46,6 @@
     constexpr double bytes_per_mb = 1 << 20;
     return static_cast<std::size_t>(this->memory_mb * share * bytes_per_mb);
   }
-  endpoint planner_address() const { return {this->address, this->link_port}; }
-  endpoint metrics_address() const {
-    return {this->address, static_cast<std::uint16_t>(this->link_port + 1)};
-  }
 };
 
 /// Reads a router's settings; problems are left in the document.
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -62,7 +62,7 @@
       planner(settings.planner) {}
 
 std::error_code planner_duty::start() {
-  const auto error = this->listener.start(this->settings.planner_address());
+  const auto error = this->listener.start(this->settings.link_address());
   if (error) return error;
   this->loop.start();
   return {};
