Keep one book of strikes for routers and planner

crash_watch and crash_tally held the same entries, aged them and made room for them in the same way. A router's watch has a tally now, and adds what is its own: who was acquitted, and what the planner has to hear.

--- a/src/decide/crash_watch.hpp
+++ b/src/decide/crash_watch.hpp
@@ -3,13 +3,14 @@
 
 #include <cstddef>
 #include <deque>
-#include <map>
 #include <string>
 #include <unordered_set>
 #include <vector>
 
 #include <boragehill/time_point.hpp>
 
+#include "decide/crash_tally.hpp"
+
 namespace boragehill::decide {
 
 /// What one router knows of requests that crash backend servers.
@@ -26,12 +27,6 @@
 /// three cut connections would be worse than a crash.
 class crash_watch {
  public:
-  /// Strikes that convict. Two may befall an innocent request that is sent
-  /// again while a failure domain goes down.
-  static constexpr int limit = 3;
-  /// How long strikes, answers and convictions count. What crashed may have
-  /// been mended since; one crash in ten minutes is borne.
-  static constexpr milliseconds keep{600000};
   /// Answered requests remembered; at ten a second a router, some minutes.
   static constexpr std::size_t most_answered = 2048;
   /// Struck or convicted requests remembered.
@@ -57,14 +52,7 @@
   void tell_again(time_point now);
 
  private:
-  struct entry {
-    int strikes = 0;
-    time_point at;
-  };
-
-  void make_room(time_point now);
-
-  std::map<std::string, entry> struck;
+  crash_tally struck{most_struck};
   std::unordered_set<std::string> answered;
   std::deque<std::string> answered_by_age;
   std::vector<std::string> untold;
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_SERVE_PLANNER_DUTY_HPP
 
 #include <asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,6 +40,8 @@
   void set_servers(std::shared_ptr<const fleet::server_list> news);
 
  private:
+  /// Requests that break off, over all routers; convicted ones stay longest.
+  static constexpr std::size_t most_struck = 1024;
   struct router_link {
     std::shared_ptr<wire::message_link> link;
     std::string router;
@@ -82,7 +85,7 @@
   std::map<std::string, decide::demand_report> demands;
   std::map<endpoint, agent_link> agents;
   std::map<endpoint, time_point> agent_retry;
-  decide::crash_tally crashes;
+  decide::crash_tally crashes{most_struck};
   /// Requests that no router should run, as last summed up.
   std::vector<std::string> convicted;
   time_point last_plan;
--- a/test/decide-test/crash_watch_test.cpp
+++ b/test/decide-test/crash_watch_test.cpp
@@ -29,7 +29,7 @@
 
   crash_watch one;
   crash_watch two;
-  crash_tally tally;
+  crash_tally tally{1024};
   time_point now{std::chrono::hours(1)};
 };
 
@@ -48,7 +48,7 @@
 }
 
 TEST_F(crash_watch_test, a_router_without_a_planner_convicts_by_itself) {
-  for (int each = 0; each < crash_watch::limit; ++each) {
+  for (int each = 0; each < crash_tally::limit; ++each) {
     EXPECT_FALSE(this->one.is_convicted(poison, this->now));
     this->one.on_broken(poison, this->now);
   }
@@ -72,7 +72,7 @@
 
 TEST_F(crash_watch_test, a_new_planner_hears_of_it) {
   // The planner is lost after the third crash, and with it the sum.
-  for (int each = 0; each < crash_watch::limit; ++each) {
+  for (int each = 0; each < crash_tally::limit; ++each) {
     this->one.on_broken(poison, this->now);
   }
   this->one.take_strikes();
@@ -83,10 +83,10 @@
 
 TEST_F(crash_watch_test, a_conviction_ends) {
   this->one.on_convicted(poison, this->now);
-  this->now += crash_watch::keep / 2;
+  this->now += crash_tally::keep / 2;
   this->one.on_convicted(poison, this->now);
   EXPECT_TRUE(this->one.is_convicted(poison, this->now));
-  this->now += crash_watch::keep;
+  this->now += crash_tally::keep;
   EXPECT_FALSE(this->one.is_convicted(poison, this->now));
   this->one.on_broken(poison, this->now);
   EXPECT_FALSE(this->one.is_convicted(poison, this->now));
@@ -102,7 +102,7 @@
   EXPECT_TRUE(this->one.is_convicted(poison, this->now));
   this->one.tell_again(this->now);
   EXPECT_LE(this->one.take_strikes().size(),
-            crash_watch::most_struck + crash_watch::limit);
+            crash_watch::most_struck + crash_tally::limit);
 }
 
 }  // namespace
