Say once in the planner where a load comes from and how long it takes

- "A load from the store is pending" stood five times; planned_worker tells it.
- Free places reckoned a load's time apart from the other decisions, and took disk time for a copy in main memory, so the load's expected end and the log's load_ms were late by 0.7 s.
All ask planned_worker::load_time now.
- Choosing what fills a free place carried three variables through one loop; it compares choices as wakes do, by (from the store, cost): the same order.
- Copies over all workers were counted in each step, also while no place is free, which is nearly always; now only if one is.
- A choice knows its model, which was passed beside it.

residency_planner_test, 21 tests: passed unchanged.

--- a/src/decide/planned_worker.cpp
+++ b/src/decide/planned_worker.cpp
@@ -9,6 +9,12 @@
   return std::find(models.begin(), models.end(), model) != models.end();
 }
 
+milliseconds planned_worker::load_time(const fleet::model& model) const {
+  const auto found = this->copies.find(model.name);
+  if (found == this->copies.end()) return model.store_load;
+  return found->second ? model.memory_load : model.disk_load;
+}
+
 bool planned_worker::serves(const std::string& model) const {
   if (!this->report || !this->report->find(model)) return false;
   return this->meant_for(model);
--- a/src/decide/planned_worker.hpp
+++ b/src/decide/planned_worker.hpp
@@ -12,6 +12,7 @@
 
 #include "decide/planned_load.hpp"
 #include "decide/residency_target.hpp"
+#include "fleet/model.hpp"
 #include "fleet/server.hpp"
 #include "fleet/worker_report.hpp"
 
@@ -47,6 +48,15 @@
 
   /// \return True if the model is meant to be there, now or soon.
   bool meant_for(const std::string& model) const;
+
+  /// \return Time to load the model here when nothing else loads: from the
+  ///     worker's memory, its disk or the store.
+  milliseconds load_time(const fleet::model& model) const;
+
+  /// \return True if a load from the store was planned and isn't done.
+  bool loads_from_store() const {
+    return this->pending && this->pending->from_store;
+  }
 };
 
 }  // namespace boragehill::decide
--- a/src/decide/residency_choice.hpp
+++ b/src/decide/residency_choice.hpp
@@ -11,6 +11,7 @@
 /// A worker for a model, with what has to go for it.
 struct residency_planner::choice {
   std::string worker;
+  const fleet::model* model = nullptr;
   std::vector<std::string> victims;
   milliseconds time{0};
   bool from_store = false;
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -22,14 +22,6 @@
 /// A load that is overdue is still taken to need so long.
 constexpr milliseconds busy_margin{200};
 
-/// Where a worker would load a model from: its memory, its disk or the store.
-milliseconds load_time(const planned_worker& worker,
-                       const fleet::model& model) {
-  const auto found = worker.copies.find(model.name);
-  if (found == worker.copies.end()) return model.store_load;
-  return found->second ? model.memory_load : model.disk_load;
-}
-
 void adopt_residents(planned_worker& worker) {
   for (const auto& each : worker.report->models) {
     if (!worker.meant_for(each.name)) worker.target.models.push_back(each.name);
@@ -110,14 +102,12 @@
 }
 
 void residency_planner::settle_pending(planned_worker& worker, time_point now) {
-  if (worker.pending && worker.pending->from_store && worker.report->busy &&
+  if (worker.loads_from_store() && worker.report->busy &&
       !worker.pending->seen) {
     worker.pending->seen = now;
   }
   if (worker.pending && worker.report->find(worker.pending->model)) {
-    if (worker.pending->from_store) {
-      this->watch_load(*worker.pending, now);
-    }
+    if (worker.loads_from_store()) this->watch_load(*worker.pending, now);
     worker.pending.reset();
   }
   if (worker.pending && now > worker.pending->give_up) {
@@ -228,7 +218,7 @@
     const auto chosen = this->choose_worker(
         service, *model, std::numeric_limits<double>::max(), now);
     if (chosen && !chosen->from_store) {
-      this->carry_out(*chosen, *model, "wake", now);
+      this->carry_out(*chosen, "wake", now);
       continue;
     }
     unplaced.push_back(model);
@@ -267,7 +257,7 @@
       const auto& worker = this->known.at(id);
       const bool fetched = !worker.copies.contains(model->name);
       const auto begin = fetched ? std::max(at, store_free.front()) : at;
-      const auto there = begin + load_time(worker, *model);
+      const auto there = begin + worker.load_time(*model);
       if (!soonest.empty() && there >= ready) continue;
       soonest = id;
       ready = there;
@@ -322,7 +312,7 @@
   // What the others lose must be less than what these requests gain.
   if (chosen->loss > each) return;
   if (!chosen->from_store) {
-    return this->carry_out(*chosen, model, "relief", now);
+    return this->carry_out(*chosen, "relief", now);
   }
   // Slower by many times, so only for requests that have no room at all.
   if (!this->starves(model.name, state)) return;
@@ -359,7 +349,8 @@
     return std::nullopt;
   }
   choice found{.worker = id,
-               .time = load_time(worker, model),
+               .model = &model,
+               .time = worker.load_time(model),
                .from_store = !worker.copies.contains(model.name)};
   if (found.from_store && !may_load) return std::nullopt;
   double room = worker.room_mb;
@@ -393,9 +384,9 @@
   return found;
 }
 
-void residency_planner::carry_out(const choice& chosen,
-                                  const fleet::model& model, const char* why,
+void residency_planner::carry_out(const choice& chosen, const char* why,
                                   time_point now) {
+  const fleet::model& model = *chosen.model;
   const auto& state = this->models[model.name];
   this->moves.push_back({.server = chosen.worker,
                          .model = model.name,
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -120,6 +120,13 @@
   /// while the new ones stood idle: they had no copy, and a load there was
   /// always slower than the next one on an old worker's disk.
   void stock_free_places(const fleet::service& service, time_point now);
+  /// \return Workers with nothing to do and room for a model.
+  std::vector<const planned_worker*> workers_with_room(
+      const fleet::service& service, time_point now) const;
+  /// \return The model that is missed most of those that fit on a worker.
+  std::optional<choice> most_missed(const planned_worker& worker,
+                                    const fleet::service& service,
+                                    time_point now) const;
   /// \return Seconds of waiting, over all requests to come, that one more
   ///     replica saves.
   double gain_of_placing(const fleet::model& model, time_point now) const;
@@ -137,8 +144,7 @@
                                  time_point now) const;
   double cost_of_losing(const planned_worker& worker, const std::string& model,
                         time_point now) const;
-  void carry_out(const choice& chosen, const fleet::model& model,
-                 const char* why, time_point now);
+  void carry_out(const choice& chosen, const char* why, time_point now);
   bool fresh(const planned_worker& worker, time_point now) const;
   /// \return Fresh workers that serve the model or soon will. A worker that
   ///     crashed stays listed for seconds; what it held serves nobody, and
--- a/src/decide/residency_stock.cpp
+++ b/src/decide/residency_stock.cpp
@@ -1,6 +1,7 @@
 // What the planner loads into places that are free.
 
 #include <algorithm>
+#include <utility>
 
 #include "decide/residency_choice.hpp"
 #include "decide/residency_planner.hpp"
@@ -54,39 +55,58 @@
   return others == 0 || others + 1 < this->pace.at_once();
 }
 
+std::vector<const planned_worker*> residency_planner::workers_with_room(
+    const fleet::service& service, time_point now) const {
+  const auto smallest =
+      std::min_element(service.models.begin(), service.models.end(),
+                       [](const fleet::model& left, const fleet::model& right) {
+                         return left.weights_mb < right.weights_mb;
+                       });
+  std::vector<const planned_worker*> found;
+  if (smallest == service.models.end()) return found;
+  for (const auto& [id, worker] : this->known) {
+    if (worker.room_mb < smallest->weights_mb) continue;
+    if (!this->usable(worker, service, now)) continue;
+    if (!this->claimed.contains(id)) found.push_back(&worker);
+  }
+  return found;
+}
+
+std::optional<residency_planner::choice> residency_planner::most_missed(
+    const planned_worker& worker, const fleet::service& service,
+    time_point now) const {
+  std::optional<choice> best;
+  for (const auto& model : service.models) {
+    if (worker.room_mb < model.weights_mb) continue;
+    if (worker.meant_for(model.name)) continue;
+    const double gain = this->gain_of_placing(model, now);
+    if (gain <= least_gain_seconds) continue;
+    const choice found{.worker = worker.entry.id,
+                       .model = &model,
+                       .time = worker.load_time(model),
+                       .from_store = !worker.copies.contains(model.name),
+                       .cost = -gain};
+    // What is at hand here comes first: it takes a fifth of the time.
+    const bool better = !best || std::pair{found.from_store, found.cost} <
+                                     std::pair{best->from_store, best->cost};
+    if (better) best = found;
+  }
+  return best;
+}
+
 void residency_planner::stock_free_places(const fleet::service& service,
                                           time_point now) {
+  // Most of the time all are full, and nothing has to be counted.
+  const auto free = this->workers_with_room(service, now);
+  if (free.empty()) return;
   this->count_copies();
-  for (const auto& [id, worker] : this->known) {
-    if (!this->usable(worker, service, now)) continue;
-    if (this->claimed.contains(id)) continue;
-    const fleet::model* best = nullptr;
-    double most = least_gain_seconds;
-    bool best_has_copy = false;
-    for (const auto& model : service.models) {
-      if (worker.room_mb < model.weights_mb) continue;
-      if (worker.meant_for(model.name)) continue;
-      const bool has_copy = worker.copies.contains(model.name);
-      // What is at hand here comes first: it takes a fifth of the time.
-      if (best_has_copy && !has_copy) continue;
-      const double gain = this->gain_of_placing(model, now);
-      const bool nearer = has_copy && !best_has_copy;
-      if (gain <= least_gain_seconds || (!nearer && gain <= most)) continue;
-      best = &model;
-      most = gain;
-      best_has_copy = has_copy;
-    }
-    if (!best) continue;
-    if (!best_has_copy &&
-        (!this->may_stock_from_store() || this->acquainting(service, now))) {
-      continue;
-    }
-    const choice chosen{
-        .worker = id,
-        .time = best_has_copy ? best->disk_load : best->store_load,
-        .from_store = !best_has_copy,
-        .cost = -most};
-    this->carry_out(chosen, *best, "stock", now);
+  for (const auto* worker : free) {
+    const auto chosen = this->most_missed(*worker, service, now);
+    if (!chosen) continue;
+    const bool may_load =
+        !chosen->from_store ||
+        (this->may_stock_from_store() && !this->acquainting(service, now));
+    if (may_load) this->carry_out(*chosen, "stock", now);
   }
 }
 
--- a/src/decide/residency_store.cpp
+++ b/src/decide/residency_store.cpp
@@ -27,8 +27,7 @@
     // What an earlier planner ordered may come from the store, too.
     const bool unknown = !worker.pending && worker.report &&
                          worker.report->busy && !worker.entry.draining;
-    const bool known = worker.pending && worker.pending->from_store;
-    if (known || unknown) ++count;
+    if (worker.loads_from_store() || unknown) ++count;
   }
   return count;
 }
@@ -40,8 +39,8 @@
   // One load from the store at a time for each: others starve, too.
   return std::none_of(
       this->known.begin(), this->known.end(), [&model](const auto& each) {
-        const auto& pending = each.second.pending;
-        return pending && pending->from_store && pending->model == model;
+        const auto& worker = each.second;
+        return worker.loads_from_store() && worker.pending->model == model;
       });
 }
 
@@ -57,7 +56,7 @@
     if (this->store_loads() >= this->pace.at_once()) return;
     const auto chosen = this->choose_worker(
         service, *wanted.model, std::numeric_limits<double>::max(), now);
-    if (chosen) this->carry_out(*chosen, *wanted.model, wanted.why, now);
+    if (chosen) this->carry_out(*chosen, wanted.why, now);
   }
 }
 
@@ -66,7 +65,7 @@
   const auto since = std::chrono::duration<double, std::milli>(
       now - std::exchange(this->store_watched, now));
   for (auto& [id, worker] : this->known) {
-    if (!worker.pending || !worker.pending->from_store) continue;
+    if (!worker.loads_from_store()) continue;
     auto& load = *worker.pending;
     if (!load.seen) continue;
     load.crowd_ms += since.count() * at_once;
@@ -88,7 +87,7 @@
 std::vector<time_point> residency_planner::store_free_at(time_point now) const {
   std::vector<time_point> free;
   for (const auto& [id, worker] : this->known) {
-    if (!worker.pending || !worker.pending->from_store) continue;
+    if (!worker.loads_from_store()) continue;
     free.push_back(std::max(worker.pending->due, now));
   }
   std::sort(free.begin(), free.end());
