Say once why a waiting request is refused

in_vain reckoned whether a server is listed, and each caller asked for the same again to choose the code and the words. It returns the whole refusal now. Same cases and texts; fleet_test, 21 tests, and wait_limit_test passed.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -155,9 +155,9 @@
                            other_router_takes);
   }
   if (this->try_send(request)) return;
-  const auto back = this->in_vain(*request, time_point::clock::now());
-  if (back && !this->may_get_server(*request)) {
-    return this->refuse_in_vain(request, *back);
+  const auto vain = this->in_vain(*request, time_point::clock::now());
+  if (vain && vain->code == result_code::no_server) {
+    return request->refuse(vain->code, vain->reason, vain->retry_after);
   }
   this->wait_in_line(request);
 }
@@ -341,49 +341,46 @@
       .first->second;
 }
 
-std::optional<milliseconds> dispatcher::in_vain(const exchange& request,
-                                                time_point now) const {
+std::optional<dispatcher::vain_wait> dispatcher::in_vain(
+    const exchange& request, time_point now) const {
   const auto& route = *request.route();
+  const bool listed = this->may_get_server(request);
   decide::wait_case waiting{
       .waited = milliseconds(ms_between(request.request().received, now)),
       .left = milliseconds(ms_between(now, request.due())),
       .stream = route.rule == fleet::repeat_rule::stream,
       .objective = route.latency_objective,
-      .gap_objective = route.gap_objective};
-  // A stream that broke off goes on as soon as there is a server.
-  waiting.has_server =
-      request.answered().has_value() || this->may_get_server(request);
+      .gap_objective = route.gap_objective,
+      // A stream that broke off goes on as soon as there is a server.
+      .has_server = listed || request.answered()};
   const auto known = this->expected.find(request.fields().model);
   if (known != this->expected.end()) {
     waiting.ready_in =
         milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
   }
-  return decide::refuse_waiting_now(waiting);
+  const auto back = decide::refuse_waiting_now(waiting);
+  if (!back) return std::nullopt;
+  if (!listed) {
+    return vain_wait{result_code::no_server, "no server is listed", *back};
+  }
+  return vain_wait{result_code::deadline_unreachable,
+                   "no worker has the model in time", *back};
 }
 
 void dispatcher::judge_waiting() {
   const auto now = time_point::clock::now();
-  std::vector<std::pair<std::shared_ptr<exchange>, milliseconds>> refused;
+  std::vector<std::pair<std::shared_ptr<exchange>, vain_wait>> refused;
   for (const auto& [key, line] : this->lines) {
     for (const auto& each : line) {
-      if (const auto back = this->in_vain(*each, now)) {
-        refused.emplace_back(each, *back);
+      if (const auto vain = this->in_vain(*each, now)) {
+        refused.emplace_back(each, *vain);
       }
     }
   }
-  for (const auto& [request, back] : refused) {
+  for (const auto& [request, vain] : refused) {
     this->withdraw(*request);
-    this->refuse_in_vain(request, back);
-  }
-}
-
-void dispatcher::refuse_in_vain(const std::shared_ptr<exchange>& request,
-                                milliseconds back) {
-  if (!this->may_get_server(*request)) {
-    return request->refuse(result_code::no_server, "no server is listed", back);
+    request->refuse(vain.code, vain.reason, vain.retry_after);
   }
-  request->refuse(result_code::deadline_unreachable,
-                  "no worker has the model in time", back);
 }
 
 void dispatcher::begin_stop(time_point until) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -94,19 +94,23 @@
   /// Server, model and adapter.
   using flight_key = std::tuple<std::string, std::string, std::string>;
   using waiting_line = std::deque<std::shared_ptr<exchange>>;
+  /// The refusal of a request that waits in vain.
+  struct vain_wait {
+    result_code code;
+    const char* reason;
+    milliseconds retry_after;
+  };
 
   static demand_key key_of(const exchange& request);
-  std::optional<milliseconds> in_vain(const exchange& request,
-                                      time_point now) const;
+  /// \return Why no server takes a request in time; nothing if one may.
+  std::optional<vain_wait> in_vain(const exchange& request,
+                                   time_point now) const;
   /// \return False for a model or adapter that the configuration doesn't have:
   ///     nobody will ever hold it, and names that callers make up must not fill
   ///     the planner's memory.
   bool knows_model(const exchange& request) const;
   bool try_send(const std::shared_ptr<exchange>& request);
   bool can_take(const server_state& server, const exchange& request) const;
-  /// Says why no server takes the request in time.
-  void refuse_in_vain(const std::shared_ptr<exchange>& request,
-                      milliseconds back);
   /// \return False if no server is listed that could ever take the request.
   bool may_get_server(const exchange& request) const;
   std::size_t most_connections(const std::string& service) const;
