--- a/include/boragehill/time_point.hpp
+++ b/include/boragehill/time_point.hpp
@@ -12,6 +12,11 @@
 /// The unit of every duration that crosses an interface.
 using milliseconds = std::chrono::milliseconds;
 
+/// \return A duration in seconds, for costs, metrics and headers.
+inline double seconds_of(milliseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
 }  // namespace boragehill
 
 #endif  // BORAGEHILL_TIME_POINT_HPP
--- a/src/decide/residency_appraisal.cpp
+++ b/src/decide/residency_appraisal.cpp
@@ -8,8 +8,6 @@
 
 namespace boragehill::decide {
 
-using detail::seconds_of;
-
 const fleet::model* residency_planner::model_of(const std::string& name) const {
   const auto found = this->specs.find(name);
   return found == this->specs.end() ? nullptr : found->second;
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -12,7 +12,6 @@
 
 using detail::holds;
 using detail::remove_name;
-using detail::seconds_of;
 
 namespace {
 
--- a/src/decide/residency_stock.cpp
+++ b/src/decide/residency_stock.cpp
@@ -9,8 +9,6 @@
 
 namespace boragehill::decide {
 
-using detail::seconds_of;
-
 namespace {
 
 /// Less expected waiting than this isn't worth a load: about one request in
--- a/src/decide/residency_support.hpp
+++ b/src/decide/residency_support.hpp
@@ -21,12 +21,6 @@
   names.erase(std::remove(names.begin(), names.end(), name), names.end());
 }
 
-/// \return A duration in seconds, as costs are reckoned.
-inline double seconds_of(milliseconds time) {
-  constexpr double ms_per_second = 1000;
-  return static_cast<double>(time.count()) / ms_per_second;
-}
-
 }  // namespace boragehill::decide::detail
 
 #endif  // BORAGEHILL_DECIDE_RESIDENCY_SUPPORT_HPP
--- a/src/kernel/json_text.hpp
+++ b/src/kernel/json_text.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace boragehill::kernel {
 
@@ -39,6 +40,14 @@
   return Json::writeString(builder, value);
 }
 
+/// \return The texts of a list; none if it isn't there. An element of another
+///     type throws `Json::Exception`.
+inline std::vector<std::string> texts_of(const Json::Value& list) {
+  std::vector<std::string> texts;
+  for (const auto& each : list) texts.push_back(each.asString());
+  return texts;
+}
+
 }  // namespace boragehill::kernel
 
 #endif  // BORAGEHILL_KERNEL_JSON_TEXT_HPP
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -17,10 +17,6 @@
   return {0.5, 1, 2, 5, 10, 20, 30, 60, 120, 300};
 }
 
-double seconds(milliseconds time) {
-  return std::chrono::duration<double>(time).count();
-}
-
 }  // namespace
 
 router_metrics::router_metrics()
@@ -94,8 +90,8 @@
 
 void router_metrics::on_answered(milliseconds time, bool waited_for_load) {
   this->answered.Increment();
-  this->first_byte.Observe(seconds(time));
-  if (waited_for_load) this->cold_start.Observe(seconds(time));
+  this->first_byte.Observe(seconds_of(time));
+  if (waited_for_load) this->cold_start.Observe(seconds_of(time));
 }
 
 void router_metrics::on_refused(result_code code) {
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -10,11 +10,6 @@
 const prometheus::Histogram::BucketBoundaries time_buckets{
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 2, 3, 5, 10, 25};
 
-double seconds_of(milliseconds time) {
-  constexpr double ms_per_second = 1000;
-  return static_cast<double>(time.count()) / ms_per_second;
-}
-
 prometheus::Counter& counter(prometheus::Registry& registry,
                              const std::string& name, const std::string& help) {
   return prometheus::BuildCounter()
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -422,11 +422,8 @@
   http::header_list headers;
   this->host.codec().name_attempt(headers, this->asked);
   if (retry_after > milliseconds(0)) {
-    constexpr double ms_per_second = 1000;
-    headers.add(
-        "Retry-After",
-        absl::StrFormat(
-            "%.3f", static_cast<double>(retry_after.count()) / ms_per_second));
+    headers.add("Retry-After",
+                absl::StrFormat("%.3f", seconds_of(retry_after)));
   }
   const std::string text =
       std::to_string(static_cast<int>(code)) + ' ' + reason + '\n';
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "kernel/json_text.hpp"
+
 namespace boragehill::wire {
 
 namespace {
@@ -14,12 +16,6 @@
   return list;
 }
 
-std::vector<std::string> decode_texts(const Json::Value& list) {
-  std::vector<std::string> texts;
-  for (const auto& each : list) texts.push_back(each.asString());
-  return texts;
-}
-
 Json::Value encode_models(const std::vector<fleet::resident_model>& models) {
   Json::Value list(Json::arrayValue);
   for (const auto& each : models) {
@@ -34,7 +30,8 @@
 std::vector<fleet::resident_model> decode_models(const Json::Value& list) {
   std::vector<fleet::resident_model> models;
   for (const auto& each : list) {
-    models.push_back({each["name"].asString(), decode_texts(each["adapters"])});
+    models.push_back(
+        {each["name"].asString(), kernel::texts_of(each["adapters"])});
   }
   return models;
 }
@@ -118,7 +115,7 @@
     update.expected.push_back(
         {.model = model, .ready_in = milliseconds(expected[model].asInt64())});
   }
-  update.convicted = decode_texts(message["convicted"]);
+  update.convicted = kernel::texts_of(message["convicted"]);
   return update;
 }
 
@@ -136,8 +133,8 @@
   return {.term = message["term"].asInt64(),
           .server = message["server"].asString(),
           .service = message["service"].asString(),
-          .target = {.models = decode_texts(message["models"]),
-                     .adapters = decode_texts(message["adapters"])}};
+          .target = {.models = kernel::texts_of(message["models"]),
+                     .adapters = kernel::texts_of(message["adapters"])}};
 }
 
 Json::Value encode(const worker_status& status) {
@@ -162,13 +159,13 @@
           .reachable = message["reachable"].asBool(),
           .report = {.server = message["server"].asString(),
                      .models = decode_models(message["models"]),
-                     .coming = decode_texts(message["coming"]),
+                     .coming = kernel::texts_of(message["coming"]),
                      .busy = message["busy"].asBool(),
                      .sequence = message["sequence"].asInt64(),
                      .running = message["running"].asInt(),
                      .waiting = message["waiting"].asInt(),
-                     .in_memory = decode_texts(message["in_memory"]),
-                     .on_disk = decode_texts(message["on_disk"])}};
+                     .in_memory = kernel::texts_of(message["in_memory"]),
+                     .on_disk = kernel::texts_of(message["on_disk"])}};
 }
 
 Json::Value encode(const router_report& report) {
@@ -196,7 +193,7 @@
   for (const auto& each : message["flights"]) {
     report.demand.flights.push_back(decode_flight(each));
   }
-  report.strikes = decode_texts(message["strikes"]);
+  report.strikes = kernel::texts_of(message["strikes"]);
   return report;
 }
 
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -35,12 +35,12 @@
   return value ? value : "";
 }
 
+}  // namespace
+
 std::string numbered(const std::string& name, int number) {
   return name + "-" + std::to_string(number);
 }
 
-}  // namespace
-
 small_fleet::small_fleet(int routers, int workers, int plains, int models,
                          int empty_workers, bool behind_proxies)
     : routers(routers),
@@ -63,16 +63,12 @@
   };
   place("store");
   this->add_standin("store", "rows", {"--threads=64"});
-  std::string disk = "--cached_disk=";
-  for (int each = 1; each <= models; ++each) {
-    disk += numbered("model", each) + (each < models ? "," : "");
-  }
   for (int each = 1; each <= workers; ++each) {
     const auto name = numbered("worker", each);
     place(name);
     std::vector<std::string> flags;
     if (each <= workers - empty_workers) {
-      flags.push_back(disk);
+      flags.push_back(this->disk_flag());
       flags.push_back("--cached_memory=" + numbered("model", each));
     }
     this->add_worker(name, "i-" + name, flags);
@@ -324,10 +320,19 @@
   const std::string store = this->address_of("store") + ":" +
                             std::to_string(this->port_base + store_port_offset);
   this->add_standin(name, "worker",
-                    {"--id=" + id, "--service_name=sheets", "--store=" + store,
+                    {"--id=" + id, "--service_name=sheets",
+                     "--store=" + this->real_address("store").to_string(),
                      "--advertise=" + this->advertised(name), "--delay_ms=5"});
 }
 
+std::string small_fleet::disk_flag() const {
+  std::string flag = "--cached_disk=";
+  for (int each = 1; each <= this->models; ++each) {
+    flag += numbered("model", each) + (each < this->models ? "," : "");
+  }
+  return flag;
+}
+
 void small_fleet::add_worker(const std::string& name, const std::string& id,
                              const std::vector<std::string>& flags) {
   std::vector<std::string> all{
@@ -379,11 +384,7 @@
 void small_fleet::replace_worker(int number, const std::string& id) {
   const auto name = numbered("worker", number);
   (*this)[name].kill();
-  std::string disk = "--cached_disk=";
-  for (int each = 1; each <= this->models; ++each) {
-    disk += numbered("model", each) + (each < this->models ? "," : "");
-  }
-  this->add_worker(name, id, {disk});
+  this->add_worker(name, id, {this->disk_flag()});
   (*this)[name].start();
 }
 
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -16,6 +16,9 @@
 
 namespace boragehill::fleet_test {
 
+/// \return "name-number", as processes and models are called.
+std::string numbered(const std::string& name, int number);
+
 /// Routers, agents and the stand-ins of the platform's store and workers, as
 /// processes on loopback addresses, one address a machine.
 ///
@@ -99,6 +102,8 @@
   void add_plain(const std::string& name, const std::string& id);
   void add_worker(const std::string& name, const std::string& id,
                   const std::vector<std::string>& flags);
+  /// \return What gives a worker copies of all models.
+  std::string disk_flag() const;
   std::string advertised(const std::string& name) const;
   std::string address_of(const std::string& machine) const;
   void post(const std::string& standin, const std::string& path,
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+using fleet_test::numbered;
 using std::chrono::milliseconds;
 
 constexpr milliseconds tick{20};
@@ -19,10 +20,6 @@
 constexpr milliseconds recovery_limit{15000};
 constexpr int ok_status = 200;
 
-std::string numbered(const char* name, int number) {
-  return std::string(name) + "-" + std::to_string(number);
-}
-
 }  // namespace
 
 soak_run::soak_run(std::uint64_t drawn, milliseconds played,
