--- a/include/boragehill/time_point.hpp
+++ b/include/boragehill/time_point.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_TIME_POINT_HPP
 
 #include <chrono>
+#include <cstdint>
 
 namespace boragehill {
 
@@ -17,6 +18,11 @@
   return std::chrono::duration<double>(time).count();
 }
 
+/// \return Milliseconds from one point in time to another.
+inline std::int64_t ms_between(time_point from, time_point to) {
+  return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
 }  // namespace boragehill
 
 #endif  // BORAGEHILL_TIME_POINT_HPP
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -34,6 +34,7 @@
     row{event::write_answer_lost, "write_answer_lost", severity::warning},
     row{event::entry_rejected, "entry_rejected", severity::error},
     row{event::fence_not_taken, "fence_not_taken", severity::warning},
+    row{event::store_call_failed, "store_call_failed", severity::warning},
     row{event::grant_added, "grant_added", severity::info},
     row{event::grant_removed, "grant_removed", severity::info},
     row{event::grant_unplaceable, "grant_unplaceable", severity::warning},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -35,6 +35,7 @@
   write_answer_lost = 304,
   entry_rejected = 305,
   fence_not_taken = 306,
+  store_call_failed = 307,
 
   // 400: placement.
   grant_added = 401,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -8,7 +8,6 @@
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
 #include "serve/exchange.hpp"
-#include "serve/time_between.hpp"
 
 namespace boragehill::serve {
 
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -9,7 +9,6 @@
 #include "kernel/event_log.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
-#include "serve/time_between.hpp"
 
 namespace boragehill::serve {
 
