--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -62,7 +62,7 @@
     this->addresses[machine] = "127.0.1." + std::to_string(last);
   };
   place("store");
-  this->add_standin("store", "rows", {"--threads=64"});
+  this->add_standin("store", "rows", {"--threads=256"});
   for (int each = 1; each <= workers; ++each) {
     const auto name = numbered("worker", each);
     place(name);
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -33,6 +33,9 @@
     this->read_only = true;
   } else if (kind == "freeze") {
     this->frozen = true;
+  } else if (kind == "silent") {
+    this->silent = true;
+    ++this->silence_count;
   } else if (kind == "slow") {
     this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "lose_answers") {
@@ -53,6 +56,7 @@
   this->down = false;
   this->read_only = false;
   this->frozen = false;
+  this->silent = false;
   this->slow = std::chrono::milliseconds{0};
   this->lost_answers = 0;
   this->failed_runs = 0;
@@ -83,6 +87,16 @@
   return this->down;
 }
 
+std::uint64_t fault_switch::silences() {
+  const std::scoped_lock lock(this->mutex);
+  return this->silence_count;
+}
+
+bool fault_switch::is_silent() {
+  const std::scoped_lock lock(this->mutex);
+  return this->silent;
+}
+
 bool fault_switch::refuses_writes() {
   const std::scoped_lock lock(this->mutex);
   return this->read_only;
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -30,6 +30,11 @@
 
   bool is_down();
 
+  /// \return A number that grows whenever the stand-in falls silent: calls that
+  ///     came before or meanwhile are never answered.
+  std::uint64_t silences();
+  bool is_silent();
+
   /// \return True while writes are refused and reads are not.
   bool refuses_writes();
 
@@ -51,6 +56,8 @@
   bool down = false;
   bool read_only = false;
   bool frozen = false;
+  bool silent = false;
+  std::uint64_t silence_count = 0;
   std::chrono::milliseconds slow{0};
   std::uint32_t lost_answers = 0;
   std::uint32_t failed_runs = 0;
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t max_body_bytes = 64U << 20U;
 constexpr std::chrono::milliseconds exit_delay{100};
+/// Longer than any caller waits for an answer that was swallowed.
+constexpr std::chrono::seconds swallowed_for{12};
 
 /// Turns an answer into one that breaks off: its length is announced and its
 /// body never comes.
@@ -26,6 +28,12 @@
       [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
 }
 
+/// Keeps a call without an answer on an open connection.
+void swallow(httplib::Response& response) {
+  std::this_thread::sleep_for(swallowed_for);
+  lose(response);
+}
+
 /// Ends the process once the answer is out. Stopping the server would wait for
 /// every handler, and a frozen one never ends.
 void end_soon() {
@@ -92,9 +100,12 @@
     reply_error(response, 503, "down");
     return;
   }
+  const auto silences = this->switched.silences();
+  if (this->switched.is_silent()) return swallow(response);
   this->switched.crash_if_marked(request.body);
   handle(request, response);
   this->switched.wait_while_frozen();
+  if (this->switched.silences() != silences) return swallow(response);
   if (this->switched.take_lost_answer()) lose(response);
 }
 
