--- a/src/serve/node_settings.hpp
+++ b/src/serve/node_settings.hpp
@@ -23,9 +23,10 @@
   /// The plug-in that speaks the store's protocol, and the store's address.
   std::string store_plugin;
   endpoint store;
-  /// How long one poll of the store's feeds waits; a feed that is silent for
-  /// longer is taken for lost.
-  milliseconds feed_wait{2000};
+  /// How long one poll of the store's feeds waits. One that a silent store
+  /// swallowed is asked again half a second later, so a change that is confirmed
+  /// at the store's return is known 1.6 s later at most; 2 s are allowed.
+  milliseconds feed_wait{1000};
 
   bool operator==(const node_settings&) const = default;
 
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -6,13 +6,15 @@
 
 namespace {
 
-constexpr milliseconds calm_feed_wait{20000};
+/// An agent needs only the sizes of models from the feed. A poll that a silent
+/// store swallowed is noticed after this, and a change has to be in force
+/// everywhere after 15 s.
+constexpr milliseconds calm_feed_wait{10000};
 
 }  // namespace
 
 sidecar_settings read_sidecar_settings(kernel::settings_document& document) {
   sidecar_settings settings;
-  // It needs only the sizes of models from the feed.
   settings.feed_wait = calm_feed_wait;
   serve::read_node_settings(document, settings);
   auto worker = document.section("worker");
--- /dev/null
+++ b/test/decide-test/ask_again_test.cpp
@@ -0,0 +1,128 @@
+#include "decide/ask_again.hpp"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <vector>
+
+namespace boragehill::decide {
+namespace {
+
+constexpr milliseconds wait{1000};
+const time_point begin{std::chrono::seconds(100)};
+
+/// Asks without end while a store swallows what comes in or is held within a
+/// span, and answers all else after a while.
+class silent_store_world {
+ public:
+  silent_store_world(milliseconds silent_from, milliseconds silent_until,
+                     milliseconds latency)
+      : silent_from(begin + silent_from),
+        silent_until(begin + silent_until),
+        latency(latency) {}
+
+  /// \return When the feed has an answer that was given after the silence.
+  time_point first_answer_after_the_silence(std::uint64_t random_bits) const {
+    time_point asked = begin;
+    while (true) {
+      const auto answered = this->answer_to_question(asked, random_bits);
+      if (answered - this->latency >= this->silent_until) return answered;
+      asked = answered;
+    }
+  }
+
+ private:
+  bool is_silent(time_point when) const {
+    return when >= this->silent_from && when < this->silent_until;
+  }
+
+  /// \return When an attempt is answered; nothing if it is swallowed.
+  std::optional<time_point> answer_to(time_point sent,
+                                      milliseconds held) const {
+    // The store answers a held poll at once when it has news: at its return.
+    const bool overlaps =
+        sent < this->silent_until && sent + held >= this->silent_from;
+    if (this->is_silent(sent) || overlaps) return std::nullopt;
+    return sent + held + this->latency;
+  }
+
+  time_point answer_to_question(time_point asked,
+                                std::uint64_t random_bits) const {
+    ask_again schedule{{}};
+    schedule.begin(asked, wait);
+    std::optional<time_point> best = this->answer_to(asked, wait);
+    while (!best || *best > schedule.next()) {
+      const auto now = schedule.next();
+      const auto answered = this->answer_to(now, milliseconds(0));
+      if (answered && (!best || *answered < *best)) best = answered;
+      schedule.on_repeated(now, random_bits);
+    }
+    return *best;
+  }
+
+  time_point silent_from;
+  time_point silent_until;
+  milliseconds latency;
+};
+
+TEST(ask_again_test, the_stores_return_is_noticed_in_time_whatever_the_phase) {
+  // A store is silent for some time, and a change is confirmed at its return.
+  // Whatever moment a poll was swallowed at, the change has to be known two
+  // seconds later; with one attempt after the other it took up to 3.7 s.
+  for (int from = 0; from < 1100; from += 50) {
+    for (int length = 10; length < 7000; length += 130) {
+      for (const std::uint64_t random : {0, 150, 300}) {
+        const milliseconds until(from + length);
+        const silent_store_world world(milliseconds(from), until,
+                                       milliseconds(4));
+        const auto known = world.first_answer_after_the_silence(random);
+        EXPECT_LE(known - begin, until + milliseconds(1600))
+            << "silent from " << from << " for " << length;
+      }
+    }
+  }
+}
+
+TEST(ask_again_test, one_late_answer_is_no_outage) {
+  ask_again schedule{{}};
+  schedule.begin(begin, wait);
+  EXPECT_EQ(schedule.next(), begin + wait + milliseconds(500));
+  schedule.on_repeated(schedule.next(), 0);
+  EXPECT_FALSE(schedule.lost());
+  schedule.on_repeated(schedule.next(), 0);
+  EXPECT_TRUE(schedule.lost());
+}
+
+TEST(ask_again_test, an_attempt_that_fails_at_once_is_repeated_soon) {
+  // The store closes a kept connection between two polls; that is no outage of
+  // the store, and the news behind it must not wait.
+  ask_again schedule{{}};
+  schedule.begin(begin, wait);
+  schedule.on_failed(begin, 50);
+  EXPECT_EQ(schedule.next(), begin + milliseconds(100));
+  EXPECT_TRUE(schedule.lost());
+}
+
+TEST(ask_again_test, a_store_that_refuses_is_asked_twice_or_thrice_a_second) {
+  // A store beyond its rate refuses calls. All processes ask it anew, and
+  // together they must stay below what it can bear.
+  ask_again schedule{{}};
+  schedule.begin(begin, wait);
+  int attempts = 0;
+  time_point now = begin;
+  while (now < begin + milliseconds(10000)) {
+    schedule.on_failed(now, static_cast<std::uint64_t>(attempts) * 37);
+    now = schedule.next();
+    schedule.on_repeated(now, static_cast<std::uint64_t>(attempts) * 61);
+    ++attempts;
+  }
+  EXPECT_LE(attempts, 34);
+  EXPECT_GE(attempts, 16);
+}
+
+TEST(ask_again_test, a_slow_answer_is_waited_for) {
+  ask_again schedule{{}};
+  EXPECT_EQ(schedule.limit(wait), milliseconds(2500));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
