--- a/src/decide/worker_orders.hpp
+++ b/src/decide/worker_orders.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boragehill/time_point.hpp>
 
@@ -29,6 +30,8 @@
   static constexpr milliseconds unknown_wait{60};
   /// After a refusal; the view it was decided on is being corrected.
   static constexpr milliseconds refused_wait{100};
+  /// An order without an answer was seen carried out up to 12 s later.
+  static constexpr milliseconds late_limit{13000};
 
   worker_orders(std::string holder, std::string worker_service);
 
@@ -37,7 +40,9 @@
   void set_service(std::optional<fleet::service> known) {
     this->service = std::move(known);
   }
-  void set_target(std::string server, residency_target wanted);
+  /// \param born When the lifetime that is meant started; 0 if it isn't known.
+  void set_target(std::string server, residency_target wanted,
+                  std::int64_t born = 0);
 
   /// Takes the worker's own fresh report in.
   void on_report(const fleet::worker_report& news, time_point now);
@@ -57,12 +62,32 @@
   }
 
  private:
+  /// An order that may still be carried out.
+  struct late_order {
+    std::string model;
+    bool adapter = false;
+    time_point until;
+  };
+
+  void on_new_lifetime(time_point now);
+  void remember_late(const fleet::worker_order& order, time_point now);
+  fleet::service room_beside_late_orders(time_point now) const;
+
   std::string holder;
   std::string service_name;
   std::int64_t fence = 0;
   std::optional<fleet::service> service;
   std::string server;
+  std::int64_t server_born = 0;
   residency_target target;
+  /// Of the last report, also when that counts no more.
+  std::int64_t known_born = 0;
+  std::int64_t known_sequence = 0;
+  /// The last order given, until it is answered.
+  std::optional<fleet::worker_order> unanswered;
+  /// Orders without an answer of this lifetime, and of earlier ones.
+  std::vector<late_order> doubtful;
+  std::vector<late_order> late;
   std::optional<fleet::worker_report> report;
   std::string loading_model;
   /// The sequence number that the accepted load leads to.
--- a/src/fleet/answer_fields.hpp
+++ b/src/fleet/answer_fields.hpp
@@ -14,7 +14,7 @@
   bool not_run = false;
   /// Another lifetime holds the address, or the model isn't loaded.
   bool misdirected = false;
-  /// Which lifetime answered; empty if not told.
+  /// What the server that answered registered under; empty if not told.
   std::string server;
   /// It bears the worker's proof that the answer is its own.
   bool stamped = false;
--- a/src/fleet/request_codec.hpp
+++ b/src/fleet/request_codec.hpp
@@ -32,6 +32,12 @@
   virtual answer_fields read_answer(int status,
                                     const http::header_list& headers) const = 0;
 
+  /// \param answered What an answer says of its server.
+  /// \return True if that may be this lifetime. Answers don't tell when their
+  ///     server started, so a later lifetime under the same id passes, too.
+  virtual bool is_server(const std::string& answered,
+                         const std::string& lifetime) const = 0;
+
   /// Adds the caller's attempt to an answer that the system makes itself.
   virtual void name_attempt(http::header_list& headers,
                             const request_fields& request) const = 0;
--- a/src/fleet/server.hpp
+++ b/src/fleet/server.hpp
@@ -8,13 +8,17 @@
 #include <boragehill/endpoint.hpp>
 
 #include "fleet/resident_model.hpp"
+#include "fleet/worker_report.hpp"
 
 namespace boragehill::fleet {
 
 /// A backend server as it registered itself with the platform.
 struct server {
-  /// New at each start of the server.
+  /// The server's lifetime: another one at each start, also where the server
+  /// registers under the id that it had.
   std::string id;
+  /// When it started, by its own clock, in milliseconds; 0 if it doesn't tell.
+  std::int64_t born = 0;
   std::string service;
   /// The store's counter at the entry's last change.
   std::int64_t version = 0;
@@ -30,6 +34,12 @@
   std::vector<std::string> on_disk;
 
   bool operator==(const server&) const = default;
+
+  /// \return False if a report is certainly of another lifetime. Which of the
+  ///     two is later can't be told from their starts, since clocks step.
+  bool may_have_sent(const worker_report& report) const {
+    return report.born == 0 || this->born == 0 || report.born == this->born;
+  }
 };
 
 }  // namespace boragehill::fleet
--- a/src/fleet/worker_report.hpp
+++ b/src/fleet/worker_report.hpp
@@ -13,6 +13,9 @@
 struct worker_report {
   /// The worker's lifetime; empty if it doesn't tell.
   std::string server;
+  /// When the worker started, by its own clock, in milliseconds; 0 if it
+  /// doesn't tell. Another value means another lifetime, earlier or later.
+  std::int64_t born = 0;
   std::vector<resident_model> models;
   /// Adapters on their way to the worker, as "model/adapter".
   std::vector<std::string> coming;
--- a/src/wire/utf8.cpp
+++ b/src/kernel/utf8.cpp
@@ -1,9 +1,9 @@
-#include "wire/utf8.hpp"
+#include "kernel/utf8.hpp"
 
 #include <cstddef>
 #include <cstdint>
 
-namespace boragehill::wire {
+namespace boragehill::kernel {
 
 namespace {
 
@@ -48,4 +48,4 @@
   return true;
 }
 
-}  // namespace boragehill::wire
+}  // namespace boragehill::kernel
--- a/src/router/once_desk.cpp
+++ b/src/router/once_desk.cpp
@@ -13,6 +13,7 @@
 #include <boragehill/table_write.hpp>
 
 #include "decide/once_claim.hpp"
+#include "kernel/utf8.hpp"
 #include "kernel/wall_clock.hpp"
 #include "router/accepted_request.hpp"
 #include "router/answer_collector.hpp"
@@ -20,7 +21,6 @@
 #include "wire/attempt_query.hpp"
 #include "wire/field_codec.hpp"
 #include "wire/rpc_client.hpp"
-#include "wire/utf8.hpp"
 
 namespace boragehill::router {
 
@@ -185,7 +185,7 @@
   row.status = answer.status;
   row.content_type = answer.content_type;
   const bool fits =
-      answer.body.size() <= this->inline_bytes && wire::is_utf8(answer.body);
+      answer.body.size() <= this->inline_bytes && kernel::is_utf8(answer.body);
   if (fits) {
     row.answer = answer.body;
   } else {
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -192,7 +192,8 @@
   if (answer.not_run) {
     this->not_run_answer = true;
     this->misdirected = answer.misdirected;
-    this->replaced = !answer.server.empty() && answer.server != this->at;
+    this->replaced = !answer.server.empty() &&
+                     !this->host.codec().is_server(answer.server, this->at);
     return true;
   }
   const bool success =
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -206,7 +206,12 @@
   const auto server = this->server_at(address, status.report.server);
   if (server.empty()) return;
   const auto now = time_point::clock::now();
-  if (status.reachable) {
+  // A report of another lifetime than the listed one, under the same id: the
+  // one or the other is late. Until both agree the worker is left alone; loads
+  // decided for one and ordered from the other would overfill it.
+  const bool same =
+      this->servers.servers.at(server).may_have_sent(status.report);
+  if (status.reachable && same) {
     this->planner.on_report(server, status.report, now);
   } else {
     this->planner.on_unreachable(server);
@@ -281,6 +286,7 @@
     if (!worker.report->server.empty() && worker.report->server != id) continue;
     wire::worker_target target{.term = this->term,
                                .server = id,
+                               .born = worker.entry.born,
                                .service = worker.entry.service,
                                .target = worker.target};
     if (target == found->second.told) continue;
--- a/src/serve/planner_finder.cpp
+++ b/src/serve/planner_finder.cpp
@@ -68,7 +68,7 @@
   const auto& found = row.value();
   // A row of an earlier lifetime of this process names us, too.
   const bool ours = found.router == this->own.router;
-  const bool vacant = found.term == 0 || found.term == this->failed_term;
+  const bool vacant = found.router.empty() || found.term == this->failed_term;
   if (vacant || (ours && found.term != this->followed.term)) {
     return this->take_later(found);
   }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -135,7 +135,7 @@
   this->term = news.term;
   this->status.term = news.term;
   this->metrics.set_term(static_cast<double>(news.term));
-  this->orders.set_target(news.server, news.target);
+  this->orders.set_target(news.server, news.target, news.born);
   this->order();
 }
 
--- a/src/wire/field_codec.hpp
+++ b/src/wire/field_codec.hpp
@@ -15,7 +15,7 @@
 #include <boragehill/result_code.hpp>
 #include <boragehill/time_point.hpp>
 
-#include "wire/utf8.hpp"
+#include "kernel/utf8.hpp"
 
 namespace boragehill::wire {
 
@@ -115,7 +115,7 @@
 bool read_object(const Json::Value& json, std::map<std::string, Item>& map) {
   if (!json.isObject()) return false;
   for (const auto& name : json.getMemberNames()) {
-    if (!is_utf8(name)) return false;
+    if (!kernel::is_utf8(name)) return false;
     if (!read_value(json[name], map[name])) return false;
   }
   return true;
@@ -142,7 +142,7 @@
   } else if constexpr (std::is_same_v<Value, std::string>) {
     // Other bytes would be written back as other text: two names that differ
     // could become one.
-    if (!json.isString() || !is_utf8(json.asString())) return false;
+    if (!json.isString() || !kernel::is_utf8(json.asString())) return false;
     value = json.asString();
     return true;
   } else if constexpr (std::is_same_v<Value, endpoint>) {
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -123,6 +123,7 @@
   Json::Value message;
   message["term"] = Json::Int64(target.term);
   message["server"] = target.server;
+  message["born"] = Json::Int64(target.born);
   message["service"] = target.service;
   message["models"] = encode_texts(target.target.models);
   message["adapters"] = encode_texts(target.target.adapters);
@@ -132,6 +133,7 @@
 worker_target decode_worker_target(const Json::Value& message) {
   return {.term = message["term"].asInt64(),
           .server = message["server"].asString(),
+          .born = message["born"].asInt64(),
           .service = message["service"].asString(),
           .target = {.models = kernel::texts_of(message["models"]),
                      .adapters = kernel::texts_of(message["adapters"])}};
@@ -143,6 +145,7 @@
   message["reachable"] = status.reachable;
   const auto& report = status.report;
   message["server"] = report.server;
+  message["born"] = Json::Int64(report.born);
   message["models"] = encode_models(report.models);
   message["coming"] = encode_texts(report.coming);
   message["busy"] = report.busy;
@@ -158,6 +161,7 @@
   return {.term = message["term"].asInt64(),
           .reachable = message["reachable"].asBool(),
           .report = {.server = message["server"].asString(),
+                     .born = message["born"].asInt64(),
                      .models = decode_models(message["models"]),
                      .coming = kernel::texts_of(message["coming"]),
                      .busy = message["busy"].asBool(),
--- a/src/wire/worker_target.hpp
+++ b/src/wire/worker_target.hpp
@@ -14,6 +14,8 @@
   std::int64_t term = 0;
   /// The lifetime of the worker that is meant.
   std::string server;
+  /// When that lifetime started, as it says itself; 0 if it doesn't.
+  std::int64_t born = 0;
   std::string service;
   decide::residency_target target;
 
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -3,6 +3,8 @@
 #include <boragehill/result_code.hpp>
 
 #include "platform/catalog_decoder.hpp"
+#include "platform/lifetime.hpp"
+#include "platform/planner_row_codec.hpp"
 #include "platform/row_codec.hpp"
 #include "platform/server_decoder.hpp"
 
@@ -73,7 +75,7 @@
   const auto decoded = decode_server(
       "i-1",
       R"({"service":"s1","addr":"10.0.0.9:8080","zone":"z","slots":64,
-      "state":"draining","models":[{"name":"m","version":1,
+      "state":"draining","seq":2,"models":[{"name":"m","version":1,
       "adapters":["a1"]}],"atHand":{"inMemory":["m"],"onDisk":["m","n"]}})");
   ASSERT_TRUE(decoded);
   const auto& server = decoded.value();
@@ -86,6 +88,88 @@
   EXPECT_FALSE(decode_server("i-1", "7"));
 }
 
+/// A whole entry with one member's value replaced, or left out if empty.
+std::string entry_with(const std::string& name, const std::string& value) {
+  const std::vector<std::pair<std::string, std::string>> fields{
+      {"service", R"("s1")"},
+      {"addr", R"("10.0.0.9:8080")"},
+      {"zone", R"("z")"},
+      {"slots", "64"},
+      {"state", R"("ready")"},
+      {"seq", "2"},
+      {"born", "1764721718000"},
+      {"models", R"([{"name":"m","adapters":["a1"]}])"},
+      {"atHand", R"({"inMemory":["m"],"onDisk":["m"]})"}};
+  std::string text;
+  for (const auto& [each, usual] : fields) {
+    const auto& written = each == name ? value : usual;
+    if (written.empty()) continue;
+    text += (text.empty() ? "{\"" : ",\"") + each + "\":" + written;
+  }
+  return text + "}";
+}
+
+TEST(server_decoder_test, an_entry_of_another_writer_is_no_server) {
+  // Fields are missing or of another type: a number as a text, null, a list for
+  // an object. Read loosely they named a server with no slots, or one that was
+  // taken for ready because its state is no word that we know.
+  ASSERT_TRUE(decode_server("i-1", entry_with("", "")));
+  ASSERT_TRUE(decode_server("i-1", entry_with("born", "")));
+  ASSERT_TRUE(decode_server("i-1", entry_with("models", "")));
+  for (const char* name :
+       {"service", "addr", "zone", "slots", "state", "seq"}) {
+    EXPECT_FALSE(decode_server("i-1", entry_with(name, ""))) << name;
+  }
+  for (const char* name : {"service", "addr", "zone", "slots", "state", "seq",
+                           "born", "models", "atHand"}) {
+    for (const char* value : {"null", "true", R"("")", R"("64x")", "{\"a\":1}",
+                              "[7]", "-1", "1e300", "0.5"}) {
+      const auto text = entry_with(name, value);
+      const bool a_text =
+          std::string(value) == R"("64x")" &&
+          (std::string(name) == "service" || std::string(name) == "zone");
+      const bool an_object = std::string(name) == "atHand" && value[0] == '{';
+      EXPECT_EQ(decode_server("i-1", text).has_value(), a_text || an_object)
+          << text;
+    }
+  }
+  for (const char* models : {R"([{"name":7}])", R"([{}])", R"([{"name":"m",
+       "adapters":{}}])",
+                             R"([{"name":"m","adapters":[7]}])",
+                             R"([{"name":"m","adapters":[{"name":null}]}])"}) {
+    EXPECT_FALSE(decode_server("i-1", entry_with("models", models))) << models;
+  }
+  EXPECT_FALSE(decode_server(
+      "i-1", entry_with("atHand", R"({"inMemory":"m","onDisk":[]})")));
+  EXPECT_FALSE(decode_server("", entry_with("", "")));
+  EXPECT_FALSE(decode_server("i-1", entry_with("zone", "\"\xff\xfe\"")));
+  const auto whole = entry_with("", "");
+  for (std::size_t end = 0; end < whole.size(); ++end) {
+    EXPECT_FALSE(decode_server("i-1", whole.substr(0, end))) << end;
+  }
+  EXPECT_FALSE(decode_server("i-1", std::string(1 << 20, 'x')));
+  EXPECT_FALSE(decode_server("i-1", std::string(1 << 20, '[')));
+}
+
+TEST(server_decoder_test, says_what_is_wrong_with_an_entry) {
+  std::string problem;
+  EXPECT_FALSE(decode_server("i-1", entry_with("slots", R"("64")"), &problem));
+  EXPECT_EQ(problem, "slots: not a whole number of a sensible size");
+  EXPECT_FALSE(decode_server("i-1", entry_with("state", R"("odd")"), &problem));
+  EXPECT_EQ(problem, "state: not known");
+}
+
+TEST(server_decoder_test, a_lifetime_is_an_id_and_its_start) {
+  const auto first = decode_server("i-1", entry_with("born", "1000"));
+  const auto second = decode_server("i-1", entry_with("born", "1001"));
+  const auto other = decode_server("i-2", entry_with("born", "1000"));
+  ASSERT_TRUE(first && second && other);
+  EXPECT_NE(first.value().id, second.value().id);
+  EXPECT_NE(first.value().id, other.value().id);
+  EXPECT_EQ(registered_id(first.value().id), "i-1");
+  EXPECT_EQ(registered_id("i-1"), "i-1");
+}
+
 TEST(server_decoder_test, reads_a_report) {
   const auto decoded = decode_report(
       R"({"models":[{"name":"m","version":1,"adapters":[]}],"busy":true,
@@ -97,6 +181,21 @@
   EXPECT_FALSE(decode_report("{"));
 }
 
+TEST(planner_row_codec_test, an_unreadable_row_names_nobody) {
+  // Another program overwrote the row that names the planner. A field of
+  // another type threw, the answer never reached who had asked, and that router
+  // looked for a planner no more.
+  const fleet::planner_row own{
+      .term = 4, .router = "r1", .address = {"10.0.0.1", 7}};
+  EXPECT_EQ(decode_planner(encode_planner(own), 4), own);
+  for (const char* text :
+       {"", "7", "[]", R"({"router":{},"address":[]})", R"({"router":"r1"})",
+        R"({"router":"r1","address":7})", R"({"router":"r1","address":"x"})"}) {
+    const auto decoded = decode_planner(text, 9);
+    EXPECT_EQ(decoded, (fleet::planner_row{.term = 9})) << text;
+  }
+}
+
 TEST(row_codec_test, reads_rows_and_refuses_broken_ones) {
   const auto decoded = decode_rows(
       R"({"rows":[{"table":"t","key":"k","value":"bm9kZS0x","ver":3},
--- a/test/adapter-test/server_book_test.cpp
+++ b/test/adapter-test/server_book_test.cpp
@@ -6,10 +6,15 @@
 namespace {
 
 const time_point begin{std::chrono::seconds(100)};
-constexpr auto ready = R"({"service":"s","addr":"10.0.0.1:1","state":"ready"})";
-constexpr auto other = R"({"service":"s","addr":"10.0.0.2:1","state":"ready"})";
+constexpr auto ready =
+    R"({"service":"s","addr":"10.0.0.1:1","zone":"z","slots":8,"seq":0,
+        "state":"ready"})";
+constexpr auto other =
+    R"({"service":"s","addr":"10.0.0.2:1","zone":"z","slots":8,"seq":0,
+        "state":"ready"})";
 constexpr auto draining =
-    R"({"service":"s","addr":"10.0.0.1:1","state":"draining"})";
+    R"({"service":"s","addr":"10.0.0.1:1","zone":"z","slots":8,"seq":0,
+        "state":"draining"})";
 
 row_batch entry(const std::string& id, const char* value) {
   return {.rows = {{.table = "servers", .key = id, .value = value}},
@@ -84,12 +89,59 @@
   EXPECT_TRUE(lists(book, "i-1-new"));
 }
 
-TEST(server_book_test, an_entry_that_cannot_be_read_changes_nothing) {
+TEST(server_book_test, an_entry_of_another_writer_names_no_server) {
+  // Another program writes among the servers' entries. Its rows, and a good one
+  // that it overwrote, name nobody to use; the others of the batch hold.
   server_book book;
+  book.set_reached(true, begin);
   book.apply(entry("i-1", ready), true, begin);
-  book.apply(entry("i-1", "garbled"), false, begin);
+  row_batch batch = entry("i-1", "garbled");
+  batch.rows.push_back({.table = "servers", .key = "x", .value = "7"});
+  batch.rows.push_back({.table = "servers", .key = "", .value = ready});
+  batch.rows.push_back({.table = "servers", .key = "i-2", .value = other});
+  book.apply(batch, false, begin);
+  EXPECT_FALSE(lists(book, "i-1"));
+  EXPECT_FALSE(lists(book, "x"));
+  EXPECT_FALSE(lists(book, ""));
+  EXPECT_TRUE(lists(book, "i-2"));
+  book.apply(entry("i-1", ready), false, begin);
   EXPECT_TRUE(lists(book, "i-1"));
 }
 
+TEST(server_book_test, a_foreign_entry_takes_no_servers_address) {
+  // A foreign entry names the address of a server that lives, and is newer.
+  server_book book;
+  book.set_reached(true, begin);
+  book.apply(entry("i-1", ready), true, begin);
+  book.apply(entry("x", R"({"service":"s","addr":"10.0.0.1:1","state":"odd",
+                            "zone":"z","slots":8,"seq":0})"),
+             false, begin);
+  EXPECT_TRUE(lists(book, "i-1"));
+}
+
+TEST(server_book_test, a_server_that_starts_again_under_its_id_is_another_one) {
+  // A worker crashes and starts again with the id that it had. Requests,
+  // strikes and views of its earlier lifetime must not be taken for the new
+  // one's, and a leave that the earlier one announced doesn't hold for it.
+  server_book book;
+  book.set_reached(true, begin);
+  const auto lifetime = [](const char* state, const char* born) {
+    return std::string(R"({"service":"s","addr":"10.0.0.1:1","zone":"z",
+        "slots":8,"seq":0,"state":")") +
+           state + R"(","born":)" + born + "}";
+  };
+  const auto first = lifetime("draining", "1764721718000");
+  const auto second = lifetime("ready", "1764721700000");
+  book.apply(entry("i-1", first.c_str()), true, begin);
+  const auto earlier = book.list().servers.begin()->second;
+  EXPECT_TRUE(earlier.draining);
+  book.apply(entry("i-1", second.c_str()), false, begin);
+  const auto listed = book.list();
+  ASSERT_EQ(listed.servers.size(), 1U);
+  const auto& later = listed.servers.begin()->second;
+  EXPECT_NE(later.id, earlier.id);
+  EXPECT_FALSE(later.draining);
+}
+
 }  // namespace
 }  // namespace boragehill::platform
--- a/test/decide-test/worker_orders_test.cpp
+++ b/test/decide-test/worker_orders_test.cpp
@@ -169,5 +169,94 @@
   EXPECT_EQ(orders.loading(), "");
 }
 
+fleet::worker_report born_at(std::int64_t born, std::int64_t sequence) {
+  auto report = holding({}, sequence);
+  report.born = born;
+  return report;
+}
+
+TEST(worker_orders_test, goes_on_after_a_restart_that_nobody_saw) {
+  // The worker accepts a load, crashes and starts again with its counts anew
+  // before the next report. The agent waited for the load's number for ever and
+  // ordered nothing more.
+  auto orders = ready_orders();
+  orders.set_target("i-1@5", {.models = {"a"}}, 5);
+  orders.on_report(born_at(5, 0), now);
+  const auto first = orders.next(now);
+  ASSERT_TRUE(first);
+  orders.on_answer(*first, order_answer::accepted, now);
+  orders.set_target("i-1@6", {.models = {"b"}}, 6);
+  orders.on_report(born_at(6, 0), now);
+  const auto next = orders.next(now);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->model, "b");
+  EXPECT_EQ(next->server, "i-1@6");
+}
+
+TEST(worker_orders_test, a_restart_shows_though_the_count_has_grown) {
+  // The new lifetime has taken as many orders as the old one. Only its start
+  // tells them apart, whether that lies before or after the old one's.
+  for (const std::int64_t later : {4, 6}) {
+    auto orders = ready_orders();
+    orders.set_target("i-1", {.models = {"a"}}, 5);
+    orders.on_report(born_at(5, 0), now);
+    const auto first = orders.next(now);
+    ASSERT_TRUE(first);
+    orders.on_answer(*first, order_answer::accepted, now);
+    auto busy = born_at(later, 0);
+    busy.busy = true;
+    orders.on_report(busy, now);
+    EXPECT_TRUE(orders.loading().empty());
+  }
+}
+
+TEST(worker_orders_test, orders_nothing_that_was_decided_for_another_lifetime) {
+  // The planner's target is of before the restart, when the worker held two
+  // models; the worker's id is the same, so it would take the order.
+  auto orders = ready_orders();
+  orders.set_target("i-1", {.models = {"a"}}, 5);
+  orders.on_report(born_at(6, 0), now);
+  EXPECT_FALSE(orders.next(now));
+  orders.set_target("i-1", {.models = {"a"}}, 6);
+  EXPECT_TRUE(orders.next(now));
+}
+
+TEST(worker_orders_test, keeps_room_for_a_late_order_of_before_a_restart) {
+  // A load gets no answer, and the worker starts again under its id. Its count
+  // comes by the number that the order expects, the order arrives, and a worker
+  // that was filled meanwhile is ordered to load more than it holds: it
+  // crashes.
+  auto orders = ready_orders();
+  orders.set_target("i-1", {.models = {"a"}}, 5);
+  orders.on_report(born_at(5, 2), now);
+  const auto lost = orders.next(now);
+  ASSERT_TRUE(lost);
+  orders.on_answer(*lost, order_answer::unknown, now);
+  auto again = holding({"b", "c"}, 2);
+  again.born = 6;
+  orders.set_target("i-1", {.models = {"b", "c", "d"}}, 6);
+  orders.on_report(again, now);
+  EXPECT_FALSE(orders.next(now));
+  const auto later = now + worker_orders::late_limit;
+  const auto filled = orders.next(later);
+  ASSERT_TRUE(filled);
+  EXPECT_EQ(filled->model, "d");
+}
+
+TEST(worker_orders_test, an_order_under_way_at_a_restart_may_come_late_too) {
+  auto orders = ready_orders();
+  orders.set_target("i-1", {.models = {"a"}}, 5);
+  orders.on_report(born_at(5, 0), now);
+  const auto lost = orders.next(now);
+  ASSERT_TRUE(lost);
+  auto again = holding({"b", "c"}, 0);
+  again.born = 6;
+  orders.on_report(again, now);
+  orders.on_answer(*lost, order_answer::unknown, now);
+  orders.on_report(again, now);
+  orders.set_target("i-1", {.models = {"b", "c", "d"}}, 6);
+  EXPECT_FALSE(orders.next(now + milliseconds(200)));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -373,6 +373,15 @@
   this->post(standin, "/standin/fault", json);
 }
 
+void small_fleet::write_entry(const std::string& key,
+                              const std::string& bytes) {
+  Json::Value call;
+  call["table"] = "servers";
+  call["key"] = key;
+  call["value"] = absl::Base64Escape(bytes);
+  this->post("store", "/standin/put", kernel::write_json(call));
+}
+
 void small_fleet::forget_server(const std::string& id) {
   Json::Value call;
   call["table"] = "servers";
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -74,6 +74,8 @@
   /// Kills a model worker and starts another lifetime at its address, empty
   /// but for its disk.
   void replace_worker(int number, const std::string& id);
+  /// Writes bytes among the servers' entries, as another program might.
+  void write_entry(const std::string& key, const std::string& bytes);
   /// Takes a server's entry out of the store.
   void forget_server(const std::string& id);
   /// \return Where a stand-in listens, and where others take it to be.
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -41,7 +41,10 @@
       load_ms(settings.load_disk.count()),
       delay_ms(settings.delay.count()),
       places(settings.disk_checkpoints),
-      on_disk(settings.cached_disk) {
+      on_disk(settings.cached_disk),
+      born(std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+               .count()) {
   for (const auto& each : settings.cached_memory) this->models[each];
   server.on("GET", "/report",
             [this](const auto&, auto& response) { this->report(response); });
@@ -96,6 +99,7 @@
     entry["slots"] = 8;
     entry["state"] = this->draining ? "draining" : "ready";
     entry["seq"] = Json::Int64(this->sequence);
+    entry["born"] = Json::Int64(this->born);
     entry["models"] = this->models_shown();
     for (const auto& each : this->on_disk) {
       entry["atHand"]["onDisk"].append(each);
@@ -245,6 +249,7 @@
   body["models"] = this->models_shown();
   body["busy"] = this->busy;
   body["seq"] = Json::Int64(this->sequence);
+  body["born"] = Json::Int64(this->born);
   body["waiting"] = 0;
   body["running"] = this->running;
   for (const auto& each : this->on_disk) body["atHand"]["onDisk"].append(each);
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -48,6 +48,8 @@
   std::mutex mutex;
   std::map<std::string, std::set<std::string>> models;
   std::vector<std::string> on_disk;
+  /// When this lifetime started; it says so in its entry and its reports.
+  std::int64_t born;
   bool busy = false;
   bool draining = false;
   std::int64_t sequence = 0;
--- a/test/wire-test/utf8_test.cpp
+++ b/test/wire-test/utf8_test.cpp
@@ -1,4 +1,4 @@
-#include "wire/utf8.hpp"
+#include "kernel/utf8.hpp"
 
 #include <gtest/gtest.h>
 
@@ -8,14 +8,14 @@
 namespace boragehill::wire {
 
 TEST(utf8_test, takes_well_formed_text) {
-  EXPECT_TRUE(is_utf8(""));
-  EXPECT_TRUE(is_utf8("valve \xc3\xa9 \xe2\x82\xac \xf0\x9f\x8c\xbf"));
+  EXPECT_TRUE(kernel::is_utf8(""));
+  EXPECT_TRUE(kernel::is_utf8("valve \xc3\xa9 \xe2\x82\xac \xf0\x9f\x8c\xbf"));
 }
 
 TEST(utf8_test, refuses_what_is_cut_overlong_or_out_of_range) {
   for (const char* bad : {"\xff", "\xc3", "\x80", "\xc0\xaf", "\xe0\x80\xaf",
                           "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xe2\x28\xa1"}) {
-    EXPECT_FALSE(is_utf8(bad)) << bad;
+    EXPECT_FALSE(kernel::is_utf8(bad)) << bad;
   }
 }
 
