--- a/src/serve/node_settings.hpp
+++ b/src/serve/node_settings.hpp
@@ -24,8 +24,9 @@
   std::string store_plugin;
   endpoint store;
   /// How long one poll of the store's feeds waits. One that a silent store
-  /// swallowed is asked again half a second later, so a change that is confirmed
-  /// at the store's return is known 1.6 s later at most; 2 s are allowed.
+  /// swallowed is asked again half a second later, so a change that is
+  /// confirmed at the store's return is known 1.6 s later at most; 2 s are
+  /// allowed.
   milliseconds feed_wait{1000};
 
   bool operator==(const node_settings&) const = default;
