--- a/src/wire/field_codec.hpp
+++ b/src/wire/field_codec.hpp
@@ -96,7 +96,8 @@
   if (!json.isString()) return false;
   if (json.asString().empty()) return true;
   const auto parsed = endpoint::parse(json.asString());
-  if (!parsed) return false;
+  // Nobody listens on port 0; read as an address it was written back as none.
+  if (!parsed || parsed->port == 0) return false;
   value = *parsed;
   return true;
 }
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -143,6 +143,7 @@
   EXPECT_FALSE(decode_server(
       "i-1", entry_with("atHand", R"({"inMemory":"m","onDisk":[]})")));
   EXPECT_FALSE(decode_server("", entry_with("", "")));
+  EXPECT_FALSE(decode_server("i-1", entry_with("addr", R"("10.0.0.9:0")")));
   EXPECT_FALSE(decode_server("i-1", entry_with("zone", "\"\xff\xfe\"")));
   const auto whole = entry_with("", "");
   for (std::size_t end = 0; end < whole.size(); ++end) {
@@ -191,7 +192,9 @@
   EXPECT_EQ(decode_planner(encode_planner(own), 4), own);
   for (const char* text :
        {"", "7", "[]", R"({"router":{},"address":[]})", R"({"router":"r1"})",
-        R"({"router":"r1","address":7})", R"({"router":"r1","address":"x"})"}) {
+        R"({"router":"r1","address":7})",
+        R"({"router":"r1","address":"10.0.0.1:0"})",
+        R"({"router":"r1","address":"x"})"}) {
     const auto decoded = decode_planner(text, 9);
     EXPECT_EQ(decoded, (fleet::planner_row{.term = 9})) << text;
   }
--- a/test/wire-test/utf8_test.cpp
+++ b/test/wire-test/field_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "wire/attempts_done.hpp"
 #include "wire/field_codec.hpp"
 #include "wire/permit_request.hpp"
 
@@ -29,4 +30,13 @@
   EXPECT_EQ(read.error(), result_code::frame_garbled);
 }
 
+TEST(field_codec_test, refuses_an_address_without_a_port) {
+  // A peer's message names an entry at port 0, where nobody can be reached.
+  // Read as an address it was written back as none: two messages that differ
+  // became one.
+  EXPECT_FALSE(from_text<attempts_done>(R"({"entry":"10.0.0.1:0"})"));
+  EXPECT_TRUE(from_text<attempts_done>(R"({"entry":"10.0.0.1:1"})"));
+  EXPECT_TRUE(from_text<attempts_done>(R"({"entry":""})"));
+}
+
 }  // namespace boragehill::wire
