--- a/test/wire-test/field_codec_test.cpp
+++ b/test/wire-test/field_codec_test.cpp
@@ -1,9 +1,9 @@
-#include "kernel/utf8.hpp"
+#include "wire/field_codec.hpp"
 
 #include <gtest/gtest.h>
 
+#include "kernel/utf8.hpp"
 #include "wire/attempts_done.hpp"
-#include "wire/field_codec.hpp"
 #include "wire/permit_request.hpp"
 
 namespace boragehill::wire {
