--- a/test/adapter-test/fake_store.cpp
+++ b/test/adapter-test/fake_store.cpp
@@ -9,7 +9,6 @@
 #include <asio/write.hpp>
 #include <cstdlib>
 #include <istream>
-#include <limits>
 
 namespace boragehill::platform {
 
@@ -52,22 +51,20 @@
 
 void fake_store::read(const std::shared_ptr<caller>& from) {
   asio::async_read_until(from->socket, from->buffer, "\r\n\r\n",
-                         [this, from](std::error_code error, std::size_t size) {
+                         [this, from](std::error_code error, std::size_t) {
                            if (error) return;
                            std::istream head(&from->buffer);
                            std::string method;
                            std::string target;
                            head >> method >> target;
                            from->buffer.consume(from->buffer.size());
-                           (void)size;
                            this->take(from, target);
                          });
 }
 
 void fake_store::take(const std::shared_ptr<caller>& from,
                       const std::string& target) {
-  if (this->left_to_swallow > 0) {
-    --this->left_to_swallow;
+  if (this->silent) {
     ++this->calls_swallowed;
     // Kept open: nothing but its own patience tells the caller.
     return this->read(from);
@@ -140,11 +137,7 @@
     ++this->calls_swallowed;
     this->read(each);
   }
-  this->left_to_swallow = std::numeric_limits<int>::max();
-}
-
-void fake_store::swallow_next(int calls) {
-  this->left_to_swallow = calls;
+  this->silent = true;
 }
 
 }  // namespace boragehill::platform
--- a/test/adapter-test/fake_store.hpp
+++ b/test/adapter-test/fake_store.hpp
@@ -26,10 +26,8 @@
   void put(const std::string& value);
   /// From now on calls are swallowed, those that wait as well.
   void fall_silent();
-  /// Swallows the next calls only, in place of all from now on.
-  void swallow_next(int calls);
   /// Answers new calls again.
-  void come_back() { this->left_to_swallow = 0; }
+  void come_back() { this->silent = false; }
   /// Answers each call so much later.
   void answer_after(milliseconds delay) { this->delay = delay; }
   /// Answers calls with this status and no rows; 0 as usual.
@@ -54,7 +52,7 @@
   std::int64_t version = 1;
   milliseconds delay{0};
   int refusal = 0;
-  int left_to_swallow = 0;
+  bool silent = false;
   int calls_swallowed = 0;
   int calls_answered = 0;
 };
