Tests: a worker that stands still goes on getting requests (fails)

Two process tests: a model worker is stopped by a signal with streams under way, with its agent or alone, and sixteen further callers come and leave after two seconds. The stand-in of a worker answers its status check, and the small fleet's configuration names its path.

--- /dev/null
+++ b/test/fleet-test/silent_worker_test.cpp
@@ -0,0 +1,112 @@
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+#include <vector>
+
+#include "fleet-test/small_fleet.hpp"
+
+namespace boragehill::fleet_test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int streams_under_way = 4;
+constexpr int later_callers = 16;
+/// Requests that may lie unread at the worker when it wakes: those that were
+/// sent in the first tenths of a second, before its silence could be told from
+/// a pause.
+constexpr int few = 3;
+
+/// Callers of a stream that leave after two seconds.
+class patient_callers {
+ public:
+  explicit patient_callers(small_fleet& fleet) : fleet(fleet) {}
+
+  void call(int number, const std::string& attempt) {
+    constexpr int patience_ms = 2000;
+    const int router = 1 + number % 2;
+    this->threads.emplace_back([this, router, attempt] {
+      const auto answer = this->fleet.call(router, attempt, "model-1",
+                                           "/stream/x", patience_ms);
+      if (answer && answer->status == 200) ++this->answered;
+    });
+  }
+
+  int wait() {
+    for (auto& each : this->threads) each.join();
+    this->threads.clear();
+    return this->answered;
+  }
+
+ private:
+  small_fleet& fleet;
+  std::vector<std::thread> threads;
+  std::atomic<int> answered = 0;
+};
+
+/// Stops the given processes while streams are under way at worker 1, lets
+/// further callers come and leave, and wakes them again.
+class silence {
+ public:
+  explicit silence(std::vector<std::string> stopped)
+      : stopped(std::move(stopped)) {}
+
+  void play() {
+    ASSERT_TRUE(this->fleet.start());
+    ASSERT_EQ(this->fleet.call(1, "first", "model-1", "/stream/x")->status,
+              200);
+    patient_callers before(this->fleet);
+    for (int each = 0; each < streams_under_way; ++each) {
+      before.call(each, "before-" + std::to_string(each));
+    }
+    std::this_thread::sleep_for(milliseconds(80));
+    for (const auto& each : this->stopped) this->fleet[each].signal(SIGSTOP);
+    patient_callers later(this->fleet);
+    for (int each = 0; each < later_callers; ++each) {
+      later.call(each, "later-" + std::to_string(each));
+      std::this_thread::sleep_for(milliseconds(60));
+    }
+    this->answered = later.wait();
+    std::this_thread::sleep_for(milliseconds(600));
+    for (const auto& each : this->stopped) this->fleet[each].signal(SIGCONT);
+    before.wait();
+    std::this_thread::sleep_for(milliseconds(400));
+    const auto runs = this->fleet.truth("worker-1")["runs"];
+    for (int each = 0; each < later_callers; ++each) {
+      if (runs.isMember("later-" + std::to_string(each))) ++this->run_in_vain;
+    }
+  }
+
+  int answered = 0;
+  int run_in_vain = 0;
+
+ private:
+  std::vector<std::string> stopped;
+  small_fleet fleet{2, 2, 1, 2};
+};
+
+TEST(silent_worker_test, a_worker_whose_machine_stands_still_gets_no_more) {
+  // A machine stands still for seconds with streams under way. Further callers
+  // were sent there, waited out their patience and left, and when the machine
+  // woke their requests lay in its socket and were run for nobody. The routers
+  // saw no failure, since silence was none, although another worker could have
+  // had the model within half a second.
+  silence machine({"worker-1", "agent-1"});
+  machine.play();
+  EXPECT_GE(machine.answered, later_callers - few);
+  EXPECT_LE(machine.run_in_vain, few);
+}
+
+TEST(silent_worker_test, a_worker_that_hangs_beside_a_living_agent_gets_none) {
+  // Only the worker's process hangs; the agent on its machine goes on telling
+  // the planner of itself. Callers lose as above.
+  silence worker({"worker-1"});
+  worker.play();
+  EXPECT_GE(worker.answered, later_callers - few);
+  EXPECT_LE(worker.run_in_vain, few);
+}
+
+}  // namespace
+}  // namespace boragehill::fleet_test
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -193,6 +193,7 @@
   engine["adapterSlots"] = 2;
   engine["slots"] = 8;
   engine["loadsPerS"] = 10;
+  assist["healthPath"] = "/healthz";
   for (int each = 1; each <= this->models; ++each) {
     Json::Value model;
     model["name"] = numbered("model", each);
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -48,6 +48,10 @@
   for (const auto& each : settings.cached_memory) this->models[each];
   server.on("GET", "/report",
             [this](const auto&, auto& response) { this->report(response); });
+  server.on("GET", "/healthz", [this](const auto&, auto& response) {
+    response.set_header("Boragehill-Instance-Id", this->id);
+    response.status = ok_status;
+  });
   server.on("POST", "/order", [this](const auto& request, auto& response) {
     this->order(request, response);
   });
