Send nothing more to a server whose answers stand still

Cause: to a router silence was no failure. A worker's machine stood still with streams under way, and for up to 1.8 s further requests were sent there; their callers left, and the requests reached the worker when it woke (GONE).

Ruled out: a router that sends on after its caller left (events 609: each connection was closed at once).

Change: a pulse for each server (pauses between pieces, time to the first one, as TCP keeps its time-out) and a doubt with a question to the server itself; a doubted server gets no request. What was sent after its last sign of life is taken back by a reset when its caller leaves. The planner hears of confirmed doubts and wakes the models elsewhere, unless another router hears the worker.

--- a/src/decide/demand_report.hpp
+++ b/src/decide/demand_report.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_DECIDE_DEMAND_REPORT_HPP
 #define BORAGEHILL_DECIDE_DEMAND_REPORT_HPP
 
+#include <string>
 #include <vector>
 
 #include "decide/model_demand.hpp"
@@ -13,6 +14,8 @@
 struct demand_report {
   std::vector<model_demand> demands;
   std::vector<model_flight> flights;
+  /// Servers of which nothing is heard.
+  std::vector<std::string> silent;
 
   bool operator==(const demand_report&) const = default;
 };
--- a/src/decide/planned_worker.hpp
+++ b/src/decide/planned_worker.hpp
@@ -28,9 +28,13 @@
   time_point reported;
   residency_target target;
   std::optional<planned_load> pending;
+  /// When a router last told that it hears nothing of the worker.
+  std::optional<time_point> told_silent;
   /// Models with a copy at hand; true if it is in main memory.
   std::unordered_map<std::string, bool> copies;
   /// What follows is reckoned anew in each step.
+  /// The routers that have requests there hear nothing of it.
+  bool silent = false;
   /// Memory that is left, in megabytes.
   double room_mb = 0;
   /// What could make room, with its cost, the cheapest first.
--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -29,6 +29,9 @@
   milliseconds settle{1000};
   /// Reports older than this say nothing of a worker: it gets no orders.
   milliseconds report_trust{1500};
+  /// A router that hears nothing of a worker says so ten times a second; older
+  /// word of it doesn't count.
+  milliseconds silence_trust{500};
   /// So long after a planner began, or a worker appeared, a load from the store
   /// waits for workers that haven't reported yet: they may have a copy on
   /// disk, and the store takes several times as long.
--- a/src/decide/residency_adapters.cpp
+++ b/src/decide/residency_adapters.cpp
@@ -71,7 +71,8 @@
 
 bool residency_planner::fresh(const planned_worker& worker,
                               time_point now) const {
-  return worker.report && now < worker.reported + this->settings.report_trust;
+  return !worker.silent && worker.report &&
+         now < worker.reported + this->settings.report_trust;
 }
 
 }  // namespace boragehill::decide
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -125,6 +125,10 @@
     state.arrivals.add(each.arrivals, now);
     if (!each.adapter.empty()) state.adapter_asked[each.adapter] = now;
   }
+  for (const auto& each : report.silent) {
+    const auto found = this->known.find(each);
+    if (found != this->known.end()) found->second.told_silent = now;
+  }
   this->routers[router] = report;
 }
 
@@ -140,6 +144,7 @@
     state.flying = 0;
     state.adapter_waiting.clear();
   }
+  this->judge_silence(now);
   this->replicas.clear();
   this->served.clear();
   for (auto& [id, worker] : this->known) {
@@ -174,6 +179,22 @@
   }
 }
 
+void residency_planner::judge_silence(time_point now) {
+  for (auto& [id, worker] : this->known) {
+    worker.silent = worker.told_silent &&
+                    now < *worker.told_silent + this->settings.silence_trust;
+  }
+  // A router whose own path to a worker is cut hears nothing of it; one that
+  // has requests there and doesn't complain shows that it lives.
+  for (const auto& [router, report] : this->routers) {
+    for (const auto& each : report.flights) {
+      const auto found = this->known.find(each.server);
+      if (found == this->known.end()) continue;
+      if (!holds(report.silent, each.server)) found->second.silent = false;
+    }
+  }
+}
+
 std::vector<residency_move> residency_planner::step(time_point now) {
   if (!this->catalog) return {};
   this->sum_up(now);
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -81,6 +81,13 @@
   static constexpr double horizon_seconds = 5;
 
   void sum_up(time_point now);
+  /// Takes out of use the workers of which no router hears anything.
+  ///
+  /// The load it answers: a worker's machine stands still for seconds, and its
+  /// callers leave after two. Its agent's reports count for 1.5 s; with what
+  /// the routers hear, its models are woken elsewhere 0.3 s after it fell
+  /// silent.
+  void judge_silence(time_point now);
   /// Reckons what each worker of a service could drop.
   void appraise(const fleet::service& service, time_point now);
   void appraise(planned_worker& worker, const fleet::service& service,
--- a/src/fleet/service.hpp
+++ b/src/fleet/service.hpp
@@ -14,6 +14,8 @@
   std::string name;
   /// Connections that one backend server accepts from all callers together.
   int max_connections = 0;
+  /// Where a backend server tells whether it is well; empty if nowhere.
+  std::string health_path;
   /// True for model workers; the fields below are theirs only.
   bool has_engine = false;
   /// Accelerator memory for weights and adapters together, in megabytes.
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -78,6 +78,8 @@
     row{event::server_leaving, "server_leaving", severity::info},
     row{event::server_gone, "server_gone", severity::warning},
     row{event::server_replaced, "server_replaced", severity::warning},
+    row{event::server_silent, "server_silent", severity::warning},
+    row{event::server_heard, "server_heard", severity::info},
     row{event::planner_followed, "planner_followed", severity::info},
     row{event::planner_lost, "planner_lost", severity::warning},
     row{event::planner_leads, "planner_leads", severity::info},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -89,6 +89,8 @@
   server_leaving = 809,
   server_gone = 810,
   server_replaced = 811,
+  server_silent = 812,
+  server_heard = 813,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -36,7 +36,11 @@
                        const entry_settings& settings,
                        const fleet::request_codec& codec,
                        entry_metrics& metrics)
-    : settings(settings), headers(codec), metrics(metrics), pool(context) {}
+    : settings(settings),
+      headers(codec),
+      metrics(metrics),
+      pool(context),
+      context(context) {}
 
 void dispatcher::set_catalog(std::shared_ptr<const fleet::catalog> news) {
   this->known_catalog = std::move(news);
@@ -165,6 +169,7 @@
                           const exchange& request) const {
   if (server.entry.service != request.service()) return false;
   if (server.entry.draining || server.replaced) return false;
+  if (server.silence.doubted()) return false;
   if (request.sends().tried(server.entry.id)) return false;
   const auto& asked = request.fields();
   if (asked.model.empty()) return true;
@@ -187,13 +192,16 @@
   const auto now = time_point::clock::now();
   std::vector<decide::server_candidate> candidates;
   std::vector<server_state*> states;
+  this->excuse_own_pause(now);
   for (auto& [id, state] : this->servers) {
+    if (state.entry.service != request->service()) continue;
+    this->judge_silence(state, now);
     if (!this->can_take(state, *request)) continue;
     const int slots = state.entry.slots;
     candidates.push_back(
         {.own_requests = state.own_requests,
          .other_requests = state.other_requests,
-         .unread_tokens = state.unread_tokens,
+         .unread_tokens = state.silence.answers().tokens_unread(),
          .slots = slots > 0 ? slots : assumed_slots,
          .near = state.entry.failure_domain == this->settings.failure_domain,
          .suspect = this->health.suspect(id, now)});
@@ -208,7 +216,7 @@
       this->most_connections(request->service()));
   if (!connection) return false;
   ++state.own_requests;
-  state.unread_tokens += request->fields().prompt_tokens;
+  state.silence.answers().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{state.entry.id, request->fields().model,
                    request->fields().adapter}];
   request->send_to(state.entry, connection);
@@ -272,15 +280,17 @@
   }
 }
 
-void dispatcher::on_answering(const exchange& request) {
-  const auto found = this->servers.find(request.server());
-  if (found == this->servers.end()) return;
-  found->second.unread_tokens -= request.fields().prompt_tokens;
-}
-
 void dispatcher::on_left(const exchange& request) {
   const auto found = this->servers.find(request.server());
-  if (found != this->servers.end()) --found->second.own_requests;
+  if (found != this->servers.end()) {
+    --found->second.own_requests;
+    auto& answers = found->second.silence.answers();
+    if (request.unanswered()) {
+      answers.on_unbegun_left(request.fields().prompt_tokens);
+    } else {
+      answers.on_begun_left();
+    }
+  }
   const flight_key key{request.server(), request.fields().model,
                        request.fields().adapter};
   const auto flight = this->flights.find(key);
@@ -307,13 +317,18 @@
 
 void dispatcher::on_server_replaced(const exchange& request) {
   const auto found = this->servers.find(request.server());
-  if (found == this->servers.end() || found->second.replaced) return;
-  found->second.replaced = true;
+  if (found == this->servers.end()) return;
+  this->mark_replaced(found->second, request.fields().attempt);
+}
+
+void dispatcher::mark_replaced(server_state& server, const std::string& by) {
+  if (server.replaced) return;
+  server.replaced = true;
   kernel::log_event(kernel::event::server_replaced,
-                    {{"server", request.server()},
-                     {"request", request.fields().attempt},
-                     {"address", found->second.entry.address.to_string()}});
-  this->pool.forget(request.server());
+                    {{"server", server.entry.id},
+                     {"request", by},
+                     {"address", server.entry.address.to_string()}});
+  this->pool.forget(server.entry.id);
 }
 
 void dispatcher::on_model_missing(const exchange& request) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <tuple>
 
+#include <boragehill/result.hpp>
 #include <boragehill/time_point.hpp>
 
 #include "decide/crash_watch.hpp"
@@ -19,6 +20,7 @@
 #include "decide/stop_gate.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/server_list.hpp"
+#include "http/whole_answer.hpp"
 #include "serve/entry_metrics.hpp"
 #include "serve/entry_settings.hpp"
 #include "serve/exchange_host.hpp"
@@ -64,6 +66,10 @@
   /// Refuses those that wait in vain; called some times a second.
   void judge_waiting();
 
+  /// Doubts servers whose answers stand still and asks them whether they live;
+  /// called some times a second.
+  void watch_silence();
+
   /// Looks after connections that grow old; called every second or so.
   void tidy();
 
@@ -81,6 +87,10 @@
   void place(const std::shared_ptr<exchange>& request) override;
   void withdraw(const exchange& request) override;
   void on_answering(const exchange& request) override;
+  void on_heard(const exchange& request) override;
+  void on_held_up(const exchange& request) override;
+  void on_resumed(const exchange& request) override;
+  bool lies_unread(const exchange& request) const override;
   void on_left(const exchange& request) override;
   void on_server_failed(const exchange& request, bool reached) override;
   void on_model_missing(const exchange& request) override;
@@ -111,6 +121,17 @@
   bool knows_model(const exchange& request) const;
   bool try_send(const std::shared_ptr<exchange>& request);
   bool can_take(const server_state& server, const exchange& request) const;
+  decide::answer_pulse* pulse_of(const exchange& request);
+  void judge_silence(server_state& server, time_point now);
+  void ask(server_state& server);
+  /// Marks a server as replaced if another lifetime answered.
+  void check_lifetime(server_state& server, const http::message_head& head);
+  /// \param by What was answered: a request's attempt, or a question.
+  void mark_replaced(server_state& server, const std::string& by);
+  void on_question_ended(const std::string& server,
+                         const result<http::whole_answer>& answer);
+  /// Silence during a pause of this process says nothing of any server.
+  void excuse_own_pause(time_point now);
   /// \return False if no server is listed that could ever take the request.
   bool may_get_server(const exchange& request) const;
   std::size_t most_connections(const std::string& service) const;
@@ -125,7 +146,9 @@
   server_pool pool;
   server_health health;
   std::shared_ptr<const fleet::catalog> known_catalog;
+  asio::io_context& context;
   std::map<std::string, server_state> servers;
+  time_point silence_watched;
   bool servers_known = false;
   bool planner_linked = false;
   int routers = 4;
--- /dev/null
+++ b/src/serve/dispatcher_silence.cpp
@@ -0,0 +1,141 @@
+// What the dispatcher does about servers that fall silent.
+
+#include <utility>
+
+#include "fleet/request_codec.hpp"
+#include "http/call_connection.hpp"
+#include "http/head_text.hpp"
+#include "kernel/event_log.hpp"
+#include "serve/dispatcher.hpp"
+#include "serve/exchange.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+/// The watch comes round ten times a second; after a longer time the process
+/// itself stood still.
+constexpr milliseconds own_pause{250};
+/// What is sent takes about so long to be read, and a piece to come back.
+constexpr milliseconds way_there{20};
+/// A server that stands still answers nothing; asked anew after this.
+constexpr milliseconds question_limit{400};
+
+}  // namespace
+
+decide::answer_pulse* dispatcher::pulse_of(const exchange& request) {
+  const auto found = this->servers.find(request.server());
+  if (found == this->servers.end()) return nullptr;
+  return &found->second.silence.answers();
+}
+
+void dispatcher::on_answering(const exchange& request) {
+  if (auto* pulse = this->pulse_of(request)) {
+    pulse->on_begun(request.fields().prompt_tokens, time_point::clock::now());
+  }
+}
+
+void dispatcher::on_heard(const exchange& request) {
+  if (auto* pulse = this->pulse_of(request)) {
+    pulse->on_heard(time_point::clock::now());
+  }
+}
+
+void dispatcher::on_held_up(const exchange& request) {
+  if (auto* pulse = this->pulse_of(request)) pulse->on_held_up();
+}
+
+void dispatcher::on_resumed(const exchange& request) {
+  if (auto* pulse = this->pulse_of(request)) {
+    pulse->on_resumed(time_point::clock::now());
+  }
+}
+
+bool dispatcher::lies_unread(const exchange& request) const {
+  const auto found = this->servers.find(request.server());
+  if (found == this->servers.end() || !request.unanswered()) return false;
+  const auto& silence = found->second.silence;
+  return silence.doubted() &&
+         request.last_sent() + way_there >= silence.answers().last_heard();
+}
+
+void dispatcher::excuse_own_pause(time_point now) {
+  const auto last = std::exchange(this->silence_watched, now);
+  if (now - last < own_pause) return;
+  for (auto& [id, state] : this->servers) state.silence.answers().excuse(now);
+}
+
+void dispatcher::watch_silence() {
+  const auto now = time_point::clock::now();
+  this->excuse_own_pause(now);
+  bool heard = false;
+  for (auto& [id, state] : this->servers) {
+    const bool was_doubted = state.silence.doubted();
+    this->judge_silence(state, now);
+    heard = heard || (was_doubted && !state.silence.doubted());
+  }
+  if (heard) this->serve_waiting();
+}
+
+void dispatcher::judge_silence(server_state& server, time_point now) {
+  using news = decide::silence_watch::news;
+  const auto before = server.silence.answers().last_heard();
+  const auto found = server.silence.judge(now);
+  if (found == news::doubted) {
+    kernel::log_event(kernel::event::server_silent,
+                      {{"server", server.entry.id},
+                       {"silent_ms", ms_between(before, now)},
+                       {"awaited", server.silence.answers().awaited()}});
+  } else if (found == news::heard) {
+    kernel::log_event(kernel::event::server_heard,
+                      {{"server", server.entry.id}, {"by", "answer"}});
+  }
+  if (server.silence.question_due(now)) this->ask(server);
+}
+
+void dispatcher::ask(server_state& server) {
+  const auto* service =
+      this->known_catalog
+          ? this->known_catalog->find_service(server.entry.service)
+          : nullptr;
+  server.silence.on_asked();
+  if (!service || service->health_path.empty()) {
+    // It can't be asked, so now and then a request shows.
+    server.silence.on_question_ended(true, time_point::clock::now());
+    return;
+  }
+  http::header_list headers;
+  headers.add("Host", server.entry.address.to_string());
+  headers.add("Connection", "close");
+  const auto call = std::make_shared<http::call_connection>(
+      this->context, server.entry.address);
+  call->call(http::request_head("GET", service->health_path, headers),
+             question_limit,
+             [this, call,
+              id = server.entry.id](const result<http::whole_answer>& answer) {
+               this->on_question_ended(id, answer);
+               call->close();
+             });
+}
+
+void dispatcher::check_lifetime(server_state& server,
+                                const http::message_head& head) {
+  const auto told = this->headers.read_answer(head.status, head.headers).server;
+  if (told.empty() || this->headers.is_server(told, server.entry.id)) return;
+  this->mark_replaced(server, "question");
+}
+
+void dispatcher::on_question_ended(const std::string& server,
+                                   const result<http::whole_answer>& answer) {
+  const auto found = this->servers.find(server);
+  if (found == this->servers.end()) return;
+  if (answer) this->check_lifetime(found->second, answer.value().head);
+  const bool ended = found->second.silence.on_question_ended(
+      static_cast<bool>(answer), time_point::clock::now());
+  if (!ended) return;
+  kernel::log_event(kernel::event::server_heard,
+                    {{"server", server}, {"by", "question"}});
+  this->serve_waiting();
+}
+
+}  // namespace boragehill::serve
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -206,11 +206,14 @@
 }
 
 void entry::report() {
+  this->requests.watch_silence();
   this->requests.judge_waiting();
   if (!this->finder->linked()) return;
   auto report = this->requests.take_report();
   auto strikes = this->requests.take_strikes();
-  const bool same = report == this->last_report && report.demands.empty();
+  // What is told of silence counts only while it is fresh.
+  const bool same = report == this->last_report && report.demands.empty() &&
+                    report.silent.empty();
   if (same && strikes.empty()) return;
   this->finder->send(
       wire::encode(wire::router_report{.router = this->settings.id,
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -149,6 +149,7 @@
   this->unread = true;
   this->record.on_send(server.id);
   if (!this->offered) this->offered = now;
+  this->sent = now;
   this->not_run_answer = false;
   this->misdirected = false;
   this->replaced = false;
@@ -256,6 +257,7 @@
 }
 
 void exchange::note_piece() {
+  this->host.on_heard(*this);
   const auto now = time_point::clock::now();
   if (this->last_piece != time_point()) {
     this->widest_gap = std::max(
@@ -269,11 +271,21 @@
   const auto caller = this->session.lock();
   if (!caller || bytes.empty()) return;
   caller->send_body(bytes);
-  if (caller->congested() && this->connection) this->connection->pause();
+  if (!caller->congested() || !this->connection || this->held_up) return;
+  this->connection->pause();
+  this->held_up = true;
+  this->host.on_held_up(*this);
 }
 
 void exchange::on_caller_ready() {
   if (this->connection) this->connection->resume();
+  this->go_on_reading();
+}
+
+void exchange::go_on_reading() {
+  if (!this->held_up) return;
+  this->held_up = false;
+  this->host.on_resumed(*this);
 }
 
 void exchange::on_end() {
@@ -359,12 +371,8 @@
 
 void exchange::on_limit() {
   this->host.withdraw(*this);
-  if (this->connection) {
-    this->connection->abort();
-    this->connection.reset();
-    this->record.on_perhaps_run();
-    this->leave_server();
-  }
+  if (this->connection) this->record.on_perhaps_run();
+  this->drop_server();
   if (this->head_passed) return this->break_off("time is over");
   if (this->pass_kept_failure()) return;
   if (this->record.surely_not_run()) {
@@ -392,20 +400,28 @@
 void exchange::on_caller_gone() {
   if (this->done) return;
   this->host.withdraw(*this);
-  if (this->connection) {
-    // The server sees the close and stops.
-    this->connection->abort();
-    this->connection.reset();
-    this->leave_server();
-  }
+  this->drop_server();
   this->finish({.code = result_code::caller_gone,
                 .status = this->ended.status,
                 .reason = "caller hung up"});
 }
 
+void exchange::drop_server() {
+  if (!this->connection) return;
+  // The server sees the close and stops.
+  if (this->host.lies_unread(*this)) {
+    this->connection->abort_unread();
+  } else {
+    this->connection->abort();
+  }
+  this->connection.reset();
+  this->leave_server();
+}
+
 void exchange::leave_server() {
-  this->answer_began();
+  this->go_on_reading();
   this->host.on_left(*this);
+  this->unread = false;
   this->at.clear();
 }
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -82,8 +82,12 @@
   std::optional<time_point> answered() const { return this->first_byte; }
   /// \return The longest time between two pieces of the answer.
   milliseconds longest_gap() const { return this->widest_gap; }
+  /// \return True while the server that has it has answered nothing yet.
+  bool unanswered() const { return this->unread; }
   /// \return When it was first sent to a server, if it was.
   std::optional<time_point> first_sent() const { return this->offered; }
+  /// \return When it was sent to the server that has it.
+  time_point last_sent() const { return this->sent; }
 
  private:
   bool read_fields();
@@ -100,7 +104,10 @@
   void pass_small_answer();
   void end_answer();
   void leave_server();
+  /// Breaks the connection to the server off, if there is one.
+  void drop_server();
   void note_piece();
+  void go_on_reading();
   void answer_began();
   void pass_head(const http::message_head& head);
   void pass(const std::string& bytes);
@@ -131,11 +138,14 @@
   http::event_splitter events;
   std::optional<time_point> first_byte;
   std::optional<time_point> offered;
+  time_point sent;
   time_point last_piece;
   milliseconds widest_gap{0};
   exchange_result ended;
   /// The server has it and has answered nothing yet.
   bool unread = false;
+  /// Its answer isn't read, since the caller is slow.
+  bool held_up = false;
   bool head_passed = false;
   bool not_run_answer = false;
   bool misdirected = false;
--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -38,9 +38,20 @@
   /// The first bytes of the server's answer came.
   virtual void on_answering(const exchange& request) = 0;
 
+  /// More bytes of the server's answer came.
+  virtual void on_heard(const exchange& request) = 0;
+
+  /// The caller is slow: the server's answer isn't read for now.
+  virtual void on_held_up(const exchange& request) = 0;
+  virtual void on_resumed(const exchange& request) = 0;
+
   /// The request left the server it was sent to.
   virtual void on_left(const exchange& request) = 0;
 
+  /// \return True if its bytes probably lie unread at the server, which has
+  ///     been silent since before they were sent.
+  virtual bool lies_unread(const exchange& request) const = 0;
+
   /// A server failed it: it couldn't be reached, or broke an answer off.
   virtual void on_server_failed(const exchange& request, bool reached) = 0;
 
--- a/src/serve/server_connection.cpp
+++ b/src/serve/server_connection.cpp
@@ -212,6 +212,12 @@
   this->close();
 }
 
+void server_connection::abort_unread() {
+  std::error_code ignored;
+  this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  this->abort();
+}
+
 void server_connection::close() {
   if (this->ended) return;
   this->ended = true;
--- a/src/serve/server_connection.hpp
+++ b/src/serve/server_connection.hpp
@@ -42,6 +42,10 @@
 
   /// Breaks off: the server sees the close and drops the request.
   void abort();
+  /// Breaks off with a reset, which takes back what the server has not read.
+  /// After an orderly close a server whose machine stood still reads the
+  /// request when it wakes, seconds after its caller left.
+  void abort_unread();
 
   bool closed() const { return this->ended; }
   /// \return When the last answer ended.
--- a/src/serve/server_state.hpp
+++ b/src/serve/server_state.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "decide/silence_watch.hpp"
 #include "fleet/resident_model.hpp"
 #include "fleet/server.hpp"
 
@@ -22,8 +23,8 @@
   bool replaced = false;
   /// Requests of this router there.
   int own_requests = 0;
-  /// Prompt tokens of those among them that have no answer yet.
-  int unread_tokens = 0;
+  /// What comes of them.
+  decide::silence_watch silence;
   /// Requests of other routers there, as the planner said.
   int other_requests = 0;
 
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -183,6 +183,9 @@
   for (const auto& each : report.demand.flights) {
     flights.append(encode_flight(each));
   }
+  if (!report.demand.silent.empty()) {
+    message["silent"] = encode_texts(report.demand.silent);
+  }
   if (!report.strikes.empty()) {
     message["strikes"] = encode_texts(report.strikes);
   }
@@ -197,6 +200,7 @@
   for (const auto& each : message["flights"]) {
     report.demand.flights.push_back(decode_flight(each));
   }
+  report.demand.silent = kernel::texts_of(message["silent"]);
   report.strikes = kernel::texts_of(message["strikes"]);
   return report;
 }
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -61,6 +61,24 @@
         this->now);
   }
 
+  void demand_of(const std::string& router, std::vector<model_demand> demands,
+                 std::vector<model_flight> flights) {
+    this->planner.on_demand(
+        router, {.demands = std::move(demands), .flights = std::move(flights)},
+        this->now);
+  }
+
+  /// Router r1 hears nothing of some workers.
+  void silent(const std::vector<std::string>& workers,
+              std::vector<model_demand> demands,
+              std::vector<model_flight> flights) {
+    this->planner.on_demand("r1",
+                            {.demands = std::move(demands),
+                             .flights = std::move(flights),
+                             .silent = workers},
+                            this->now);
+  }
+
   void step() { this->planner.step(this->now); }
 
   /// Makes the reports show what the targets ask for.
@@ -494,5 +512,39 @@
             (std::set<std::string>{"m0/a1", "m0/a3"}));
 }
 
+TEST(residency_planner_test, what_a_silent_worker_had_is_woken_elsewhere) {
+  // A worker's machine stands still while its agent's last report is fresh.
+  // Its callers waited out their two seconds, although another worker had the
+  // model on its disk.
+  planned_fleet fleet(2, 4);
+  fleet.hold("w0", {"m0"});
+  fleet.hold("w1", {"m1", "m2", "m3"});
+  fleet.copies_on_disk("w1", {"m0"});
+  fleet.report();
+  fleet.demand({{.service = "assist", .model = "m0", .arrivals = 3}},
+               {{.server = "w0", .model = "m0", .requests = 3}});
+  fleet.step();
+  EXPECT_FALSE(fleet.workers_for("m0").contains("w1"));
+  fleet.silent({"w0"}, {{.service = "assist", .model = "m0", .waiting = 3}},
+               {{.server = "w0", .model = "m0", .requests = 3}});
+  fleet.step();
+  EXPECT_TRUE(fleet.workers_for("m0").contains("w1"));
+}
+
+TEST(residency_planner_test, a_worker_that_another_router_hears_is_not_silent) {
+  // Only one router's path to the worker is cut.
+  planned_fleet fleet(2, 4);
+  fleet.hold("w0", {"m0"});
+  fleet.hold("w1", {"m1", "m2", "m3"});
+  fleet.copies_on_disk("w1", {"m0"});
+  fleet.report();
+  fleet.demand_of("r2", {{.service = "assist", .model = "m0", .arrivals = 3}},
+                  {{.server = "w0", .model = "m0", .requests = 1}});
+  fleet.silent({"w0"}, {{.service = "assist", .model = "m0", .waiting = 2}},
+               {{.server = "w0", .model = "m0", .requests = 1}});
+  fleet.step();
+  EXPECT_FALSE(fleet.workers_for("m0").contains("w1"));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
--- /dev/null
+++ b/test/decide-test/silence_watch_test.cpp
@@ -0,0 +1,171 @@
+#include "decide/silence_watch.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+using news = silence_watch::news;
+
+/// A server that a router has requests at, on a clock of the test.
+class watched_server {
+ public:
+  /// Sends requests and lets their answers begin, one each 5 ms.
+  void begin_streams(int count) {
+    for (int each = 0; each < count; ++each) {
+      this->watch.answers().on_sent(500, this->now);
+      this->pass(5);
+      this->watch.answers().on_begun(500, this->now);
+    }
+  }
+
+  /// Lets pieces come, `each` milliseconds apart.
+  void hear(int pieces, int each) {
+    for (int piece = 0; piece < pieces; ++piece) {
+      this->pass(each);
+      EXPECT_EQ(this->watch.judge(this->now), news::none) << piece;
+      this->watch.answers().on_heard(this->now);
+    }
+  }
+
+  void pass(int ms) { this->now += milliseconds(ms); }
+
+  news judge() { return this->watch.judge(this->now); }
+
+  silence_watch watch;
+  time_point now{std::chrono::seconds(100)};
+};
+
+TEST(silence_watch_test, many_streams_that_stand_still_are_doubted_soon) {
+  // The busiest model's worker stands still: fifty requests a second are sent
+  // there, and four that lie unread are too many.
+  watched_server server;
+  server.begin_streams(10);
+  server.hear(100, 8);
+  server.pass(125);
+  EXPECT_EQ(server.judge(), news::doubted);
+  EXPECT_TRUE(server.watch.doubted());
+}
+
+TEST(silence_watch_test, one_stream_may_pause_while_a_prompt_is_read) {
+  // A long prompt of another router is read in parts of 70 ms, and an event
+  // holds the tokens of several such steps.
+  watched_server server;
+  server.begin_streams(1);
+  server.hear(20, 30);
+  server.pass(210);
+  EXPECT_EQ(server.judge(), news::none);
+  server.pass(100);
+  EXPECT_EQ(server.judge(), news::doubted);
+}
+
+TEST(silence_watch_test, a_long_prompt_alone_has_time_to_be_read) {
+  watched_server server;
+  server.watch.answers().on_sent(9000, server.now);
+  server.pass(600);
+  EXPECT_EQ(server.judge(), news::none);
+  server.pass(600);
+  EXPECT_EQ(server.judge(), news::doubted);
+}
+
+TEST(silence_watch_test, one_silent_answer_among_others_is_no_silence) {
+  watched_server server;
+  server.begin_streams(2);
+  server.watch.answers().on_sent(500, server.now);
+  server.hear(200, 20);
+  EXPECT_FALSE(server.watch.doubted());
+}
+
+TEST(silence_watch_test, a_server_with_nothing_under_way_is_not_doubted) {
+  watched_server server;
+  server.begin_streams(1);
+  server.watch.answers().on_begun_left();
+  server.pass(5000);
+  EXPECT_EQ(server.judge(), news::none);
+}
+
+TEST(silence_watch_test, an_answer_that_its_caller_holds_up_is_not_awaited) {
+  watched_server server;
+  server.begin_streams(1);
+  server.watch.answers().on_held_up();
+  server.pass(5000);
+  EXPECT_EQ(server.judge(), news::none);
+  server.watch.answers().on_resumed(server.now);
+  EXPECT_EQ(server.judge(), news::none);
+  server.pass(1000);
+  EXPECT_EQ(server.judge(), news::doubted);
+}
+
+TEST(silence_watch_test, a_pause_of_the_router_itself_is_excused) {
+  watched_server server;
+  server.begin_streams(5);
+  server.pass(4000);
+  server.watch.answers().excuse(server.now);
+  EXPECT_EQ(server.judge(), news::none);
+}
+
+TEST(silence_watch_test, the_next_byte_ends_the_doubt) {
+  watched_server server;
+  server.begin_streams(10);
+  server.hear(50, 8);
+  server.pass(1000);
+  ASSERT_EQ(server.judge(), news::doubted);
+  EXPECT_TRUE(server.watch.question_due(server.now));
+  EXPECT_FALSE(server.watch.confirmed(server.now));
+  server.pass(200);
+  EXPECT_TRUE(server.watch.confirmed(server.now));
+  server.watch.answers().on_heard(server.now);
+  EXPECT_EQ(server.judge(), news::heard);
+  EXPECT_FALSE(server.watch.doubted());
+  // The silence that is over is no measure of the pauses to come.
+  server.pass(125);
+  EXPECT_EQ(server.judge(), news::doubted);
+}
+
+TEST(silence_watch_test, an_answered_question_ends_a_false_doubt) {
+  watched_server server;
+  server.begin_streams(2);
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  server.watch.on_asked();
+  EXPECT_FALSE(server.watch.question_due(server.now));
+  EXPECT_TRUE(server.watch.on_question_ended(true, server.now));
+  EXPECT_FALSE(server.watch.doubted());
+  EXPECT_EQ(server.judge(), news::none);
+}
+
+TEST(silence_watch_test, a_question_without_an_answer_is_asked_again) {
+  watched_server server;
+  server.begin_streams(2);
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  server.watch.on_asked();
+  EXPECT_FALSE(server.watch.on_question_ended(false, server.now));
+  EXPECT_TRUE(server.watch.doubted());
+  EXPECT_FALSE(server.watch.question_due(server.now));
+  server.pass(250);
+  EXPECT_TRUE(server.watch.question_due(server.now));
+}
+
+TEST(silence_watch_test, one_that_answers_questions_only_is_hardly_used) {
+  // A worker is mute: its status check is good and no request is answered.
+  // Each answered question let it have requests for another while.
+  watched_server server;
+  server.begin_streams(5);
+  int used_ms = 0;
+  constexpr int played_ms = 30000;
+  constexpr int step_ms = 10;
+  for (int at = 0; at < played_ms; at += step_ms) {
+    server.pass(step_ms);
+    server.judge();
+    if (server.watch.question_due(server.now)) {
+      server.watch.on_asked();
+      server.watch.on_question_ended(true, server.now);
+    }
+    if (!server.watch.doubted()) used_ms += step_ms;
+  }
+  EXPECT_LT(used_ms, played_ms / 5);
+}
+
+}  // namespace
+}  // namespace boragehill::decide
