--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -162,7 +162,10 @@
   int store_loads() const;
   /// Learns from the loads under way how many the store serves.
   void watch_store(time_point now);
+  /// A load from the store is done.
   void watch_load(planned_load& load, time_point now);
+  /// A load from the store should be done and isn't.
+  void watch_overdue(planned_load& load, time_point now);
   /// \return When the store can begin one more load, for each load that it
   ///     serves at once, the soonest first.
   std::vector<time_point> store_free_at(time_point now) const;
--- a/src/decide/residency_store.cpp
+++ b/src/decide/residency_store.cpp
@@ -77,7 +77,7 @@
     auto& load = *worker.pending;
     if (!load.seen) continue;
     load.crowd_ms += since.count() * at_once;
-    if (now > load.due) this->watch_load(load, now);
+    if (now > load.due) this->watch_overdue(load, now);
   }
 }
 
@@ -86,11 +86,17 @@
   if (!load.seen) return;
   const auto took = std::chrono::ceil<milliseconds>(now - *load.seen);
   this->pace.on_load(load.usual, took, mean_crowd(load, took), now);
-  if (now <= load.due) return;
+}
+
+void residency_planner::watch_overdue(planned_load& load, time_point now) {
+  const auto took = std::chrono::ceil<milliseconds>(now - *load.seen);
   if (took <= load.usual + load.usual / late_share + report_lag) {
     load.due = now + report_lag;
     return;
   }
+  // Under way still, so it shows what the store doesn't serve, never what it
+  // does.
+  this->pace.on_overdue(load.usual, took, mean_crowd(load, took), now);
   // How slow the store is shows only at the end. Until then a load that is
   // overdue is taken to need as long again: told that it comes any moment,
   // callers would wait for a model that can't come in time.
--- a/src/decide/store_pace.cpp
+++ b/src/decide/store_pace.cpp
@@ -27,4 +27,13 @@
   if (!known_slow) ++this->places;
 }
 
+void store_pace::on_overdue(milliseconds usual, milliseconds so_far,
+                            double at_once, time_point now) {
+  const double factor =
+      static_cast<double>(so_far.count()) / static_cast<double>(usual.count());
+  if (usual > milliseconds(0) && factor > slow) {
+    this->on_load(usual, so_far, at_once, now);
+  }
+}
+
 }  // namespace boragehill::decide
--- a/src/decide/store_pace.hpp
+++ b/src/decide/store_pace.hpp
@@ -38,6 +38,11 @@
   void on_load(milliseconds usual, milliseconds took, double at_once,
                time_point now);
 
+  /// A load is still under way that should be done.
+  /// \param so_far Since it began.
+  void on_overdue(milliseconds usual, milliseconds so_far, double at_once,
+                  time_point now);
+
   /// \return Loads that may be under way at once; at least one.
   int at_once() const { return this->places; }
 
