Bring models without any copy near before they are asked for

Hypothesis: a worker that is lost takes the only disk copies of some models with it; the first request for each then waits for the store, nine seconds where its caller bears four. Refuted if waits of eight seconds stay as they are, or if the places taken cost as much.

Change: while the store has nothing else to do, the model without a copy that is asked for most (or any) is loaded into an idle place.

--- /dev/null
+++ b/src/decide/residency_fetch.cpp
@@ -0,0 +1,61 @@
+// What the planner brings from the store ahead of need.
+
+#include <algorithm>
+
+#include "decide/residency_choice.hpp"
+#include "decide/residency_planner.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+/// A place counts as idle if losing what stands there costs less waiting than
+/// this: about one request in fifty seconds that would wait for the disk.
+constexpr double idle_loss_seconds = 0.2;
+
+}  // namespace
+
+const fleet::model* residency_planner::most_wanted_without_copy(
+    const fleet::service& service, time_point now) const {
+  const fleet::model* best = nullptr;
+  double most = 0;
+  for (const auto& model : service.models) {
+    if (this->copies.contains(model.name)) continue;
+    if (this->replicas_of(model.name) > 0) continue;
+    const auto found = this->models.find(model.name);
+    const double asked =
+        found == this->models.end() ? 0 : found->second.arrivals.value(now);
+    if (best && asked <= most) continue;
+    best = &model;
+    most = asked;
+  }
+  return best;
+}
+
+std::optional<residency_planner::choice> residency_planner::idle_place_for(
+    const fleet::service& service, const fleet::model& model,
+    time_point now) const {
+  std::optional<choice> best;
+  for (const auto& [id, worker] : this->known) {
+    if (!this->usable(worker, service, now)) continue;
+    if (this->claimed.contains(id)) continue;
+    auto found = this->consider(model, id, worker, true, now);
+    if (!found || found->loss > idle_loss_seconds) continue;
+    if (!best || found->cost < best->cost) best = std::move(found);
+  }
+  return best;
+}
+
+void residency_planner::fetch_ahead(const fleet::service& service,
+                                    time_point now) {
+  // What is waited for goes first, and has a place of the store kept free.
+  if (!this->from_store.empty() || !this->may_stock_from_store()) return;
+  if (this->acquainting(service, now)) return;
+  this->count_copies();
+  const auto* model = this->most_wanted_without_copy(service, now);
+  if (!model) return;
+  const auto chosen = this->idle_place_for(service, *model, now);
+  if (chosen) this->carry_out(*chosen, "ahead", now);
+}
+
+}  // namespace boragehill::decide
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -210,6 +210,7 @@
     this->load_from_store(service, now);
     this->expect_later(service, unplaced, now);
     this->stock_free_places(service, now);
+    this->fetch_ahead(service, now);
     this->place_adapters(service, now);
   }
   return std::exchange(this->moves, {});
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -127,6 +127,22 @@
   /// while the new ones stood idle: they had no copy, and a load there was
   /// always slower than the next one on an old worker's disk.
   void stock_free_places(const fleet::service& service, time_point now);
+  /// Brings models without any copy near from the store before they are asked
+  /// for, while it has nothing else to do.
+  ///
+  /// The load it answers: half of the models fit on the workers at the start,
+  /// the others are asked for once in a while. The first request for each
+  /// waited for the store, nine seconds where a disk takes two and its caller
+  /// bears four.
+  void fetch_ahead(const fleet::service& service, time_point now);
+  /// \return The model without a copy that is asked for most; null if each has
+  ///     one, or will.
+  const fleet::model* most_wanted_without_copy(const fleet::service& service,
+                                               time_point now) const;
+  /// \return A worker that can take the model without a loss to speak of.
+  std::optional<choice> idle_place_for(const fleet::service& service,
+                                       const fleet::model& model,
+                                       time_point now) const;
   /// \return Workers with nothing to do and room for a model.
   std::vector<const planned_worker*> workers_with_room(
       const fleet::service& service, time_point now) const;
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -437,7 +437,9 @@
 }
 
 TEST(residency_planner_test, leaves_places_free_for_what_nobody_asks_for) {
+  // Each has a copy near, so that its first request waits for a disk only.
   planned_fleet fleet(2, 8);
+  fleet.copies_on_disk("w0", {"m1", "m2", "m5", "m6", "m7"});
   fleet.copies_on_disk("w1", {"m0", "m3", "m4"});
   fleet.report();
   fleet.demand({});
@@ -573,5 +575,43 @@
   EXPECT_FALSE(fleet.workers_for("m0").contains("w1"));
 }
 
+TEST(residency_planner_test,
+     brings_models_without_a_copy_before_they_are_asked) {
+  // Half of the models fit on the workers at the start. The first request for
+  // each of the others waited six seconds for the store, though the store and
+  // most workers had had nothing to do for half a minute.
+  planned_fleet fleet(3, 12);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.hold("w1", {"m3", "m4", "m5"});
+  fleet.hold("w2", {"m6", "m7", "m8"});
+  fleet.report();
+  fleet.now += milliseconds(700);
+  fleet.report();
+  fleet.demand({{.service = "assist", .model = "m10", .arrivals = 1}},
+               {{.server = "w0", .model = "m0", .requests = 2},
+                {.server = "w0", .model = "m1", .requests = 2},
+                {.server = "w0", .model = "m2", .requests = 2}});
+  fleet.step();
+  // What was asked for comes first; what is in use stays.
+  EXPECT_EQ(fleet.workers_for("m10").size(), 1);
+  EXPECT_FALSE(fleet.workers_for("m10").contains("w0"));
+}
+
+TEST(residency_planner_test,
+     brings_nothing_ahead_while_the_store_is_waited_for) {
+  planned_fleet fleet(3, 12);
+  fleet.hold("w0", {"m0", "m1", "m2"});
+  fleet.hold("w1", {"m3", "m4", "m5"});
+  fleet.hold("w2", {"m6", "m7", "m8"});
+  fleet.report();
+  fleet.now += milliseconds(1100);
+  fleet.report();
+  fleet.demand({waiting("m9", 7), waiting("m10", 7)});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_for("m9").size(), 1);
+  EXPECT_EQ(fleet.workers_for("m10").size(), 1);
+  EXPECT_TRUE(fleet.workers_for("m11").empty());
+}
+
 }  // namespace
 }  // namespace boragehill::decide
