Let a broken stream go on at the only worker that has its model

Hypothesis: streams that may go on and lost their answer once are held for 16 s and refused, since the worker that broke off is left out and no other has the model; the planner sees a replica and wakes nothing. Refuted if they stay unanswered.

Change: such a worker is the last choice, not none. Requests that aren't streams still leave it out. Two tests; the first fails without the change.

--- a/src/decide/send_record.cpp
+++ b/src/decide/send_record.cpp
@@ -30,14 +30,20 @@
 void send_record::on_perhaps_run() {
   this->out = false;
   ++this->runs;
+  if (!this->goes_on()) return;
+  this->servers.erase(this->last);
+  this->broken.insert(this->last);
+}
+
+bool send_record::goes_on() const {
+  return this->rule == fleet::repeat_rule::stream && this->resumable;
 }
 
 bool send_record::may_send() const {
   if (this->out || this->sends >= most_sends) return false;
   if (this->runs == 0) return true;
   const bool repeatable =
-      this->rule == fleet::repeat_rule::idempotent ||
-      (this->rule == fleet::repeat_rule::stream && this->resumable);
+      this->rule == fleet::repeat_rule::idempotent || this->goes_on();
   return repeatable && this->runs < this->attempts;
 }
 
--- a/src/decide/send_record.hpp
+++ b/src/decide/send_record.hpp
@@ -43,8 +43,17 @@
   bool tried(const std::string& server) const {
     return this->servers.contains(server);
   }
+  /// \return True if that server broke the answer off. It is asked again where
+  ///     no other has the model: waiting for one, streams that lost their
+  ///     answer once were held for 16 s and refused.
+  bool broke_off(const std::string& server) const {
+    return this->broken.contains(server);
+  }
 
  private:
+  /// \return True if another run goes on where the last one broke off.
+  bool goes_on() const;
+
   fleet::repeat_rule rule;
   bool resumable;
   int attempts;
@@ -52,6 +61,7 @@
   int runs = 0;
   bool out = false;
   std::set<std::string> servers;
+  std::set<std::string> broken;
   std::string last;
 };
 
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -204,7 +204,8 @@
          .unread_tokens = state.silence.answers().tokens_unread(),
          .slots = slots > 0 ? slots : assumed_slots,
          .near = state.entry.failure_domain == this->settings.failure_domain,
-         .suspect = this->health.suspect(id, now)});
+         .suspect =
+             this->health.suspect(id, now) || request->sends().broke_off(id)});
     states.push_back(&state);
   }
   const auto chosen = decide::choose_server(
--- a/test/decide-test/send_record_test.cpp
+++ b/test/decide-test/send_record_test.cpp
@@ -57,6 +57,28 @@
   }
 }
 
+TEST(send_record_test, asks_the_only_server_again_that_broke_a_stream_off) {
+  // One worker has the model; it loses the answer to a stream that may go on.
+  // Left out as tried, it was the only one that could have gone on: the caller
+  // waited 16 s for another and was refused.
+  send_record review(repeat_rule::stream, true, 2);
+  review.on_send("a");
+  review.on_perhaps_run();
+  EXPECT_TRUE(review.may_send());
+  EXPECT_FALSE(review.tried("a"));
+  EXPECT_TRUE(review.broke_off("a"));
+  review.on_send("a");
+  review.on_perhaps_run();
+  EXPECT_FALSE(review.may_send());
+}
+
+TEST(send_record_test, leaves_a_server_out_that_broke_a_lookup_off) {
+  send_record lookup(repeat_rule::idempotent, false, 2);
+  lookup.on_send("a");
+  lookup.on_perhaps_run();
+  EXPECT_TRUE(lookup.tried("a"));
+}
+
 TEST(send_record_test, asks_a_server_again_that_only_lacked_the_model) {
   send_record stream(repeat_rule::stream, false, 1);
   stream.on_send("a");
