Look for the planner again after a short try, and replace it at the second failure

Hypothesis: after all machines restarted, routers that read the row of the planner of before hold on to it for 0.5 s, and the models that their callers wait for are woken so much later. Refuted if event 901 for the new planner comes as late as before.

Change: a link is tried for 150 ms (500 before), and the planner is replaced at the second failure in a row, so that one lost packet costs none its place.

Conclusion: kept for the half second at each restart, which the logs show.

--- a/src/serve/planner_finder.cpp
+++ b/src/serve/planner_finder.cpp
@@ -111,7 +111,11 @@
   kernel::log_event(
       kernel::event::planner_lost,
       {{"term", this->followed.term}, {"router", this->followed.router}});
-  this->failed_term = this->followed.term;
+  const bool reached = this->link && this->link->was_connected();
+  if (reached) this->loss.on_reached();
+  if (this->loss.on_link_ended(this->followed.term, reached)) {
+    this->failed_term = this->followed.term;
+  }
   this->link.reset();
   this->on_lost();
   this->look_later(look_again);
--- a/src/wire/message_link.hpp
+++ b/src/wire/message_link.hpp
@@ -30,7 +30,9 @@
   /// A frozen peer is noticed within this; three lost heartbeats.
   static constexpr milliseconds silence_limit{1000};
   static constexpr milliseconds heartbeat_interval{300};
-  static constexpr milliseconds connect_limit{500};
+  /// A connection within a region takes some milliseconds; a peer without
+  /// power answers nothing.
+  static constexpr milliseconds connect_limit{150};
   /// A peer that reads this slowly is better reconnected.
   static constexpr std::size_t max_queued_bytes = 4U << 20U;
   static constexpr std::size_t max_line_bytes = 8U << 20U;
@@ -52,6 +54,8 @@
   void close();
 
   bool open() const { return this->connected && !this->ended; }
+  /// \return True if the peer was reached, also if the link has ended since.
+  bool was_connected() const { return this->connected; }
 
  private:
   void begin();
--- /dev/null
+++ b/test/decide-test/planner_loss_test.cpp
@@ -0,0 +1,36 @@
+#include "decide/planner_loss.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+TEST(planner_loss_test, a_planner_that_was_not_reached_once_keeps_its_place) {
+  // One packet is lost while a router connects. It took the planner's place,
+  // and all routers and agents had to find the new one, which knew nothing.
+  planner_loss loss;
+  EXPECT_FALSE(loss.on_link_ended(7, false));
+  EXPECT_TRUE(loss.on_link_ended(7, false));
+}
+
+TEST(planner_loss_test, a_later_planner_is_tried_anew) {
+  // All restarted; the row of before is still there at the first look.
+  planner_loss loss;
+  EXPECT_FALSE(loss.on_link_ended(7, false));
+  EXPECT_FALSE(loss.on_link_ended(9, false));
+}
+
+TEST(planner_loss_test, a_planner_whose_link_breaks_is_lost) {
+  planner_loss loss;
+  EXPECT_TRUE(loss.on_link_ended(7, true));
+}
+
+TEST(planner_loss_test, failures_before_it_was_reached_are_forgotten) {
+  planner_loss loss;
+  EXPECT_FALSE(loss.on_link_ended(7, false));
+  loss.on_reached();
+  EXPECT_FALSE(loss.on_link_ended(7, false));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
