Send late requests only where little is being read

Hypothesis: after a restart a busy model comes back with a hundred requests waiting that are late in any case. Sent all at once, their prompts keep its worker reading for two seconds, so that new requests are late, too, and callers leave streams that stand still.

--- a/bench/planner_bench.cpp
+++ b/bench/planner_bench.cpp
@@ -109,7 +109,8 @@
       decide::server_candidate{.own_requests = 3, .slots = slots});
   std::uint64_t random = 0;
   for (auto _ : state) {
-    benchmark::DoNotOptimize(decide::choose_server(servers, 0.25, ++random));
+    benchmark::DoNotOptimize(
+        decide::choose_server(servers, 0.25, false, ++random));
   }
 }
 
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -23,6 +23,12 @@
 /// A caller that is refused by a router that stops reaches another one.
 constexpr milliseconds other_router_takes{50};
 
+bool is_late(const exchange& request, time_point now) {
+  const auto objective = request.route()->latency_objective;
+  return objective > milliseconds(0) &&
+         now > request.request().received + objective;
+}
+
 bool more_urgent(const exchange& left, const exchange& right) {
   if (left.route()->priority != right.route()->priority) {
     return left.route()->priority < right.route()->priority;
@@ -208,8 +214,9 @@
              this->health.suspect(id, now) || request->sends().broke_off(id)});
     states.push_back(&state);
   }
-  const auto chosen = decide::choose_server(
-      candidates, this->settings.queue_share, kernel::random_bits());
+  const auto chosen =
+      decide::choose_server(candidates, this->settings.queue_share,
+                            is_late(*request, now), kernel::random_bits());
   if (!chosen) return false;
   auto& state = *states[*chosen];
   const auto connection = this->pool.take(
@@ -269,8 +276,18 @@
 }
 
 void dispatcher::serve_line(waiting_line& line) {
+  // Those that can still be in time go first.
+  for (const bool late : {false, true}) this->serve_line(line, late);
+}
+
+void dispatcher::serve_line(waiting_line& line, bool late) {
+  const auto now = time_point::clock::now();
   for (auto each = line.begin(); each != line.end();) {
     const auto request = *each;
+    if (is_late(*request, now) != late) {
+      ++each;
+      continue;
+    }
     if (this->try_send(request)) {
       each = line.erase(each);
       continue;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -138,6 +138,9 @@
   void wait_in_line(const std::shared_ptr<exchange>& request);
   void serve_waiting();
   void serve_line(waiting_line& line);
+  /// \param late Only those whose latency objective has passed, or only the
+  ///     others.
+  void serve_line(waiting_line& line, bool late);
   decide::send_budget& budget_of(const std::string& service);
 
   entry_settings settings;
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -33,6 +33,8 @@
   if (auto* pulse = this->pulse_of(request)) {
     pulse->on_begun(request.fields().prompt_tokens, time_point::clock::now());
   }
+  // Late ones wait until a prompt was read.
+  if (!this->lines.empty()) this->serve_waiting();
 }
 
 void dispatcher::on_heard(const exchange& request) {
