Bring models ahead with all places of the store

Refuted if as many wait, or if wakes wait longer for the store.

Change: loads ahead of need use all places that the store is thought to serve, while nothing is waited for. Loads beside each other also show its pace, which one at a time never did.

--- a/src/decide/residency_fetch.cpp
+++ b/src/decide/residency_fetch.cpp
@@ -48,8 +48,11 @@
 
 void residency_planner::fetch_ahead(const fleet::service& service,
                                     time_point now) {
-  // What is waited for goes first, and has a place of the store kept free.
-  if (!this->from_store.empty() || !this->may_stock_from_store()) return;
+  // What is waited for goes first. All places of the store may be used: it is
+  // such models that a place would be kept free for, and only loads beside each
+  // other show how many it serves.
+  if (!this->from_store.empty()) return;
+  if (this->store_loads() >= this->pace.at_once()) return;
   if (this->acquainting(service, now)) return;
   this->count_copies();
   const auto* model = this->most_wanted_without_copy(service, now);
