--- a/bench/planner_bench.cpp
+++ b/bench/planner_bench.cpp
@@ -2,6 +2,7 @@
 // whole of the size planned for two years: 390 models on 600 workers.
 
 #include <benchmark/benchmark.h>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -109,8 +110,8 @@
       decide::server_candidate{.own_requests = 3, .slots = slots});
   std::uint64_t random = 0;
   for (auto _ : state) {
-    benchmark::DoNotOptimize(
-        decide::choose_server(servers, 0.25, false, ++random));
+    benchmark::DoNotOptimize(decide::choose_server(
+        servers, 0.25, std::numeric_limits<int>::max(), ++random));
   }
 }
 
--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -36,6 +36,15 @@
   /// waits for workers that haven't reported yet: they may have a copy on
   /// disk, and the store takes several times as long.
   milliseconds acquaint{600};
+  /// Seconds of waiting that a load into a free place saves at the least: about
+  /// one request in two minutes that would find its model there a disk's load
+  /// earlier.
+  double stock_gain = 0.05;
+  /// A place counts as idle if losing what stands there costs less waiting than
+  /// this, in seconds: about one request in fifty seconds that would wait for
+  /// the disk. Models without a copy are brought into such places ahead of
+  /// need; with 0, none are.
+  double idle_loss = 0.2;
   /// A load that takes this many times as long as it should is given up.
   int patience = 4;
 
--- a/src/decide/residency_fetch.cpp
+++ b/src/decide/residency_fetch.cpp
@@ -7,14 +7,6 @@
 
 namespace boragehill::decide {
 
-namespace {
-
-/// A place counts as idle if losing what stands there costs less waiting than
-/// this: about one request in fifty seconds that would wait for the disk.
-constexpr double idle_loss_seconds = 0.2;
-
-}  // namespace
-
 const fleet::model* residency_planner::most_wanted_without_copy(
     const fleet::service& service, time_point now) const {
   const fleet::model* best = nullptr;
@@ -40,7 +32,7 @@
     if (!this->usable(worker, service, now)) continue;
     if (this->claimed.contains(id)) continue;
     auto found = this->consider(model, id, worker, true, now);
-    if (!found || found->loss > idle_loss_seconds) continue;
+    if (!found || found->loss >= this->settings.idle_loss) continue;
     if (!best || found->cost < best->cost) best = std::move(found);
   }
   return best;
--- a/src/decide/residency_stock.cpp
+++ b/src/decide/residency_stock.cpp
@@ -9,14 +9,6 @@
 
 namespace boragehill::decide {
 
-namespace {
-
-/// Less expected waiting than this isn't worth a load: about one request in
-/// two minutes that would find its model there a disk's load earlier.
-constexpr double least_gain_seconds = 0.05;
-
-}  // namespace
-
 double residency_planner::gain_of_placing(const fleet::model& model,
                                           time_point now) const {
   const auto found = this->models.find(model.name);
@@ -78,7 +70,7 @@
     if (worker.room_mb < model.weights_mb) continue;
     if (worker.meant_for(model.name)) continue;
     const double gain = this->gain_of_placing(model, now);
-    if (gain <= least_gain_seconds) continue;
+    if (gain <= this->settings.stock_gain) continue;
     const choice found{.worker = worker.entry.id,
                        .model = &model,
                        .time = worker.load_time(model),
--- a/src/decide/server_choice.cpp
+++ b/src/decide/server_choice.cpp
@@ -21,12 +21,9 @@
   return cost;
 }
 
-/// What one router may have unread at a server when it sends a late request:
-/// four routers then keep a server reading for 0.2 s.
-constexpr int late_tokens = 2000;
-
-bool is_full(const server_candidate& each, double queue_share, bool late) {
-  if (late && each.unread_tokens > late_tokens) return true;
+bool is_full(const server_candidate& each, double queue_share,
+             int most_unread) {
+  if (each.unread_tokens > most_unread) return true;
   const double room = each.slots * (1 + queue_share);
   return each.own_requests + each.other_requests >= room;
 }
@@ -35,14 +32,14 @@
 
 std::optional<std::size_t> choose_server(
     const std::vector<server_candidate>& candidates, double queue_share,
-    bool late, std::uint64_t random) {
+    int most_unread, std::uint64_t random) {
   std::optional<std::size_t> best;
   double best_cost = 0;
   const std::size_t count = candidates.size();
   for (std::size_t step = 0; step < count; ++step) {
     const std::size_t index = (step + random % count) % count;
     const auto& each = candidates[index];
-    if (each.slots <= 0 || is_full(each, queue_share, late)) continue;
+    if (each.slots <= 0 || is_full(each, queue_share, most_unread)) continue;
     const double cost = cost_of(each);
     if (best && cost >= best_cost) continue;
     best = index;
--- a/src/decide/server_choice.hpp
+++ b/src/decide/server_choice.hpp
@@ -20,18 +20,18 @@
 /// full.
 /// \param queue_share How far above its slots a server may be filled; its own
 ///     queue is short and knows priorities, so a little of it is used.
-/// \param late The request's latency objective has passed already. It goes only
-///     where little is being read, so that requests which can still be in time
-///     are: a model comes back after a restart with a hundred requests waiting,
-///     and sent all at once their prompts kept the worker reading for two
-///     seconds, in which new requests were late, too, and streams stood still
-///     until their callers left.
+/// \param most_unread Prompt tokens of this router that may be unread at the
+///     server. It is low for requests whose latency objective has passed, so
+///     that those which can still be in time are: a model comes back after a
+///     restart with a hundred requests waiting, and sent all at once their
+///     prompts kept the worker reading for two seconds, in which new requests
+///     were late, too, and streams stood still until their callers left.
 /// \param random Any bits; they break ties, so that routers with the same view
 ///     don't all choose the same server.
 /// \return The index of the candidate, or nothing if all are full.
 std::optional<std::size_t> choose_server(
     const std::vector<server_candidate>& candidates, double queue_share,
-    bool late, std::uint64_t random);
+    int most_unread, std::uint64_t random);
 
 }  // namespace boragehill::decide
 
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "serve/dispatcher.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "decide/server_choice.hpp"
@@ -214,9 +215,12 @@
              this->health.suspect(id, now) || request->sends().broke_off(id)});
     states.push_back(&state);
   }
+  const int most_unread = is_late(*request, now)
+                              ? this->settings.late_prompt_tokens
+                              : std::numeric_limits<int>::max();
   const auto chosen =
-      decide::choose_server(candidates, this->settings.queue_share,
-                            is_late(*request, now), kernel::random_bits());
+      decide::choose_server(candidates, this->settings.queue_share, most_unread,
+                            kernel::random_bits());
   if (!chosen) return false;
   auto& state = *states[*chosen];
   const auto connection = this->pool.take(
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -21,8 +21,20 @@
   planner.requests_per_replica = section.real(
       "requests_per_replica", planner.requests_per_replica, 1, 1000);
   planner.relief = section.real("relief", planner.relief, 0, 1);
-  planner.settle = section.duration("settle_ms", planner.settle,
-                                    milliseconds(0), milliseconds(60000));
+  constexpr milliseconds longest(60000);
+  planner.settle =
+      section.duration("settle_ms", planner.settle, milliseconds(0), longest);
+  planner.starved =
+      section.duration("starved_ms", planner.starved, milliseconds(0), longest);
+  planner.observe =
+      section.duration("observe_ms", planner.observe, milliseconds(0), longest);
+  planner.acquaint = section.duration("acquaint_ms", planner.acquaint,
+                                      milliseconds(0), longest);
+  constexpr double most_loss_s = 1000000;
+  planner.stock_gain =
+      section.real("stock_gain_s", planner.stock_gain, 0, most_loss_s);
+  planner.idle_loss =
+      section.real("idle_loss_s", planner.idle_loss, 0, most_loss_s);
 }
 
 void read_budget(kernel::settings_document& document,
@@ -54,6 +66,9 @@
   settings.memory_mb = process.real("memory_mb", settings.memory_mb,
                                     least_memory_mb, most_memory_mb);
   settings.queue_share = entry.real("queue_share", settings.queue_share, 0, 10);
+  constexpr int most_tokens = 1000000000;
+  settings.late_prompt_tokens = static_cast<int>(entry.number(
+      "late_prompt_tokens", settings.late_prompt_tokens, 0, most_tokens));
   read_budget(document, settings.budget);
   read_planner(document, settings.planner);
   return settings;
--- a/support/install.sh
+++ b/support/install.sh
@@ -7,4 +7,4 @@
 }
 
 as_root apt-get update
-as_root apt-get install -y g++ cmake ninja-build pkg-config curl clang-format clang-tidy libasio-dev libjsonrpccpp-dev libjsoncpp-dev prometheus-cpp-dev libcpp-httplib-dev libabsl-dev libgoogle-glog-dev libtomlplusplus-dev libopentracing-dev libboost-dev libboost-thread-dev libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev libxxhash-dev libssl-dev libhttp-parser-dev clang-14 libclang-rt-14-dev
+as_root apt-get install -y g++ ccache cmake ninja-build pkg-config curl clang-format clang-tidy libasio-dev libjsonrpccpp-dev libjsoncpp-dev prometheus-cpp-dev libcpp-httplib-dev libabsl-dev libgoogle-glog-dev libtomlplusplus-dev libopentracing-dev libboost-dev libboost-thread-dev libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev libxxhash-dev libssl-dev libhttp-parser-dev clang-14 libclang-rt-14-dev
--- a/test/decide-test/server_choice_test.cpp
+++ b/test/decide-test/server_choice_test.cpp
@@ -1,17 +1,21 @@
 #include "decide/server_choice.hpp"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <map>
 
 namespace boragehill::decide {
 namespace {
 
+constexpr int any_unread = std::numeric_limits<int>::max();
+
 TEST(server_choice_test, spreads_a_busy_model_evenly_over_its_replicas) {
   // One router sends 60 requests for a model with five replicas. Chosen at
   // random the fullest gets far more than its part and its answers come late.
   std::vector<server_candidate> servers(5, server_candidate{.slots = 64});
   for (std::uint64_t request = 0; request < 60; ++request) {
-    const auto chosen = choose_server(servers, 0.25, false, request * 7919);
+    const auto chosen =
+        choose_server(servers, 0.25, any_unread, request * 7919);
     ASSERT_TRUE(chosen);
     ++servers[*chosen].own_requests;
   }
@@ -22,7 +26,7 @@
   const std::vector<server_candidate> servers{
       {.own_requests = 0, .other_requests = 30, .slots = 64},
       {.own_requests = 5, .other_requests = 0, .slots = 64}};
-  EXPECT_EQ(choose_server(servers, 0.25, false, 0), 1U);
+  EXPECT_EQ(choose_server(servers, 0.25, any_unread, 0), 1U);
 }
 
 TEST(server_choice_test, spreads_prompts_that_come_in_a_clump) {
@@ -33,7 +37,7 @@
   servers[1].own_requests = 8;
   servers[2].own_requests = 9;
   for (int request = 0; request < 3; ++request) {
-    const auto chosen = choose_server(servers, 0.25, false, 0);
+    const auto chosen = choose_server(servers, 0.25, any_unread, 0);
     ASSERT_TRUE(chosen);
     EXPECT_EQ(servers[*chosen].unread_tokens, 0);
     ++servers[*chosen].own_requests;
@@ -44,23 +48,23 @@
 TEST(server_choice_test, prefers_the_near_one_only_among_equals) {
   std::vector<server_candidate> servers{{.slots = 64},
                                         {.slots = 64, .near = true}};
-  EXPECT_EQ(choose_server(servers, 0.25, false, 0), 1U);
+  EXPECT_EQ(choose_server(servers, 0.25, any_unread, 0), 1U);
   servers[1].own_requests = 10;
-  EXPECT_EQ(choose_server(servers, 0.25, false, 0), 0U);
+  EXPECT_EQ(choose_server(servers, 0.25, any_unread, 0), 0U);
 }
 
 TEST(server_choice_test, uses_a_suspect_only_where_nothing_else_has_room) {
   std::vector<server_candidate> servers{{.slots = 2, .suspect = true},
                                         {.own_requests = 1, .slots = 2}};
-  EXPECT_EQ(choose_server(servers, 0, false, 0), 1U);
+  EXPECT_EQ(choose_server(servers, 0, any_unread, 0), 1U);
   servers[1].own_requests = 2;
-  EXPECT_EQ(choose_server(servers, 0, false, 0), 0U);
+  EXPECT_EQ(choose_server(servers, 0, any_unread, 0), 0U);
   servers[0].own_requests = 2;
-  EXPECT_EQ(choose_server(servers, 0, false, 0), std::nullopt);
+  EXPECT_EQ(choose_server(servers, 0, any_unread, 0), std::nullopt);
 }
 
 TEST(server_choice_test, finds_nothing_among_none) {
-  EXPECT_EQ(choose_server({}, 0.25, false, 5), std::nullopt);
+  EXPECT_EQ(choose_server({}, 0.25, any_unread, 5), std::nullopt);
 }
 
 TEST(server_choice_test, late_requests_leave_room_for_those_in_time) {
@@ -70,16 +74,16 @@
   std::vector<server_candidate> servers{{.slots = 64}};
   int sent = 0;
   for (int request = 0; request < 100; ++request) {
-    if (!choose_server(servers, 0.25, true, 0)) break;
+    if (!choose_server(servers, 0.25, 2000, 0)) break;
     ++sent;
     ++servers[0].own_requests;
     servers[0].unread_tokens += 650;
   }
   EXPECT_GT(sent, 1);
   EXPECT_LT(sent, 10);
-  EXPECT_TRUE(choose_server(servers, 0.25, false, 0));
+  EXPECT_TRUE(choose_server(servers, 0.25, any_unread, 0));
   servers[0].unread_tokens = 0;
-  EXPECT_TRUE(choose_server(servers, 0.25, true, 0));
+  EXPECT_TRUE(choose_server(servers, 0.25, 2000, 0));
 }
 
 }  // namespace
