--- a/src/app/explain_log.cpp
+++ b/src/app/explain_log.cpp
@@ -1,32 +1,17 @@
 #include "app/explain_log.hpp"
 
-#include <absl/flags/flag.h>
-#include <fstream>
 #include <iostream>
 #include <vector>
 
+#include "app/log_file.hpp"
 #include "app/log_line.hpp"
 #include "app/log_story.hpp"
 #include "app/output.hpp"
 
-// NOLINTNEXTLINE(readability-identifier-naming)
-ABSL_FLAG(std::string, log, "",
-          "file with the logs of all processes, one after the other or mixed; "
-          "- for standard input");
-
 namespace boragehill::app {
 
 namespace {
 
-std::vector<log_line> read_lines(std::istream& stream) {
-  std::vector<log_line> lines;
-  std::string text;
-  while (std::getline(stream, text)) {
-    if (auto line = parse_log_line(text)) lines.push_back(std::move(*line));
-  }
-  return lines;
-}
-
 std::string fields_of(const log_line& line) {
   std::string text;
   for (const auto& [key, value] : line.fields) {
@@ -64,22 +49,12 @@
 
 }  // namespace
 
-bool wants_log() {
-  return !absl::GetFlag(FLAGS_log).empty();
-}
-
 exit_code explain_from_log(const std::string& request) {
-  const std::string path = absl::GetFlag(FLAGS_log);
-  std::ifstream file;
-  if (path != "-") file.open(path);
-  if (path != "-" && !file) {
-    std::cerr << "boragehill: can't read " << path << "\n";
-    return exit_code::usage;
-  }
-  const auto lines = read_lines(path == "-" ? std::cin : file);
-  const auto story = story_of(lines, request);
+  const auto lines = read_log();
+  if (!lines) return exit_code::usage;
+  const auto story = story_of(*lines, request);
   if (story.empty()) {
-    std::cerr << "boragehill: no line of " << lines.size() << " names "
+    std::cerr << "boragehill: no line of " << lines->size() << " names "
               << request << "\n";
     return exit_code::failed;
   }
--- a/src/app/explain_log.hpp
+++ b/src/app/explain_log.hpp
@@ -7,9 +7,6 @@
 
 namespace boragehill::app {
 
-/// \return True if `--log` was given.
-bool wants_log();
-
 /// Prints the story of a request from the logs that `--log` names.
 /// \param request The id that its caller gave it.
 exit_code explain_from_log(const std::string& request);
--- a/src/app/status_command.cpp
+++ b/src/app/status_command.cpp
@@ -5,6 +5,7 @@
 #include "app/admin_client.hpp"
 #include "app/command_registry.hpp"
 #include "app/explain_log.hpp"
+#include "app/log_file.hpp"
 #include "app/output.hpp"
 
 namespace boragehill::app {
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -54,7 +54,11 @@
                          : ms_between(received, now)},
        {"first_ms",
         request.answered() ? ms_between(received, *request.answered()) : -1},
+       {"objective_ms",
+        request.route() ? request.route()->latency_objective.count() : 0},
        {"gap_ms", request.longest_gap().count()},
+       {"gap_objective_ms",
+        request.route() ? request.route()->gap_objective.count() : 0},
        {"all_ms", ms_between(received, now)},
        {"config", this->known_catalog ? this->known_catalog->version : -1}});
 }
--- a/test/soak/checks.cpp
+++ b/test/soak/checks.cpp
@@ -35,6 +35,7 @@
 bool may_cut(const fault_span& fault, int router) {
   if (fault.kind == fault_kind::router_kill) return fault.target == router;
   return fault.kind == fault_kind::worker_replace ||
+         fault.kind == fault_kind::worker_pause ||
          fault.kind == fault_kind::worker_restart ||
          fault.kind == fault_kind::plain_replace ||
          fault.kind == fault_kind::worker_link;
--- a/test/soak/fault_kind.hpp
+++ b/test/soak/fault_kind.hpp
@@ -22,10 +22,11 @@
   configuration,
   store_silent,
   worker_restart,
-  foreign_entry
+  foreign_entry,
+  worker_pause
 };
 
-constexpr int fault_kinds = 18;
+constexpr int fault_kinds = 19;
 
 /// \return The kind's name, for the log.
 const char* name_of(fault_kind kind);
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -11,11 +11,11 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<const char*, fault_kinds> names{
-    "router_kill",    "router_stop",  "router_pause",  "router_hangup",
-    "agent_kill",     "agent_stop",   "agent_pause",   "worker_replace",
-    "plain_replace",  "store_link",   "worker_link",   "store_down",
-    "store_slow",     "store_lost",   "configuration", "store_silent",
-    "worker_restart", "foreign_entry"};
+    "router_kill",    "router_stop",   "router_pause",  "router_hangup",
+    "agent_kill",     "agent_stop",    "agent_pause",   "worker_replace",
+    "plain_replace",  "store_link",    "worker_link",   "store_down",
+    "store_slow",     "store_lost",    "configuration", "store_silent",
+    "worker_restart", "foreign_entry", "worker_pause"};
 constexpr std::array links{link_fault::delay, link_fault::reset,
                            link_fault::cut_requests, link_fault::cut_answers,
                            link_fault::silence};
@@ -50,6 +50,7 @@
     case fault_kind::agent_pause:
     case fault_kind::worker_replace:
     case fault_kind::worker_restart:
+    case fault_kind::worker_pause:
       return size.workers;
     case fault_kind::worker_link:
       return size.workers + size.plains;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -112,6 +112,8 @@
     case fault_kind::agent_stop:
     case fault_kind::agent_pause:
       return numbered("agent", step.target);
+    case fault_kind::worker_pause:
+      return numbered("worker", step.target);
     case fault_kind::store_link:
       return "store";
     case fault_kind::worker_link:
@@ -167,6 +169,7 @@
       return process.signal(SIGTERM);
     case fault_kind::router_pause:
     case fault_kind::agent_pause:
+    case fault_kind::worker_pause:
       return process.signal(SIGSTOP);
     default:
       return process.signal(SIGHUP);
@@ -206,6 +209,7 @@
           ->set(link_fault::none);
     case fault_kind::router_pause:
     case fault_kind::agent_pause:
+    case fault_kind::worker_pause:
       return this->fleet[this->process_of(fault.step)].signal(SIGCONT);
     case fault_kind::store_down:
     case fault_kind::store_slow:
