--- a/src/app/request_loss.hpp
+++ b/src/app/request_loss.hpp
@@ -1,10 +1,10 @@
 #ifndef BORAGEHILL_APP_REQUEST_LOSS_HPP
 #define BORAGEHILL_APP_REQUEST_LOSS_HPP
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "app/log_line.hpp"
@@ -19,7 +19,11 @@
   /// Why, as `cause_of` says.
   std::string cause;
 
-  auto operator<=>(const request_loss&) const = default;
+  bool operator==(const request_loss&) const = default;
+  bool operator<(const request_loss& other) const {
+    return std::tie(this->second, this->route, this->cause) <
+           std::tie(other.second, other.route, other.cause);
+  }
 };
 
 /// Judges the line that a router wrote when a request ended.
