Test that models come ahead with all places of the store

The change that let loads ahead of need use all places of the store had no test of its own. No code changed.

--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -613,5 +613,26 @@
   EXPECT_TRUE(fleet.workers_for("m11").empty());
 }
 
+TEST(residency_planner_test, brings_models_ahead_with_all_places_of_the_store) {
+  // With a place of the store kept free, five models came in a day's first
+  // fifty seconds, and the others were asked for before their turn.
+  planned_fleet fleet(6, 30);
+  for (int worker = 0; worker < 6; ++worker) {
+    const auto model = [worker](int place) {
+      return "m" + std::to_string(3 * worker + place);
+    };
+    fleet.hold("w" + std::to_string(worker), {model(0), model(1), model(2)});
+  }
+  fleet.report();
+  fleet.now += milliseconds(700);
+  fleet.report();
+  for (int step = 0; step < 10; ++step) fleet.step();
+  int from_store = 0;
+  for (const auto& [id, worker] : fleet.planner.workers()) {
+    if (worker.loads_from_store()) ++from_store;
+  }
+  EXPECT_EQ(from_store, planned_fleet::store_loads);
+}
+
 }  // namespace
 }  // namespace boragehill::decide
