Say no more of a reset than was seen

The text said that a reset takes back what a server has not read, and that one to a machine that stands still is lost.

--- a/src/serve/server_connection.hpp
+++ b/src/serve/server_connection.hpp
@@ -42,9 +42,10 @@
 
   /// Breaks off: the server sees the close and drops the request.
   void abort();
-  /// Breaks off with a reset, which takes back what the server has not read.
-  /// After an orderly close a server whose machine stood still reads the
-  /// request when it wakes, seconds after its caller left.
+  /// Breaks off with a reset, for a server whose machine stands still. After an
+  /// orderly close it reads the request when it wakes, seconds after its caller
+  /// left. A process that is stopped on a running kernel may read it all the
+  /// same: a reset is a second line, behind sending it nothing.
   void abort_unread();
 
   bool closed() const { return this->ended; }
