Let no pause of a router or caller pass for a sign of a silent server

A worker's machine that stands still is doubted and gets no requests.

Cause: one time stood for two things, the last sign of the server and the moment from which silence is counted; the second moved with the router's own pause, with a caller and with the first request that was sent. Now the doubt looks at signs of the server only, and silence counts from the later of both.

--- a/src/decide/answer_pulse.cpp
+++ b/src/decide/answer_pulse.cpp
@@ -24,14 +24,14 @@
 }  // namespace
 
 void answer_pulse::on_sent(int tokens, time_point now) {
-  if (this->awaited() == 0) this->heard = now;
+  if (this->awaited() == 0) this->listened_since = now;
   ++this->unbegun;
   this->unread_tokens += tokens;
 }
 
 void answer_pulse::on_begun(int tokens, time_point now) {
   const auto pause =
-      std::chrono::duration_cast<milliseconds>(now - this->heard);
+      std::chrono::duration_cast<milliseconds>(now - this->silent_since());
   if (this->begun == 0 && pause <= most_bearable) this->first_pieces.add(pause);
   this->on_unbegun_left(tokens);
   ++this->begun;
@@ -40,7 +40,7 @@
 
 void answer_pulse::on_heard(time_point now) {
   const auto pause =
-      std::chrono::duration_cast<milliseconds>(now - this->heard);
+      std::chrono::duration_cast<milliseconds>(now - this->silent_since());
   this->heard = now;
   // A silence that is over is no measure of the usual pause.
   if (pause <= most_bearable) this->pauses.add(pause);
@@ -57,7 +57,7 @@
 
 void answer_pulse::on_resumed(time_point now) {
   this->held_up = std::max(this->held_up - 1, 0);
-  this->heard = now;
+  this->listened_since = now;
 }
 
 milliseconds answer_pulse::bearable() const {
@@ -74,7 +74,7 @@
 }
 
 bool answer_pulse::overdue(time_point now) const {
-  return this->awaited() > 0 && now - this->heard > this->bearable();
+  return this->awaited() > 0 && now - this->silent_since() > this->bearable();
 }
 
 }  // namespace boragehill::decide
--- a/src/decide/answer_pulse.hpp
+++ b/src/decide/answer_pulse.hpp
@@ -1,6 +1,8 @@
 #ifndef BORAGEHILL_DECIDE_ANSWER_PULSE_HPP
 #define BORAGEHILL_DECIDE_ANSWER_PULSE_HPP
 
+#include <algorithm>
+
 #include <boragehill/time_point.hpp>
 
 #include "decide/spread_estimate.hpp"
@@ -44,15 +46,21 @@
   void on_resumed(time_point now);
 
   /// The router itself stood still: nothing could be heard meanwhile.
-  void excuse(time_point until) { this->heard = until; }
+  void excuse(time_point until) { this->listened_since = until; }
 
   /// \return True if nothing has come for longer than this server's answers
   ///     ever take.
   bool overdue(time_point now) const;
 
-  /// \return When something came last.
+  /// \return When something came last. What the router or a caller did is no
+  ///     sign of the server.
   time_point last_heard() const { return this->heard; }
 
+  /// \return Since when nothing has come that could have.
+  time_point silent_since() const {
+    return std::max(this->heard, this->listened_since);
+  }
+
   /// \return Prompt tokens of the requests that have no answer yet.
   int tokens_unread() const { return this->unread_tokens; }
 
@@ -68,6 +76,8 @@
   int held_up = 0;
   int unread_tokens = 0;
   time_point heard;
+  /// Nothing could be heard before: nothing was under way, or nobody read.
+  time_point listened_since;
   spread_estimate pauses;
   spread_estimate first_pieces;
 };
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -81,7 +81,7 @@
 
 void dispatcher::judge_silence(server_state& server, time_point now) {
   using news = decide::silence_watch::news;
-  const auto before = server.silence.answers().last_heard();
+  const auto before = server.silence.answers().silent_since();
   const auto found = server.silence.judge(now);
   if (found == news::doubted) {
     kernel::log_event(kernel::event::server_silent,
--- a/test/decide-test/silence_watch_test.cpp
+++ b/test/decide-test/silence_watch_test.cpp
@@ -104,6 +104,34 @@
   EXPECT_EQ(server.judge(), news::none);
 }
 
+TEST(silence_watch_test, a_pause_of_the_router_itself_ends_no_doubt) {
+  // A worker's machine stands still and is doubted; then the router is paused,
+  // too. When it woke it took the end of its own pause for a sign of the
+  // worker, and sent further callers to a machine that still stood still.
+  watched_server server;
+  server.begin_streams(5);
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  server.pass(1000);
+  server.watch.answers().excuse(server.now);
+  EXPECT_EQ(server.judge(), news::none);
+  EXPECT_TRUE(server.watch.doubted());
+}
+
+TEST(silence_watch_test, a_caller_that_takes_its_answer_again_ends_no_doubt) {
+  // A slow caller takes more of its answer while the worker stands still: that
+  // is a sign of the caller only.
+  watched_server server;
+  server.begin_streams(5);
+  server.watch.answers().on_held_up();
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  server.pass(100);
+  server.watch.answers().on_resumed(server.now);
+  EXPECT_EQ(server.judge(), news::none);
+  EXPECT_TRUE(server.watch.doubted());
+}
+
 TEST(silence_watch_test, the_next_byte_ends_the_doubt) {
   watched_server server;
   server.begin_streams(10);
