Send on no waiting request whose caller has left or whose time is over

A router that is held up for some tenths of a second, by a pause or by a small share of a processor, finds much at once when it goes on. It met the news that a model was loaded before it met the close of a caller that had left meanwhile, and sent the caller's request to the worker, which ran it for nobody; or it sent one whose time was over, with 1 ms left.

Now a waiting request is looked at once more when a server was found for it: its limit, and whether its connection has been closed (one look into the socket, without taking a byte, and only for a request that would be sent). It stays in line, without holding up those behind it, until its close or its limit is handled, which is in the same turn of the loop.

Found while looking for the cause of requests that reached a worker 0.5 s after their callers had left on a VM of a tenth of a core; whether it is that cause isn't shown yet. Ruled out in the test: a lost kept connection, on which the close came before the request was written (the stand-in now keeps idle connections as long as a test asks for).

--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -2,6 +2,8 @@
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 #include "fleet/caller_limits.hpp"
@@ -250,6 +252,17 @@
   }
 }
 
+bool caller_session::has_left() {
+  if (this->closed) return true;
+  char next = 0;
+  const auto size = ::recv(this->socket.native_handle(), &next, sizeof(next),
+                           MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) return false;
+  const bool nothing_yet =
+      size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return !nothing_yet;
+}
+
 void caller_session::close_when_idle() {
   if (this->current || this->closed || this->lingering) return;
   if (this->parser.begun() || !this->incoming.empty()) return;
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -54,6 +54,10 @@
   /// \return True if the caller takes the answer slower than it comes.
   bool congested() const { return this->outgoing.size() > high_water; }
 
+  /// \return True if the caller has closed or reset the connection, though that
+  ///     may not have been read yet.
+  bool has_left();
+
   /// Ends the connection as soon as no request is on it.
   void close_when_idle();
 
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -195,15 +195,14 @@
                      });
 }
 
-bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
-  const auto now = time_point::clock::now();
+server_state* dispatcher::find_server(const exchange& request, time_point now) {
   std::vector<decide::server_candidate> candidates;
   std::vector<server_state*> states;
   this->excuse_own_pause(now);
   for (auto& [id, state] : this->servers) {
-    if (state.entry.service != request->service()) continue;
+    if (state.entry.service != request.service()) continue;
     this->judge_silence(state, now);
-    if (!this->can_take(state, *request)) continue;
+    if (!this->can_take(state, request)) continue;
     const int slots = state.entry.slots;
     candidates.push_back(
         {.own_requests = state.own_requests,
@@ -212,29 +211,38 @@
          .slots = slots > 0 ? slots : assumed_slots,
          .near = state.entry.failure_domain == this->settings.failure_domain,
          .suspect =
-             this->health.suspect(id, now) || request->sends().broke_off(id)});
+             this->health.suspect(id, now) || request.sends().broke_off(id)});
     states.push_back(&state);
   }
-  const int most_unread = is_late(*request, now)
+  const int most_unread = is_late(request, now)
                               ? this->settings.late_prompt_tokens
                               : std::numeric_limits<int>::max();
   const auto chosen =
       decide::choose_server(candidates, this->settings.queue_share, most_unread,
                             kernel::random_bits());
-  if (!chosen) return false;
-  auto& state = *states[*chosen];
+  return chosen ? states[*chosen] : nullptr;
+}
+
+bool dispatcher::send(const std::shared_ptr<exchange>& request,
+                      server_state& server, time_point now) {
   const auto connection = this->pool.take(
-      state.entry.id, state.entry.address, request->at_most_once(),
+      server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
-  ++state.own_requests;
-  state.silence.answers().on_sent(request->fields().prompt_tokens, now);
-  ++this->flights[{state.entry.id, request->fields().model,
+  ++server.own_requests;
+  server.silence.answers().on_sent(request->fields().prompt_tokens, now);
+  ++this->flights[{server.entry.id, request->fields().model,
                    request->fields().adapter}];
-  request->send_to(state.entry, connection);
+  request->send_to(server.entry, connection);
   return true;
 }
 
+bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
+  const auto now = time_point::clock::now();
+  auto* server = this->find_server(*request, now);
+  return server && this->send(request, *server, now);
+}
+
 std::size_t dispatcher::most_connections(const std::string& service) const {
   const auto* found = this->known_catalog
                           ? this->known_catalog->find_service(service)
@@ -292,7 +300,15 @@
       ++each;
       continue;
     }
-    if (this->try_send(request)) {
+    auto* server = this->find_server(*request, now);
+    // A router that was held up meets news of a server before it meets the
+    // close of a caller that has left meanwhile: the server would run for
+    // nobody. Such a request ends with that close, or with its limit.
+    if (server && !request->is_wanted(now)) {
+      ++each;
+      continue;
+    }
+    if (server && this->send(request, *server, now)) {
       each = line.erase(each);
       continue;
     }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -119,6 +119,11 @@
   ///     nobody will ever hold it, and names that callers make up must not fill
   ///     the planner's memory.
   bool knows_model(const exchange& request) const;
+  /// \return The server that should get the request; null if none has room.
+  server_state* find_server(const exchange& request, time_point now);
+  /// \return False if there is no connection for it.
+  bool send(const std::shared_ptr<exchange>& request, server_state& server,
+            time_point now);
   bool try_send(const std::shared_ptr<exchange>& request);
   bool can_take(const server_state& server, const exchange& request) const;
   decide::answer_pulse* pulse_of(const exchange& request);
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -77,6 +77,12 @@
   return this->way->rule != fleet::repeat_rule::idempotent;
 }
 
+bool exchange::is_wanted(time_point now) const {
+  if (now >= this->limit) return false;
+  const auto caller = this->session.lock();
+  return caller && !caller->has_left();
+}
+
 void exchange::start() {
   if (!this->read_fields() || !this->choose_route()) return;
   this->choose_service();
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -78,6 +78,9 @@
   time_point due() const { return this->limit; }
   /// \return True if it must run at most once.
   bool at_most_once() const;
+  /// \return False if its time is over or its caller has closed the connection,
+  ///     though neither may have been handled yet.
+  bool is_wanted(time_point now) const;
   /// \return When the head of the answer that was passed on came, if it did.
   std::optional<time_point> answered() const { return this->first_byte; }
   /// \return The longest time between two pieces of the answer.
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -42,12 +42,14 @@
 }
 
 small_fleet::small_fleet(int routers, int workers, int plains, int models,
-                         int empty_workers, bool behind_proxies)
+                         int empty_workers, bool behind_proxies,
+                         int keep_alive_s)
     : routers(routers),
       workers(workers),
       plains(plains),
       models(models),
-      behind_proxies(behind_proxies) {
+      behind_proxies(behind_proxies),
+      keep_alive_s(keep_alive_s) {
   // Runs beside each other get ports of their own.
   constexpr int first_port = 20000;
   constexpr int port_step = 8;
@@ -343,7 +345,8 @@
       "--advertise=" + this->advertised(name),
       "--load_ms_disk=300",
       "--disk_checkpoints=" + std::to_string(places),
-      "--delay_ms=20"};
+      "--delay_ms=20",
+      "--keep_alive_s=" + std::to_string(this->keep_alive_s)};
   all.insert(all.end(), flags.begin(), flags.end());
   this->add_standin(name, "worker", all);
 }
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -31,8 +31,10 @@
   ///     nothing loaded and no copies.
   /// \param behind_proxies The processes of ours reach the store and the
   ///     servers at their `proxy_address`, where the test has to listen.
+  /// \param keep_alive_s How long a worker keeps an idle connection.
   small_fleet(int routers, int workers, int plains, int models,
-              int empty_workers = 0, bool behind_proxies = false);
+              int empty_workers = 0, bool behind_proxies = false,
+              int keep_alive_s = 1);
   ~small_fleet();
 
   /// Starts all; returns when every router is ready.
@@ -116,6 +118,7 @@
   int plains;
   int models;
   bool behind_proxies;
+  int keep_alive_s;
   std::string folder;
   int port_base;
   std::map<std::string, std::string> addresses;
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -21,6 +21,7 @@
 ABSL_FLAG(std::string, address, "127.0.0.1", "IP address to listen on");
 ABSL_FLAG(int, port, 0, "port to listen on");
 ABSL_FLAG(std::uint32_t, threads, 256, "threads that serve requests");
+ABSL_FLAG(int, keep_alive_s, 1, "how long an idle connection is kept");
 ABSL_FLAG(double, reads_per_s, 0, "table: cap of reads; 0 is none");
 ABSL_FLAG(double, writes_per_s, 0, "table: cap of written rows; 0 is none");
 ABSL_FLAG(std::int64_t, lag_ms, 0, "vm_list, engine events: how late it is");
@@ -63,6 +64,7 @@
           .address = absl::GetFlag(FLAGS_address),
           .port = absl::GetFlag(FLAGS_port),
           .threads = absl::GetFlag(FLAGS_threads),
+          .keep_alive = std::chrono::seconds(absl::GetFlag(FLAGS_keep_alive_s)),
           .reads_per_s = absl::GetFlag(FLAGS_reads_per_s),
           .writes_per_s = absl::GetFlag(FLAGS_writes_per_s),
           .lag = milliseconds(absl::GetFlag(FLAGS_lag_ms)),
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -52,7 +52,7 @@
     return new httplib::ThreadPool(threads);
   };
   this->server.set_payload_max_length(max_body_bytes);
-  this->server.set_keep_alive_timeout(1);
+  this->server.set_keep_alive_timeout(settings.keep_alive.count());
   this->server.set_tcp_nodelay(true);
   this->server.Get("/standin/ready", [](const auto&, auto& response) {
     reply(response, 200, Json::Value(Json::objectValue));
--- a/test/standin/standin_settings.hpp
+++ b/test/standin/standin_settings.hpp
@@ -14,6 +14,8 @@
   std::string address;
   int port = 0;
   std::uint32_t threads = 0;
+  /// How long an idle connection is kept.
+  std::chrono::seconds keep_alive{1};
   double reads_per_s = 0;
   double writes_per_s = 0;
   std::chrono::milliseconds lag{0};
