Log questions to doubted servers that fail, and doubts that end unasked

A doubt decides which server a request goes to, and two of its turns left no line: a question to a silent server that was not answered (the doubt stands and goes on to the planner), and the end of a doubt of a server that can't be asked, since its service has no status check. Event 814 tells the first, 813 with by="no status check" the second. No behaviour changes.

--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -91,6 +91,7 @@
   server_replaced = 811,
   server_silent = 812,
   server_heard = 813,
+  server_unanswering = 814,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -104,6 +104,8 @@
   if (!service || service->health_path.empty()) {
     // It can't be asked, so now and then a request shows.
     server.silence.on_question_ended(true, time_point::clock::now());
+    kernel::log_event(kernel::event::server_heard,
+                      {{"server", server.entry.id}, {"by", "no status check"}});
     return;
   }
   http::header_list headers;
@@ -131,7 +133,12 @@
                                    const result<http::whole_answer>& answer) {
   const auto found = this->servers.find(server);
   if (found == this->servers.end()) return;
-  if (answer) this->check_lifetime(found->second, answer.value().head);
+  if (answer) {
+    this->check_lifetime(found->second, answer.value().head);
+  } else {
+    kernel::log_event(kernel::event::server_unanswering,
+                      {{"server", server}, {"error", answer.error()}});
+  }
   const bool ended = found->second.silence.on_question_ended(
       static_cast<bool>(answer), time_point::clock::now());
   if (!ended) return;
