Bound what routers have unread at a server, for all requests

What callers lost: the worker of the busiest model read a long prompt for 1.3 s, and sixteen requests of four routers lay unread behind it when its machine stood still. None of them could go to another worker, since each may run; all callers waited for 3.2 s and left, and the rule about work for callers that have left was broken.

Hypothesis: with a bound on a router's unread prompt tokens at a server the rest waits in the router, where it can go elsewhere or be refused truthfully. The change: 16,000 tokens over all routers (half a second of reading), each router an equal share, at least one request; the bound for late requests stays below it.

The tests fail without the bound (100 requests lie at the worker in place of 28).

--- a/src/decide/server_choice.hpp
+++ b/src/decide/server_choice.hpp
@@ -21,11 +21,12 @@
 /// \param queue_share How far above its slots a server may be filled; its own
 ///     queue is short and knows priorities, so a little of it is used.
 /// \param most_unread Prompt tokens of this router that may be unread at the
-///     server. It is low for requests whose latency objective has passed, so
-///     that those which can still be in time are: a model comes back after a
-///     restart with a hundred requests waiting, and sent all at once their
-///     prompts kept the worker reading for two seconds, in which new requests
-///     were late, too, and streams stood still until their callers left.
+///     server, see `unread_limits`. It is lower for requests whose latency
+///     objective has passed, so that those which can still be in time are: a
+///     model comes back after a restart with a hundred requests waiting, and
+///     sent all at once their prompts kept the worker reading for two seconds,
+///     in which new requests were late, too, and streams stood still until
+///     their callers left.
 /// \param random Any bits; they break ties, so that routers with the same view
 ///     don't all choose the same server.
 /// \return The index of the candidate, or nothing if all are full.
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "serve/dispatcher.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "decide/server_choice.hpp"
@@ -214,9 +213,8 @@
              this->health.suspect(id, now) || request.sends().broke_off(id)});
     states.push_back(&state);
   }
-  const int most_unread = is_late(request, now)
-                              ? this->settings.late_prompt_tokens
-                              : std::numeric_limits<int>::max();
+  const int most_unread =
+      this->settings.unread.of_router(is_late(request, now), this->routers);
   const auto chosen =
       decide::choose_server(candidates, this->settings.queue_share, most_unread,
                             kernel::random_bits());
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -67,8 +67,10 @@
                                     least_memory_mb, most_memory_mb);
   settings.queue_share = entry.real("queue_share", settings.queue_share, 0, 10);
   constexpr int most_tokens = 1000000000;
-  settings.late_prompt_tokens = static_cast<int>(entry.number(
-      "late_prompt_tokens", settings.late_prompt_tokens, 0, most_tokens));
+  settings.unread.at_server = static_cast<int>(entry.number(
+      "unread_prompt_tokens", settings.unread.at_server, 0, most_tokens));
+  settings.unread.late = static_cast<int>(
+      entry.number("late_prompt_tokens", settings.unread.late, 0, most_tokens));
   read_budget(document, settings.budget);
   read_planner(document, settings.planner);
   return settings;
--- a/src/serve/entry_settings.hpp
+++ b/src/serve/entry_settings.hpp
@@ -8,6 +8,7 @@
 
 #include "decide/planner_settings.hpp"
 #include "decide/send_budget_settings.hpp"
+#include "decide/unread_limits.hpp"
 #include "serve/node_settings.hpp"
 
 namespace boragehill::kernel {
@@ -34,10 +35,7 @@
   decide::planner_settings planner;
   /// How far above its slots a server may be filled.
   double queue_share = 0.25;
-  /// Prompt tokens that one router may have unread at a server when it sends a
-  /// request that is late already: four routers then keep a server reading for
-  /// 0.2 s.
-  int late_prompt_tokens = 2000;
+  decide::unread_limits unread;
 
   bool operator==(const entry_settings&) const = default;
 
--- /dev/null
+++ b/test/decide-test/unread_limits_test.cpp
@@ -0,0 +1,84 @@
+#include "decide/unread_limits.hpp"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+#include "decide/server_choice.hpp"
+
+namespace boragehill::decide {
+namespace {
+
+constexpr int short_prompt = 650;
+constexpr int long_prompt = 17600;
+
+/// The routers of a fleet, each with its own view of the only worker that has a
+/// model; nothing is read there.
+class stuck_worker {
+ public:
+  explicit stuck_worker(int routers)
+      : views(routers, server_candidate{.slots = 64}) {}
+
+  bool send(int router, int tokens) {
+    const int limit =
+        this->limits.of_router(false, static_cast<int>(this->views.size()));
+    auto& view = this->views[router];
+    if (!choose_server({view}, 0.25, limit, 0)) return false;
+    ++view.own_requests;
+    view.unread_tokens += tokens;
+    return true;
+  }
+
+  int unread() const {
+    int sum = 0;
+    for (const auto& each : this->views) sum += each.unread_tokens;
+    return sum;
+  }
+
+  unread_limits limits;
+
+ private:
+  std::vector<server_candidate> views;
+};
+
+TEST(unread_limits_test, little_lies_at_a_worker_that_reads_nothing) {
+  // The only worker of the busiest model is held up, and four routers have a
+  // hundred requests for it. Each was sent at once, waited there unread until
+  // its caller left, and was lost when the worker's machine stood still, though
+  // another worker had the model soon after.
+  constexpr int routers = 4;
+  stuck_worker worker(routers);
+  for (int each = 0; each < 100; ++each) {
+    worker.send(each % routers, short_prompt);
+  }
+  EXPECT_GE(worker.unread(), worker.limits.at_server);
+  EXPECT_LE(worker.unread(), worker.limits.at_server + routers * short_prompt);
+}
+
+TEST(unread_limits_test, nothing_is_sent_behind_a_long_prompt) {
+  // A report is being read for half a second. What its router sends meanwhile
+  // can't begin before it ends, and can't go elsewhere any more.
+  stuck_worker worker(4);
+  EXPECT_TRUE(worker.send(0, long_prompt));
+  EXPECT_FALSE(worker.send(0, short_prompt));
+  EXPECT_TRUE(worker.send(1, short_prompt));
+}
+
+TEST(unread_limits_test, each_router_of_many_may_send_one) {
+  constexpr int routers = 340;
+  stuck_worker worker(routers);
+  for (int router = 0; router < routers; ++router) {
+    EXPECT_TRUE(worker.send(router, long_prompt)) << router;
+    EXPECT_FALSE(worker.send(router, short_prompt)) << router;
+  }
+}
+
+TEST(unread_limits_test, late_requests_never_may_have_more) {
+  const unread_limits limits;
+  for (int routers = 0; routers < 400; ++routers) {
+    EXPECT_LE(limits.of_router(true, routers),
+              limits.of_router(false, routers));
+  }
+}
+
+}  // namespace
+}  // namespace boragehill::decide
