--- a/bench/stack_slope.sh
+++ b/bench/stack_slope.sh
@@ -2,7 +2,7 @@
 # Measures processor time, memory and control bytes of the local stack's
 # processes at several loads. All requests enter at router 2.
 #
-#   support/local_stack.sh start
+#   support/table_stack.sh start
 #   bench/stack_slope.sh 0:16 10:16 40:16 20:64     rate:tokens, 15 s each
 set -euo pipefail
 
@@ -11,7 +11,7 @@
 load=${BORAGEHILL_LOAD:-$build/bench/boragehill_load}
 ticks=$(getconf CLK_TCK)
 readonly root build load ticks
-readonly state=$build/local_stack
+readonly state=$build/table_stack
 readonly seconds=15
 readonly first=127.0.0.1:17101 entry=127.0.0.1:17111
 
--- a/support/quickstart.sh
+++ b/support/quickstart.sh
@@ -19,27 +19,29 @@
 trap 'exit 130' INT TERM
 support/local_stack.sh start
 
+readonly caller=(curl -sS -N --max-time 12 -H 'Host: valves.example'
+  -H 'Boragehill-Deadline-Ms: 10000')
+
 echo
-echo "A streamed request to a model that no server holds yet:"
-curl -sS -N --max-time 40 http://127.0.0.1:17101/v1/chat/completions \
-  -H 'X-Service: valve-assistant' -H 'Content-Type: application/json' -d '{
-    "model": "valves-70b:spool", "stream": true, "max_tokens": 8,
-    "messages": [{"role": "user", "content": "Which spool for two ports?"}]}'
+echo "A streamed request to a model that no worker holds yet:"
+"${caller[@]}" http://127.0.0.1:17110/stream/ask \
+  -H 'Boragehill-Attempt-Id: quickstart-1' \
+  -H 'Boragehill-Model: spools-70b' -d 'Which spool for two ports?'
+
+echo "An order, which may run only once:"
+"${caller[@]}" http://127.0.0.2:17110/plain/orders \
+  -H 'Boragehill-Attempt-Id: quickstart-2' -d 'one manifold'
 
 echo
-echo "An order to a plain service, sent twice with one key; it runs once:"
-for router in 17101 17111; do
-  curl -sS --max-time 40 "http://127.0.0.1:$router/services/spec-sheets/orders" \
-    -H 'X-Service: valve-assistant' -H 'Content-Type: application/json' \
-    -H 'Idempotency-Key: quickstart-1' -d '{"part": "manifold", "count": 1}'
-  echo
-done
+echo
+echo "What became of the first one, from the logs alone:"
+"$build/boragehill" explain quickstart-1 --log "$build/local_stack/router_1.log"
 
 cat <<'END'
 
 Where to look next:
   README.md              what boragehill is and how to run it
-  examples/local/        the settings and the profile used here
-  docs/OPERATIONS.md     running it: settings, profiles, what to watch
+  examples/local/        the settings and the configuration used here
+  docs/OPERATIONS.md     running it: settings, what to watch
   docs/CONTRIBUTING.md   changing it
 END
