Place no model of a starting fleet before its listed servers have registered

06.0541 router-1 event=701 name=profile_published revision=1 06.0664 event=401 name=grant_added model=model-1 server=server-1 06.0711 to 06.0870 the same for model-3, model-4 and model-5 06.0894 server-3 event=501 name=agent_fenced_in 15.6691 server-1 event=509 name=wake_refused model=model-3 code=no_memory

Cause: grants ahead of need were written while only the first agent had its row, all on its server, which holds two models. Grants don't move, so the four drove each other out for as long as anybody asked, and one server stood idle. Ruled out: load alone (each load took its 1.6 s), a lost wake (509 names the reason).

Now a router that just started leaves grants that nobody waits for until all model servers of the platform's list have registered, for two seconds at most; what is waited for is placed at once, as before. So a server that is listed and dead costs two seconds after a router's start and no caller anything.

--- a/src/decide/home_action.hpp
+++ b/src/decide/home_action.hpp
@@ -52,6 +52,8 @@
   /// Servers that do not count towards the number: suspected ones.
   std::vector<std::string> not_counted;
   std::string reason;
+  /// No request waits for the model.
+  bool ahead = false;
 
   bool operator==(const want_grants&) const = default;
 };
--- a/src/decide/home_wakes.cpp
+++ b/src/decide/home_wakes.cpp
@@ -198,7 +198,8 @@
   want_grants wanted{.model = model_of_target(target.name),
                      .number = number,
                      .not_counted = {},
-                     .reason = reason};
+                     .reason = reason,
+                     .ahead = target.queue.empty()};
   for (const auto& id : target.servers) {
     const auto known = this->known_servers.find(id);
     const bool heard = known != this->known_servers.end() &&
--- a/src/router/placement_duty.cpp
+++ b/src/router/placement_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <thread>
 #include <utility>
 
 #include "decide/catalog.hpp"
@@ -24,6 +25,9 @@
 /// itself is guarded by rows read just before it.
 constexpr milliseconds servers_keep{2000};
 constexpr int conflict_tries = 4;
+/// A server that starts with this router writes its row within this.
+constexpr milliseconds registration_limit{2000};
+constexpr milliseconds registration_poll{20};
 /// How many of a model's homes write its grants: were it all routers, a new
 /// model would make hundreds of them race for two rows.
 constexpr std::size_t placing_homes = 2;
@@ -60,6 +64,13 @@
   const auto published = this->config.current();
   const auto* spec = published->spec_of(wanted.model);
   if (spec == nullptr || !this->may_place(wanted.model)) return;
+  // Grants don't move. Written while only the first server of a fleet that
+  // starts had its row, they all stood there, where the models drove each other
+  // out while the other servers stood idle.
+  if (wanted.ahead && this->awaits_servers()) {
+    this->worker.post(wanted);
+    return;
+  }
   for (int attempt = 0; attempt < conflict_tries; ++attempt) {
     const auto current = this->store.read(wanted.model);
     if (!current) return;
@@ -231,6 +242,24 @@
   return true;
 }
 
+bool placement_duty::all_registered() const {
+  const auto listed = this->members.servers(time_point::clock::now());
+  return std::all_of(listed.begin(), listed.end(), [this](const vm_info& vm) {
+    if (vm.role != vm_role::model_server) return true;
+    return std::any_of(
+        this->servers.begin(), this->servers.end(),
+        [&vm](const server_record& each) { return each.id == vm.id; });
+  });
+}
+
+bool placement_duty::awaits_servers() {
+  const auto age = time_point::clock::now() - this->started;
+  if (age >= registration_limit || this->all_registered()) return false;
+  std::this_thread::sleep_for(registration_poll);
+  this->refresh_servers(true);
+  return !this->all_registered();
+}
+
 void placement_duty::count_grant(const std::string& server,
                                  const grant& added) {
   // Many models ask within the time that the rows are kept. Chosen by rows as
--- a/src/router/placement_duty.hpp
+++ b/src/router/placement_duty.hpp
@@ -68,6 +68,12 @@
                                   const decide::model_spec& spec,
                                   const placement& current);
   bool refresh_servers(bool force);
+  /// \return True if every model server of the platform's list has a row.
+  bool all_registered() const;
+  /// Gives servers that are listed and have no row yet a moment to write one,
+  /// in the first time after this router's start.
+  /// \return True if there are still such servers.
+  bool awaits_servers();
   void count_grant(const std::string& server, const grant& added);
   void show(const placement& current);
   void hint(const std::string& server);
@@ -84,6 +90,7 @@
   std::map<std::string, placement> known;
   std::vector<server_record> servers;
   time_point servers_read_at;
+  const time_point started = time_point::clock::now();
   std::atomic<std::uint64_t> added{0};
   std::atomic<std::uint64_t> removed{0};
   kernel::duty<placement_message> worker;
--- a/test/decide-test/home_test.cpp
+++ b/test/decide-test/home_test.cpp
@@ -313,6 +313,7 @@
   const auto ahead = b.take<want_grants>();
   ASSERT_FALSE(ahead.empty());
   EXPECT_EQ(ahead[0].number, 2u);
+  EXPECT_TRUE(ahead[0].ahead);
   b.h.on_servers(target, {"s1", "s2"}, b.now);
   b.report("s1", replica_state::cold);
   b.report("s2", replica_state::cold);
@@ -329,6 +330,7 @@
   const auto asked = b.take<want_grants>();
   ASSERT_FALSE(asked.empty());
   EXPECT_EQ(asked[0].number, 3u);
+  EXPECT_FALSE(asked[0].ahead);
   EXPECT_EQ(asked[0].not_counted, names{"s1"});
 }
 
--- a/test/process-test/cluster.cpp
+++ b/test/process-test/cluster.cpp
@@ -8,7 +8,9 @@
 #include <fstream>
 #include <httplib.h>
 #include <random>
+#include <set>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include "kernel/json_text.hpp"
@@ -107,12 +109,32 @@
   });
   if (!is_up) return false;
   this->send_list();
-  for (const std::string& name : this->products) (*this)[name].start();
-  return wait_for(start_limit, [this] { return this->publish(1, 0, 0) > 0; }) &&
-         this->wait_until_ready(start_limit) &&
+  for (const std::string& name : this->products) {
+    if (!this->starts_late(name)) (*this)[name].start();
+  }
+  const bool some_late = this->shape.late_agents > 0;
+  constexpr std::chrono::milliseconds late{300};
+  // So that the agents that are early have registered.
+  if (some_late) std::this_thread::sleep_for(late);
+  if (!wait_for(start_limit, [this] { return this->publish(1, 0, 0) > 0; })) {
+    return false;
+  }
+  if (some_late) std::this_thread::sleep_for(late);
+  for (const std::string& name : this->products) {
+    if (this->starts_late(name)) (*this)[name].start();
+  }
+  return this->wait_until_ready(start_limit) &&
          wait_for(start_limit, [this] { return this->has_grants(); });
 }
 
+bool cluster::starts_late(const std::string& name) const {
+  for (int i = 0; i < this->shape.late_agents; ++i) {
+    if (name == "server-" + std::to_string(this->shape.engines - i))
+      return true;
+  }
+  return false;
+}
+
 process& cluster::operator[](const std::string& name) {
   return *this->processes.at(name);
 }
@@ -334,6 +356,24 @@
   return text;
 }
 
+std::map<std::string, int> cluster::grants_by_server() {
+  std::map<std::string, std::set<std::string>> models;
+  const Json::Value page = this->admin_page(1, "status");
+  for (const auto& router : page["routers"]) {
+    for (const auto& target : router["targets"]) {
+      if (target["target"] == "pool:sheets") continue;
+      for (const auto& server : target["servers"]) {
+        models[server["id"].asString()].insert(target["target"].asString());
+      }
+    }
+  }
+  std::map<std::string, int> counts;
+  for (const auto& [server, held] : models) {
+    counts[server] = static_cast<int>(held.size());
+  }
+  return counts;
+}
+
 bool cluster::has_grants() {
   std::map<std::string, unsigned> granted;
   const Json::Value page = this->admin_page(1, "status");
--- a/test/process-test/cluster.hpp
+++ b/test/process-test/cluster.hpp
@@ -24,6 +24,9 @@
   int replicas = 1;
   int max_replicas = 1;
   int warm = 0;
+  /// So many agents of engines, the last ones, start only after the profile
+  /// was published.
+  int late_agents = 0;
   /// Keys added to the `[router]` and `[agent]` sections.
   std::string router_keys;
   std::string agent_keys;
@@ -80,6 +83,9 @@
   /// Lists a VM as "live" or "leaving"; "gone" takes it off the list.
   void list_as(const std::string& vm, const std::string& state);
 
+  /// Returns how many models each server may hold, by the routers' status.
+  std::map<std::string, int> grants_by_server();
+
   /// Returns the most replicas that a model ever had at once by the engines'
   /// own history.
   int most_replicas(const std::string& model);
@@ -95,6 +101,7 @@
   std::string address(const std::string& port_name);
   std::string profile(int priority) const;
   bool has_grants();
+  bool starts_late(const std::string& name) const;
 
   cluster_shape shape;
   std::string folder;
