--- a/test/fleet-test/store_outage_test.cpp
+++ b/test/fleet-test/store_outage_test.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <gtest/gtest.h>
+#include <string>
 #include <thread>
 
 #include "fleet-test/small_fleet.hpp"
@@ -32,5 +33,26 @@
   }
 }
 
+TEST(store_outage_test, models_wake_while_the_store_answers_nobody) {
+  // The week in which models wake together may be the one in which the store is
+  // down. Requests and wakes go on by what routers, planner and agents know.
+  small_fleet fleet(2, 2, 1, 6);
+  ASSERT_TRUE(fleet.start());
+  ASSERT_EQ(fleet.call(1, "before", "model-1", "/stream/x")->status, 200);
+  for (const char* kind : {"down", "silent"}) {
+    fleet.fault("store", std::string(R"({"kind":")") + kind + "\"}");
+    for (int each = 1; each <= 6; ++each) {
+      const auto attempt = std::string(kind) + std::to_string(each);
+      const auto answer = fleet.call(1 + each % 2, attempt,
+                                     numbered("model", each), "/stream/x");
+      ASSERT_TRUE(answer) << attempt;
+      EXPECT_EQ(answer->status, 200) << attempt << " " << answer->body;
+      EXPECT_EQ(fleet.runs_of(attempt), 1) << attempt;
+    }
+    fleet.fault("store", R"({"kind":"none"})");
+  }
+  EXPECT_TRUE(fleet.orders_were_sound());
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
