Test that what runs at a leaving worker ends in peace; start servers first in tests

The times fit one cause only: the test called before the first server had registered, since small_fleet started all processes at once, and a refusal is right then.

--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -111,6 +111,33 @@
   EXPECT_EQ(fleet.truth("plain-1")["runs"].size(), before);
 }
 
+TEST(calm_day_test, what_runs_at_a_leaving_worker_ends_in_peace) {
+  // A worker says that it leaves while streams run there. It serves on for a
+  // while, so they end whole, and later callers are served elsewhere.
+  small_fleet fleet(1, 2, 1, 2);
+  ASSERT_TRUE(fleet.start());
+  std::atomic<int> whole{0};
+  std::vector<std::thread> callers;
+  constexpr int streams = 4;
+  callers.reserve(streams);
+  for (int each = 0; each < streams; ++each) {
+    callers.emplace_back([&fleet, &whole, each] {
+      const auto attempt = "e" + std::to_string(each);
+      const auto answer = fleet.call(1, attempt, "model-1", "/stream/x");
+      EXPECT_TRUE(is_whole_stream(answer))
+          << (answer ? answer->status : 0) << (answer ? answer->body : "");
+      EXPECT_EQ(fleet.runs_of(attempt), 1) << attempt;
+      if (is_whole_stream(answer)) ++whole;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(60));
+  fleet.drain("worker-1");
+  for (auto& each : callers) each.join();
+  EXPECT_EQ(whole, streams);
+  EXPECT_TRUE(is_whole_stream(fleet.call(1, "later", "model-1", "/stream/x")));
+  EXPECT_EQ(fleet.truth("worker-2")["runs"]["later"].asInt(), 1);
+}
+
 TEST(calm_day_test, a_server_that_was_replaced_gets_one_request_at_most) {
   // A server crashes and another lifetime starts at its address. The platform
   // lists both for seconds; each request for the first one is refused, sent
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -147,13 +147,12 @@
 
 bool small_fleet::start() {
   (*this)["store"].start();
-  httplib::Client store(this->address_of("store"),
-                        this->port_base + store_port_offset);
-  for (int tries = 0; tries < 250; ++tries) {
-    if (store.Get("/standin/ready")) break;
-    std::this_thread::sleep_for(poll);
-  }
+  this->await_standin("store");
   this->configure(1, "/plain/");
+  // A caller that is there before the first server has registered is refused,
+  // as it should be; tests that call at once need the servers.
+  for (const auto& name : this->servers()) (*this)[name].start();
+  for (const auto& name : this->servers()) this->await_standin(name);
   for (auto& [name, each] : this->processes) each->start();
   constexpr milliseconds limit{10000};
   for (int each = 1; each <= this->routers; ++each) {
@@ -162,6 +161,26 @@
   return true;
 }
 
+std::vector<std::string> small_fleet::servers() const {
+  std::vector<std::string> names;
+  for (int each = 1; each <= this->workers; ++each) {
+    names.push_back(numbered("worker", each));
+  }
+  for (int each = 1; each <= this->plains; ++each) {
+    names.push_back(numbered("plain", each));
+  }
+  return names;
+}
+
+void small_fleet::await_standin(const std::string& name) const {
+  const auto at = this->real_address(name);
+  httplib::Client standin(at.address, at.port);
+  for (int tries = 0; tries < 250; ++tries) {
+    if (standin.Get("/standin/ready")) return;
+    std::this_thread::sleep_for(poll);
+  }
+}
+
 void small_fleet::configure(std::int64_t version, const std::string& prefix) {
   Json::Value config;
   config["version"] = Json::Int64(version);
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -98,6 +98,9 @@
   std::string planner();
 
  private:
+  /// \return The names of all backend servers, model workers first.
+  std::vector<std::string> servers() const;
+  void await_standin(const std::string& name) const;
   void add(const std::string& name, const std::vector<std::string>& arguments);
   void add_standin(const std::string& name, const std::string& kind,
                    const std::vector<std::string>& flags);
