Move or end requests that a silent server holds, before their callers leave

What callers saw: a worker's machine stands still for four seconds. Callers without a first byte waited out their patience of 3.2 s and left with nothing; resumable streams in the middle of their answer, which another worker could have gone on with, waited as well. When the machine woke, its runs were for nobody.

Cause: silence only stopped new requests. Nothing judged the ones already there.

The mend: a request at a server that is doubted and left a status check unanswered is judged ten times a second (src/decide/silent_wait). If it may run twice and another server takes it, it moves, within the budget for repeats; otherwise, if nothing of its answer has come, it ends with 502, outcome unknown, once the silence has lasted for as long as its caller will still wait. A silence is expected to last as long again as it has lasted, so a server that goes on after a second loses nothing, and the caller is told while it has time to act. Requests that ended at the first failed check would have lost their answers to every pause of half a second. An answer that has begun is never ended. A pause of the router itself, in which the answer to a status check may have been missed, counts as no failure.

Tests: silent_wait_test, send_record_test.moves_only_..., silence_watch_test (two), and over real processes silent_worker_test.a_caller_is_told_before_its_patience_is_over and .a_resumable_stream_goes_on_at_another_worker.

--- a/src/decide/send_record.cpp
+++ b/src/decide/send_record.cpp
@@ -39,12 +39,19 @@
   return this->rule == fleet::repeat_rule::stream && this->resumable;
 }
 
+bool send_record::repeatable() const {
+  return this->rule == fleet::repeat_rule::idempotent || this->goes_on();
+}
+
 bool send_record::may_send() const {
   if (this->out || this->sends >= most_sends) return false;
   if (this->runs == 0) return true;
-  const bool repeatable =
-      this->rule == fleet::repeat_rule::idempotent || this->goes_on();
-  return repeatable && this->runs < this->attempts;
+  return this->repeatable() && this->runs < this->attempts;
+}
+
+bool send_record::may_move() const {
+  return this->repeatable() && this->sends < most_sends &&
+         this->runs + 1 < this->attempts;
 }
 
 bool send_record::may_repeat_failure() const {
--- a/src/decide/send_record.hpp
+++ b/src/decide/send_record.hpp
@@ -34,6 +34,9 @@
   /// \return True if it may go to another server though the one that has it now
   ///     answered with a failure of its own.
   bool may_repeat_failure() const;
+  /// \return True if it may go to another server though the one that has it now
+  ///     may still run it.
+  bool may_move() const;
   /// \return True if no server has run it or may yet run it.
   bool surely_not_run() const { return this->runs == 0 && !this->out; }
   /// \return True if it was handed to a server at least once.
@@ -53,6 +56,8 @@
  private:
   /// \return True if another run goes on where the last one broke off.
   bool goes_on() const;
+  /// \return True if it may run more than once.
+  bool repeatable() const;
 
   fleet::repeat_rule rule;
   bool resumable;
--- a/src/decide/silence_watch.cpp
+++ b/src/decide/silence_watch.cpp
@@ -43,6 +43,7 @@
 bool silence_watch::on_question_ended(bool answered, time_point now) {
   this->asking = false;
   this->next_question = now + question_pause;
+  this->question_failed = !answered && this->since;
   if (!answered || !this->since) return false;
   ++this->hollow_answers;
   this->trusted_until = now + trust;
--- a/src/decide/silence_watch.hpp
+++ b/src/decide/silence_watch.hpp
@@ -31,6 +31,9 @@
   /// \return True if the doubt has lasted for long enough to tell others.
   bool confirmed(time_point now) const;
 
+  /// \return True if the server is doubted and left a question unanswered.
+  bool unanswering() const { return this->doubted() && this->question_failed; }
+
   /// \return True if the server should be asked now.
   bool question_due(time_point now) const {
     return this->doubted() && !this->asking && now >= this->next_question;
@@ -43,12 +46,20 @@
   /// \return True if that ended a doubt.
   bool on_question_ended(bool answered, time_point now);
 
+  /// The answer to a question may have been missed; it tells nothing.
+  void on_question_missed() { this->asking = false; }
+
  private:
-  void end_doubt() { this->since.reset(); }
+  void end_doubt() {
+    this->since.reset();
+    this->question_failed = false;
+  }
 
   answer_pulse pulse;
   std::optional<time_point> since;
   bool asking = false;
+  /// The last question of this doubt was left unanswered.
+  bool question_failed = false;
   time_point next_question;
   /// Questions that were answered since the last piece of an answer: the
   /// server lives, and still answers no request.
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -69,6 +69,7 @@
   answer_broken = 608,
   caller_hung_up = 609,
   bad_input = 610,
+  silent_server_left = 611,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -204,7 +204,7 @@
     if (!this->can_take(state, request)) continue;
     const int slots = state.entry.slots;
     candidates.push_back(
-        {.own_requests = state.own_requests,
+        {.own_requests = static_cast<int>(state.requests.size()),
          .other_requests = state.other_requests,
          .unread_tokens = state.silence.answers().tokens_unread(),
          .slots = slots > 0 ? slots : assumed_slots,
@@ -227,7 +227,7 @@
       server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
-  ++server.own_requests;
+  server.requests.emplace(request.get(), request);
   server.silence.answers().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{server.entry.id, request->fields().model,
                    request->fields().adapter}];
@@ -319,7 +319,7 @@
 void dispatcher::on_left(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found != this->servers.end()) {
-    --found->second.own_requests;
+    found->second.requests.erase(&request);
     auto& answers = found->second.silence.answers();
     if (request.unanswered()) {
       answers.on_unbegun_left(request.fields().prompt_tokens);
@@ -391,18 +391,22 @@
       .first->second;
 }
 
+decide::wait_case dispatcher::waiting_of(const exchange& request,
+                                         time_point now) const {
+  const auto& route = *request.route();
+  return {.waited = milliseconds(ms_between(request.request().received, now)),
+          .left = milliseconds(ms_between(now, request.due())),
+          .stream = route.rule == fleet::repeat_rule::stream,
+          .objective = route.latency_objective,
+          .gap_objective = route.gap_objective};
+}
+
 std::optional<dispatcher::vain_wait> dispatcher::in_vain(
     const exchange& request, time_point now) const {
-  const auto& route = *request.route();
   const bool listed = this->may_get_server(request);
-  decide::wait_case waiting{
-      .waited = milliseconds(ms_between(request.request().received, now)),
-      .left = milliseconds(ms_between(now, request.due())),
-      .stream = route.rule == fleet::repeat_rule::stream,
-      .objective = route.latency_objective,
-      .gap_objective = route.gap_objective,
-      // A stream that broke off goes on as soon as there is a server.
-      .has_server = listed || request.answered()};
+  auto waiting = this->waiting_of(request, now);
+  // A stream that broke off goes on as soon as there is a server.
+  waiting.has_server = listed || request.answered();
   const auto known = this->expected.find(request.fields().model);
   if (known != this->expected.end()) {
     waiting.ready_in =
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -29,6 +29,10 @@
 #include "serve/server_state.hpp"
 #include "wire/view_update.hpp"
 
+namespace boragehill::decide {
+struct wait_case;
+}
+
 namespace boragehill::serve {
 
 /// Finds a backend server for each request, or lets it wait for one. All of it
@@ -128,13 +132,22 @@
   bool can_take(const server_state& server, const exchange& request) const;
   decide::answer_pulse* pulse_of(const exchange& request);
   void judge_silence(server_state& server, time_point now);
+  /// Judges the requests at servers that left a question unanswered.
+  void judge_silent_waits(time_point now);
+  void judge_silent_wait(const std::shared_ptr<exchange>& request,
+                         time_point now);
+  /// \return True if it may leave its server, and another one takes it now.
+  bool is_movable(const exchange& request, time_point now);
+  /// \return The request as the judge of its waiting sees it.
+  decide::wait_case waiting_of(const exchange& request, time_point now) const;
   void ask(server_state& server);
   /// Marks a server as replaced if another lifetime answered.
   void check_lifetime(server_state& server, const http::message_head& head);
   /// \param by What was answered: a request's attempt, or a question.
   void mark_replaced(server_state& server, const std::string& by);
   void on_question_ended(const std::string& server,
-                         const result<http::whole_answer>& answer);
+                         const result<http::whole_answer>& answer,
+                         time_point asked);
   /// Silence during a pause of this process says nothing of any server.
   void excuse_own_pause(time_point now);
   /// \return False if no server is listed that could ever take the request.
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -1,7 +1,10 @@
 // What the dispatcher does about servers that fall silent.
 
 #include <utility>
+#include <vector>
 
+#include "decide/silent_wait.hpp"
+#include "decide/wait_limit.hpp"
 #include "fleet/request_codec.hpp"
 #include "http/call_connection.hpp"
 #include "http/head_text.hpp"
@@ -77,6 +80,49 @@
     heard = heard || (was_doubted && !state.silence.doubted());
   }
   if (heard) this->serve_waiting();
+  this->judge_silent_waits(now);
+}
+
+void dispatcher::judge_silent_waits(time_point now) {
+  // Requests that move or end change the servers' lists of them.
+  std::vector<std::shared_ptr<exchange>> held;
+  for (const auto& [id, state] : this->servers) {
+    if (!state.silence.unanswering()) continue;
+    for (const auto& [key, request] : state.requests) held.push_back(request);
+  }
+  for (const auto& each : held) this->judge_silent_wait(each, now);
+}
+
+bool dispatcher::is_movable(const exchange& request, time_point now) {
+  if (!request.may_move()) return false;
+  auto& budget = this->budget_of(request.service());
+  return budget.left(now, this->routers) >= 1 &&
+         this->find_server(request, now);
+}
+
+void dispatcher::judge_silent_wait(const std::shared_ptr<exchange>& request,
+                                   time_point now) {
+  using step = decide::silent_wait_step;
+  const auto found = this->servers.find(request->server());
+  if (found == this->servers.end()) return;
+  const auto waiting = this->waiting_of(*request, now);
+  const decide::silent_wait silent{
+      .silent = milliseconds(
+          ms_between(found->second.silence.answers().silent_since(), now)),
+      .remaining = decide::patience_of(waiting) - waiting.waited,
+      .begun = request->answered() || !request->unanswered(),
+      .movable = this->is_movable(*request, now)};
+  const auto next = decide::judge_silent_wait(silent);
+  if (next == step::wait) return;
+  if (next == step::move && !this->take_repeat(*request)) return;
+  kernel::log_event(kernel::event::silent_server_left,
+                    {{"request", request->fields().attempt},
+                     {"server", request->server()},
+                     {"step", next == step::move ? "move" : "give_up"},
+                     {"silent_ms", silent.silent.count()},
+                     {"remaining_ms", silent.remaining.count()},
+                     {"begun", silent.begun}});
+  next == step::move ? request->move_from_silent() : request->give_up_silent();
 }
 
 void dispatcher::judge_silence(server_state& server, time_point now) {
@@ -111,13 +157,14 @@
   http::header_list headers;
   headers.add("Host", server.entry.address.to_string());
   headers.add("Connection", "close");
+  const auto asked = time_point::clock::now();
   const auto call = std::make_shared<http::call_connection>(
       this->context, server.entry.address);
   call->call(http::request_head("GET", service->health_path, headers),
              question_limit,
-             [this, call,
-              id = server.entry.id](const result<http::whole_answer>& answer) {
-               this->on_question_ended(id, answer);
+             [this, call, id = server.entry.id,
+              asked](const result<http::whole_answer>& answer) {
+               this->on_question_ended(id, answer, asked);
                call->close();
              });
 }
@@ -130,17 +177,25 @@
 }
 
 void dispatcher::on_question_ended(const std::string& server,
-                                   const result<http::whole_answer>& answer) {
+                                   const result<http::whole_answer>& answer,
+                                   time_point asked) {
   const auto found = this->servers.find(server);
   if (found == this->servers.end()) return;
+  const auto now = time_point::clock::now();
+  this->excuse_own_pause(now);
+  auto& silence = found->second.silence;
+  if (!answer && asked < silence.answers().silent_since()) {
+    // The router stood still meanwhile, or the server was heard otherwise.
+    silence.on_question_missed();
+    return;
+  }
   if (answer) {
     this->check_lifetime(found->second, answer.value().head);
   } else {
     kernel::log_event(kernel::event::server_unanswering,
                       {{"server", server}, {"error", answer.error()}});
   }
-  const bool ended = found->second.silence.on_question_ended(
-      static_cast<bool>(answer), time_point::clock::now());
+  const bool ended = silence.on_question_ended(static_cast<bool>(answer), now);
   if (!ended) return;
   kernel::log_event(kernel::event::server_heard,
                     {{"server", server}, {"by", "question"}});
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -375,10 +375,32 @@
   this->refuse(result_code::outcome_unknown, why, come_back);
 }
 
+bool exchange::may_move() const {
+  const bool can_go_on = !this->head_passed || this->way->resumable;
+  return can_go_on && !this->done && this->record.may_move() &&
+         time_point::clock::now() < this->limit;
+}
+
+void exchange::move_from_silent() {
+  this->leave_running();
+  this->host.place(this->shared_from_this());
+}
+
+void exchange::give_up_silent() {
+  this->leave_running();
+  this->refuse(result_code::outcome_unknown, "server is silent",
+               milliseconds(0));
+}
+
+void exchange::leave_running() {
+  if (!this->connection) return;
+  this->record.on_perhaps_run();
+  this->drop_server();
+}
+
 void exchange::on_limit() {
   this->host.withdraw(*this);
-  if (this->connection) this->record.on_perhaps_run();
-  this->drop_server();
+  this->leave_running();
   if (this->head_passed) return this->break_off("time is over");
   if (this->pass_kept_failure()) return;
   if (this->record.surely_not_run()) {
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -48,6 +48,13 @@
   ///     not to say.
   void refuse(result_code code, const char* reason, milliseconds retry_after);
 
+  /// \return True if another server may take it from the one that has it.
+  bool may_move() const;
+  /// Leaves a silent server and goes to another one.
+  void move_from_silent();
+  /// Leaves a silent server; its caller is told that the outcome is unknown.
+  void give_up_silent();
+
   /// The caller hung up.
   void on_caller_gone();
 
@@ -109,6 +116,8 @@
   void leave_server();
   /// Breaks the connection to the server off, if there is one.
   void drop_server();
+  /// Leaves a server that may run it.
+  void leave_running();
   void note_piece();
   void go_on_reading();
   void answer_began();
--- a/src/serve/server_state.hpp
+++ b/src/serve/server_state.hpp
@@ -1,6 +1,8 @@
 #ifndef BORAGEHILL_SERVE_SERVER_STATE_HPP
 #define BORAGEHILL_SERVE_SERVER_STATE_HPP
 
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -11,6 +13,8 @@
 
 namespace boragehill::serve {
 
+class exchange;
+
 /// A backend server as a router sees it.
 struct server_state {
   /// As the platform lists it.
@@ -22,7 +26,7 @@
   /// there would be refused and count as a repeat.
   bool replaced = false;
   /// Requests of this router there.
-  int own_requests = 0;
+  std::map<const exchange*, std::shared_ptr<exchange>> requests;
   /// What comes of them.
   decide::silence_watch silence;
   /// Requests of other routers there, as the planner said.
--- a/test/decide-test/send_record_test.cpp
+++ b/test/decide-test/send_record_test.cpp
@@ -48,6 +48,25 @@
   }
 }
 
+TEST(send_record_test, moves_only_what_may_be_repeated) {
+  // Guards against a second run of a request that may run only once.
+  send_record order(repeat_rule::once, false, 3);
+  send_record stream(repeat_rule::stream, false, 3);
+  for (auto* each : {&order, &stream}) {
+    each->on_send("a");
+    EXPECT_FALSE(each->may_move());
+  }
+  send_record lookup(repeat_rule::idempotent, false, 2);
+  send_record resumable(repeat_rule::stream, true, 2);
+  for (auto* each : {&lookup, &resumable}) {
+    each->on_send("a");
+    EXPECT_TRUE(each->may_move());
+    each->on_perhaps_run();
+    each->on_send("b");
+    EXPECT_FALSE(each->may_move());
+  }
+}
+
 TEST(send_record_test, resumes_only_streams_that_may_be) {
   for (const bool resumable : {false, true}) {
     send_record stream(repeat_rule::stream, resumable, 2);
--- a/test/decide-test/silence_watch_test.cpp
+++ b/test/decide-test/silence_watch_test.cpp
@@ -175,6 +175,38 @@
   EXPECT_TRUE(server.watch.question_due(server.now));
 }
 
+TEST(silence_watch_test, a_question_left_unanswered_counts_for_its_doubt) {
+  // Guards against giving up requests at a server that was heard meanwhile.
+  watched_server server;
+  server.begin_streams(2);
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  EXPECT_FALSE(server.watch.unanswering());
+  server.watch.on_asked();
+  server.watch.on_question_ended(false, server.now);
+  EXPECT_TRUE(server.watch.unanswering());
+  server.pass(10);
+  server.watch.answers().on_heard(server.now);
+  ASSERT_EQ(server.judge(), news::heard);
+  EXPECT_FALSE(server.watch.unanswering());
+  server.pass(1200);
+  ASSERT_EQ(server.judge(), news::doubted);
+  EXPECT_FALSE(server.watch.unanswering());
+}
+
+TEST(silence_watch_test, a_question_whose_answer_was_missed_tells_nothing) {
+  // Guards against a pause of the router that passes for the server's silence.
+  watched_server server;
+  server.begin_streams(2);
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  server.watch.on_asked();
+  server.pass(2000);
+  server.watch.on_question_missed();
+  EXPECT_FALSE(server.watch.unanswering());
+  EXPECT_TRUE(server.watch.question_due(server.now));
+}
+
 TEST(silence_watch_test, one_that_answers_questions_only_is_hardly_used) {
   // A worker is mute: its status check is good and no request is answered.
   // Each answered question let it have requests for another while.
--- a/test/fleet-test/silent_worker_test.cpp
+++ b/test/fleet-test/silent_worker_test.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <gtest/gtest.h>
 #include <thread>
 #include <vector>
@@ -108,5 +109,99 @@
   EXPECT_LE(worker.run_in_vain, few);
 }
 
+/// A worker whose machine stands still with streams under way.
+class stopped_worker {
+ public:
+  void begin(const std::string& path) {
+    ASSERT_TRUE(this->fleet.start());
+    for (const int router : {1, 2}) {
+      const auto attempt = "first-" + std::to_string(router);
+      ASSERT_EQ(
+          this->fleet.call(router, attempt, "model-1", "/stream/x")->status,
+          200);
+    }
+    for (int each = 0; each < streams_under_way; ++each) {
+      this->call(1 + each % 2, "before-" + std::to_string(each), path, 10000);
+    }
+    std::this_thread::sleep_for(milliseconds(80));
+    this->fleet["worker-1"].signal(SIGSTOP);
+    this->fleet["agent-1"].signal(SIGSTOP);
+  }
+
+  void call(int router, const std::string& attempt, const std::string& path,
+            int deadline_ms) {
+    this->answers.push_back(std::async(std::launch::async, [=, this] {
+      const auto begin = std::chrono::steady_clock::now();
+      auto answer =
+          this->fleet.call(router, attempt, "model-1", path, deadline_ms);
+      return told{answer ? answer->status : 0, answer ? answer->body : "",
+                  std::chrono::duration_cast<milliseconds>(
+                      std::chrono::steady_clock::now() - begin)};
+    }));
+  }
+
+  /// What a caller got.
+  struct told {
+    int status;
+    std::string body;
+    milliseconds after;
+  };
+
+  /// \return The answers to all calls so far, in the order of these.
+  std::vector<told> wait() {
+    std::vector<told> all;
+    for (auto& each : this->answers) all.push_back(each.get());
+    this->answers.clear();
+    return all;
+  }
+
+  void wake() {
+    this->fleet["worker-1"].signal(SIGCONT);
+    this->fleet["agent-1"].signal(SIGCONT);
+  }
+
+ private:
+  small_fleet fleet{2, 2, 1, 2};
+  std::vector<std::future<told>> answers;
+};
+
+TEST(silent_worker_test, a_caller_is_told_before_its_patience_is_over) {
+  // Guards against requests that a router holds at a worker it knows is silent.
+  stopped_worker worker;
+  ASSERT_NO_FATAL_FAILURE(worker.begin("/stream/x"));
+  constexpr milliseconds patience{2000};
+  for (const int router : {1, 2}) {
+    worker.call(router, "later-" + std::to_string(router), "/stream/x",
+                patience.count());
+  }
+  std::this_thread::sleep_for(patience + milliseconds(200));
+  worker.wake();
+  const auto answers = worker.wait();
+  for (std::size_t each = streams_under_way; each < answers.size(); ++each) {
+    EXPECT_EQ(answers[each].status, 502) << answers[each].body;
+    EXPECT_LT(answers[each].after, patience);
+  }
+}
+
+TEST(silent_worker_test, a_resumable_stream_goes_on_at_another_worker) {
+  // Guards against resumable streams that wait for a silent worker though
+  // another one has the model.
+  stopped_worker worker;
+  ASSERT_NO_FATAL_FAILURE(worker.begin("/stream/r/x"));
+  std::this_thread::sleep_for(milliseconds(400));
+  worker.call(1, "later", "/stream/x", 5000);
+  for (const auto& answer : worker.wait()) {
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_LT(answer.after, milliseconds(5000));
+    for (int id = 1; id <= 8; ++id) {
+      const auto event = "id: " + std::to_string(id) + "\n";
+      const auto first = answer.body.find(event);
+      EXPECT_NE(first, std::string::npos) << event << answer.body;
+      EXPECT_EQ(answer.body.find(event, first + 1), std::string::npos);
+    }
+  }
+  worker.wake();
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -200,6 +200,12 @@
   plain["service"] = "sheets";
   config["routes"].append(stream);
   config["routes"].append(plain);
+  Json::Value resumable = stream;
+  resumable["name"] = "r-resumable";
+  resumable["prefix"] = "/stream/r/";
+  resumable["resumable"] = true;
+  resumable["attempts"] = 2;
+  config["routes"].append(resumable);
   Json::Value lookup = plain;
   lookup["name"] = "r-lookup";
   lookup["prefix"] = "/lookup/";
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -1,6 +1,7 @@
 #include "standin/worker_standin.hpp"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
 #include <chrono>
 #include <cstdio>
 #include <utility>
@@ -173,9 +174,13 @@
   response.set_header("Boragehill-Attempt-Id", attempt);
   response.set_header("Boragehill-Response-Stamp", this->id);
   const auto gap = std::chrono::milliseconds(this->delay_ms);
+  int last = 0;
+  if (!absl::SimpleAtoi(request.get_header_value("Last-Event-Id"), &last)) {
+    last = 0;
+  }
   response.set_chunked_content_provider(
-      "text/event-stream",
-      [gap, attempt, made = 0](std::size_t, httplib::DataSink& sink) mutable {
+      "text/event-stream", [gap, attempt, made = last](
+                               std::size_t, httplib::DataSink& sink) mutable {
         if (made == events_of_a_stream) {
           sink.done();
           return true;
