Send on no request whose caller has left, at its first placement and when repeated

What callers saw: nothing, and that is the fault: servers ran requests for callers that had gone. A router that was held up (paused, or short of processor time after a restart of all) read a request, or the break of an answer, before it met the close of the caller that came behind it, and sent the request on.

Cause: only requests that had waited in a line were looked at once more before they were sent. Those that are sent at once, and those sent again after a server did not run them or broke off, were not.

The mend: one look at the caller's connection and the limit in `try_send`, for every send that doesn't come from a line. The request waits then; the close or the limit, which are due next, end it.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -238,7 +238,8 @@
 bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
   const auto now = time_point::clock::now();
   auto* server = this->find_server(*request, now);
-  return server && this->send(request, *server, now);
+  // Where it waits, it ends with its caller's close or with its limit.
+  return server && request->is_wanted(now) && this->send(request, *server, now);
 }
 
 std::size_t dispatcher::most_connections(const std::string& service) const {
--- a/test/fleet-test/waking_router_test.cpp
+++ b/test/fleet-test/waking_router_test.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -99,5 +100,99 @@
   router.hang_up();
 }
 
+/// A router that is paused while what it would send on loses its caller.
+class paused_router {
+ public:
+  void begin() {
+    ASSERT_TRUE(this->fleet.start());
+    ASSERT_EQ(this->fleet.call(1, "warm", "model-1", "/stream/x")->status, 200);
+  }
+
+  /// Sends a request whose caller has not left yet.
+  void send(const std::string& attempt, const std::string& path,
+            const std::string& model) {
+    const int caller = this->fleet.connect(1);
+    const std::string request =
+        "POST " + path +
+        " HTTP/1.1\r\nHost: valves.example\r\n"
+        "Boragehill-Model: " +
+        model + "\r\nBoragehill-Attempt-Id: " + attempt +
+        "\r\nBoragehill-Deadline-Ms: 5000\r\nContent-Length: 1\r\n\r\n?";
+    ASSERT_EQ(::send(caller, request.data(), request.size(), 0),
+              static_cast<ssize_t>(request.size()));
+    this->callers[attempt] = caller;
+  }
+
+  /// \return True if any byte of an answer came within 300 ms.
+  bool is_answered(const std::string& attempt) {
+    const timeval limit{.tv_sec = 0, .tv_usec = 300000};
+    const int caller = this->callers.at(attempt);
+    ::setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    char byte = 0;
+    return ::recv(caller, &byte, 1, MSG_PEEK) > 0;
+  }
+
+  void pause() { this->fleet["router-1"].signal(SIGSTOP); }
+
+  void hang_up() {
+    for (const auto& [attempt, caller] : this->callers) ::close(caller);
+    this->callers.clear();
+  }
+
+  void wake() {
+    std::this_thread::sleep_for(milliseconds(100));
+    this->fleet["router-1"].signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+
+  small_fleet fleet{1, 1, 2, 2};
+
+ private:
+  std::map<std::string, int> callers;
+};
+
+TEST(waking_router_test, sends_on_no_new_request_whose_caller_has_left) {
+  // Guards against requests that come and go while the router is paused and
+  // are read and sent on all the same.
+  paused_router router;
+  ASSERT_NO_FATAL_FAILURE(router.begin());
+  router.pause();
+  for (int each = 0; each < 4; ++each) {
+    const auto attempt = "gone-" + std::to_string(each);
+    ASSERT_NO_FATAL_FAILURE(router.send(attempt, "/stream/x", "model-1"));
+  }
+  router.hang_up();
+  router.wake();
+  for (int each = 0; each < 4; ++each) {
+    EXPECT_EQ(router.fleet.runs_of("gone-" + std::to_string(each)), 0) << each;
+  }
+}
+
+TEST(waking_router_test, repeats_no_request_whose_caller_has_left) {
+  // Guards against a repeat, after a server broke off, for a caller that has
+  // left while the router was paused.
+  paused_router router;
+  ASSERT_NO_FATAL_FAILURE(router.begin());
+  router.fleet["plain-1"].signal(SIGSTOP);
+  // The router chooses at random between idle servers.
+  constexpr int most_lookups = 64;
+  std::string hanging;
+  for (int each = 0; each < most_lookups && hanging.empty(); ++each) {
+    const auto attempt = "lookup-" + std::to_string(each);
+    ASSERT_NO_FATAL_FAILURE(router.send(attempt, "/lookup/x", ""));
+    if (!router.is_answered(attempt)) hanging = attempt;
+  }
+  ASSERT_FALSE(hanging.empty());
+  // Leaves a connection to the other server, on which a repeat goes out at
+  // once.
+  ASSERT_NO_FATAL_FAILURE(router.send("warm-lookup", "/lookup/x", ""));
+  ASSERT_TRUE(router.is_answered("warm-lookup"));
+  router.pause();
+  router.fleet["plain-1"].kill();
+  router.hang_up();
+  router.wake();
+  EXPECT_EQ(router.fleet.runs_of(hanging), 0);
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
