Keep watch of a silent server that is off the list while requests are there

What callers saw: a worker's machine stands still, the platform takes the worker off its list after three heartbeats, and from then on the router forgot that it had requests there: those sent last waited out their callers' patience, though the router knew the server to be silent. When an entry lapsed and came back, the requests that were there before were taken off a new count, so the server seemed emptier than it was, below none.

Cause: a server's state was dropped with its entry; the answers' pulse, the doubt and the count of requests went with it.

The mend: a server that is off the list gets no new request and keeps its state until the last request has left it. The count is the requests themselves now. A status check that another lifetime answers, since the address is used again, is no answer of the silent server.

Test: silent_worker_test.a_caller_of_an_unlisted_worker_is_told_as_well, over real processes.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -60,22 +60,24 @@
 }
 
 void dispatcher::set_servers(const fleet::server_list& list) {
-  for (auto each = this->servers.begin(); each != this->servers.end();) {
-    if (list.servers.contains(each->first)) {
-      ++each;
-      continue;
-    }
+  for (auto& [id, state] : this->servers) {
+    if (!state.listed || list.servers.contains(id)) continue;
     kernel::log_event(kernel::event::server_gone,
-                      {{"server", each->first}, {"version", list.version}});
-    this->pool.forget(each->first);
-    this->health.forget(each->first);
-    each = this->servers.erase(each);
+                      {{"server", id},
+                       {"version", list.version},
+                       {"requests", state.requests.size()}});
+    this->pool.forget(id);
+    this->health.forget(id);
+    state.listed = false;
   }
+  this->drop_unlisted();
   for (const auto& [id, entry] : list.servers) {
     auto& state = this->servers[id];
-    const bool is_new = state.entry.id.empty();
     const bool leaves = entry.draining && !state.entry.draining;
-    if (is_new) {
+    if (!state.listed) {
+      state.listed = true;
+      state.told.reset();
+      state.replaced = false;
       kernel::log_event(kernel::event::server_listed,
                         {{"server", id},
                          {"service", entry.service},
@@ -89,10 +91,16 @@
     state.entry = entry;
   }
   this->servers_known = true;
-  this->metrics.set_servers(static_cast<double>(this->servers.size()));
+  this->metrics.set_servers(static_cast<double>(list.servers.size()));
   this->serve_waiting();
 }
 
+void dispatcher::drop_unlisted() {
+  std::erase_if(this->servers, [](const auto& each) {
+    return !each.second.listed && each.second.requests.empty();
+  });
+}
+
 void dispatcher::on_view(const wire::view_update& update) {
   this->planner_linked = true;
   this->routers = std::max(update.routers, 1);
@@ -174,7 +182,7 @@
 bool dispatcher::can_take(const server_state& server,
                           const exchange& request) const {
   if (server.entry.service != request.service()) return false;
-  if (server.entry.draining || server.replaced) return false;
+  if (!server.takes_new()) return false;
   if (server.silence.doubted()) return false;
   if (request.sends().tried(server.entry.id)) return false;
   const auto& asked = request.fields();
@@ -185,13 +193,12 @@
 bool dispatcher::may_get_server(const exchange& request) const {
   // Which models a worker will hold changes; that it serves the service and
   // hasn't failed this request doesn't.
-  return std::any_of(this->servers.begin(), this->servers.end(),
-                     [&](const auto& each) {
-                       const auto& server = each.second;
-                       return server.entry.service == request.service() &&
-                              !server.entry.draining && !server.replaced &&
-                              !request.sends().tried(each.first);
-                     });
+  return std::any_of(
+      this->servers.begin(), this->servers.end(), [&](const auto& each) {
+        const auto& server = each.second;
+        return server.entry.service == request.service() &&
+               server.takes_new() && !request.sends().tried(each.first);
+      });
 }
 
 server_state* dispatcher::find_server(const exchange& request, time_point now) {
@@ -460,6 +467,7 @@
 
 void dispatcher::tidy() {
   this->pool.drop_old();
+  this->drop_unlisted();
   this->metrics.set_connections(static_cast<double>(this->pool.open()));
   this->metrics.set_waiting(static_cast<double>(this->waiting()));
 }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -115,6 +115,8 @@
     milliseconds retry_after;
   };
 
+  /// Forgets servers that are off the list once no request is there any more.
+  void drop_unlisted();
   static demand_key key_of(const exchange& request);
   /// \return Why no server takes a request in time; nothing if one may.
   std::optional<vain_wait> in_vain(const exchange& request,
@@ -142,7 +144,8 @@
   decide::wait_case waiting_of(const exchange& request, time_point now) const;
   void ask(server_state& server);
   /// Marks a server as replaced if another lifetime answered.
-  void check_lifetime(server_state& server, const http::message_head& head);
+  /// \return False if one did.
+  bool check_lifetime(server_state& server, const http::message_head& head);
   /// \param by What was answered: a request's attempt, or a question.
   void mark_replaced(server_state& server, const std::string& by);
   void on_question_ended(const std::string& server,
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -90,7 +90,9 @@
       report.flights.push_back({server, model, adapter, count});
   }
   for (const auto& [id, state] : this->servers) {
-    if (state.silence.confirmed(now)) report.silent.push_back(id);
+    if (state.listed && state.silence.confirmed(now)) {
+      report.silent.push_back(id);
+    }
   }
   this->arrivals.clear();
   return report;
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -169,11 +169,14 @@
              });
 }
 
-void dispatcher::check_lifetime(server_state& server,
+bool dispatcher::check_lifetime(server_state& server,
                                 const http::message_head& head) {
   const auto told = this->headers.read_answer(head.status, head.headers).server;
-  if (told.empty() || this->headers.is_server(told, server.entry.id)) return;
+  if (told.empty() || this->headers.is_server(told, server.entry.id)) {
+    return true;
+  }
   this->mark_replaced(server, "question");
+  return false;
 }
 
 void dispatcher::on_question_ended(const std::string& server,
@@ -189,13 +192,13 @@
     silence.on_question_missed();
     return;
   }
-  if (answer) {
-    this->check_lifetime(found->second, answer.value().head);
-  } else {
+  const bool answered =
+      answer && this->check_lifetime(found->second, answer.value().head);
+  if (!answer) {
     kernel::log_event(kernel::event::server_unanswering,
                       {{"server", server}, {"error", answer.error()}});
   }
-  const bool ended = silence.on_question_ended(static_cast<bool>(answer), now);
+  const bool ended = silence.on_question_ended(answered, now);
   if (!ended) return;
   kernel::log_event(kernel::event::server_heard,
                     {{"server", server}, {"by", "question"}});
--- a/src/serve/server_state.hpp
+++ b/src/serve/server_state.hpp
@@ -17,8 +17,10 @@
 
 /// A backend server as a router sees it.
 struct server_state {
-  /// As the platform lists it.
+  /// As the platform lists it, or listed it last.
   fleet::server entry;
+  /// One that is off the list is kept while requests of this router are there.
+  bool listed = false;
   /// What the planner said it holds; nothing before it did.
   std::optional<std::vector<fleet::resident_model>> told;
   /// Another lifetime answered at its address. The platform lists a server
@@ -32,6 +34,11 @@
   /// Requests of other routers there, as the planner said.
   int other_requests = 0;
 
+  /// \return True if it may get new requests.
+  bool takes_new() const {
+    return this->listed && !this->entry.draining && !this->replaced;
+  }
+
   /// \param follow_planner False while no planner is linked: then what the
   ///     platform lists is newer.
   /// \return True if it serves the model, with the adapter if one is named.
--- a/test/fleet-test/silent_worker_test.cpp
+++ b/test/fleet-test/silent_worker_test.cpp
@@ -155,6 +155,9 @@
     return all;
   }
 
+  /// The platform takes the worker off the list, as it is silent to it too.
+  void unlist() { this->fleet.forget_server("i-worker-1"); }
+
   void wake() {
     this->fleet["worker-1"].signal(SIGCONT);
     this->fleet["agent-1"].signal(SIGCONT);
@@ -183,6 +186,27 @@
   }
 }
 
+TEST(silent_worker_test, a_caller_of_an_unlisted_worker_is_told_as_well) {
+  // Guards against requests that are forgotten at a silent worker once the
+  // platform has taken it off the list.
+  stopped_worker worker;
+  ASSERT_NO_FATAL_FAILURE(worker.begin("/stream/x"));
+  constexpr milliseconds patience{2000};
+  for (const int router : {1, 2}) {
+    worker.call(router, "later-" + std::to_string(router), "/stream/x",
+                patience.count());
+  }
+  std::this_thread::sleep_for(milliseconds(600));
+  worker.unlist();
+  std::this_thread::sleep_for(patience - milliseconds(400));
+  worker.wake();
+  const auto answers = worker.wait();
+  for (std::size_t each = streams_under_way; each < answers.size(); ++each) {
+    EXPECT_EQ(answers[each].status, 502) << answers[each].body;
+    EXPECT_LT(answers[each].after, patience);
+  }
+}
+
 TEST(silent_worker_test, a_resumable_stream_goes_on_at_another_worker) {
   // Guards against resumable streams that wait for a silent worker though
   // another one has the model.
