Void an unanswered status check when the router itself has stood still

Found by reading the mend of silent servers once more: the tick that judges requests at a silent server may run, after a pause of the router, before the bytes are read that came from the server meanwhile. What may run twice would have been sent to another server although its answer was there.

A pause of the router now voids the failed status check of a doubt; the doubt stays, and the next check decides. Test: silence_watch_test.a_pause_of_the_router_voids_an_ unanswered_question (the method is new, so it doesn't build without the mend).

--- a/src/decide/silence_watch.hpp
+++ b/src/decide/silence_watch.hpp
@@ -46,6 +46,13 @@
   /// \return True if that ended a doubt.
   bool on_question_ended(bool answered, time_point now);
 
+  /// The router itself stood still: what the server did meanwhile may not have
+  /// been read yet.
+  void excuse(time_point until) {
+    this->pulse.excuse(until);
+    this->question_failed = false;
+  }
+
   /// The answer to a question may have been missed; it tells nothing.
   void on_question_missed() { this->asking = false; }
 
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -67,7 +67,7 @@
 void dispatcher::excuse_own_pause(time_point now) {
   const auto last = std::exchange(this->silence_watched, now);
   if (now - last < own_pause) return;
-  for (auto& [id, state] : this->servers) state.silence.answers().excuse(now);
+  for (auto& [id, state] : this->servers) state.silence.excuse(now);
 }
 
 void dispatcher::watch_silence() {
--- a/test/decide-test/silence_watch_test.cpp
+++ b/test/decide-test/silence_watch_test.cpp
@@ -194,6 +194,21 @@
   EXPECT_FALSE(server.watch.unanswering());
 }
 
+TEST(silence_watch_test, a_pause_of_the_router_voids_an_unanswered_question) {
+  // Guards against a request that leaves a server whose answer came while the
+  // router was paused and is read next.
+  watched_server server;
+  server.begin_streams(2);
+  server.pass(500);
+  ASSERT_EQ(server.judge(), news::doubted);
+  server.watch.on_asked();
+  server.watch.on_question_ended(false, server.now);
+  server.pass(2000);
+  server.watch.excuse(server.now);
+  EXPECT_FALSE(server.watch.unanswering());
+  EXPECT_TRUE(server.watch.doubted());
+}
+
 TEST(silence_watch_test, a_question_whose_answer_was_missed_tells_nothing) {
   // Guards against a pause of the router that passes for the server's silence.
   watched_server server;
