Log what a router still holds when its stop begins and ends

A router that stops ended at its limit without a word of the requests that it cut off: the only trace was a missing line. Events 806 and 807, which the first stack has, now tell running and waiting requests at both moments. The end is told from the traffic thread, which also closes the acceptor and idle connections when the time is up, as it did before only when nothing was open.

calm_day_test.a_planned_stop_cuts_off_nothing and .a_planned_stop_under_load_cuts_off_ nothing pass.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -446,11 +446,21 @@
 }
 
 void dispatcher::begin_stop(time_point until) {
-  this->gate.close(time_point::clock::now(), until);
+  const auto now = time_point::clock::now();
+  kernel::log_event(kernel::event::drain_started,
+                    {{"running", this->running()},
+                     {"waiting", this->waiting()},
+                     {"until_ms", ms_between(now, until)}});
+  this->gate.close(now, until);
+}
+
+void dispatcher::end_stop() {
+  kernel::log_event(kernel::event::drain_ended, {{"running", this->running()},
+                                                 {"waiting", this->waiting()}});
 }
 
 bool dispatcher::shut_if_idle() {
-  if (this->open_requests() > 0) return false;
+  if (this->waiting() + this->running() > 0) return false;
   this->gate.shut();
   return true;
 }
@@ -478,8 +488,8 @@
   return count;
 }
 
-std::size_t dispatcher::open_requests() const {
-  std::size_t count = this->waiting();
+std::size_t dispatcher::running() const {
+  std::size_t count = 0;
   for (const auto& [key, requests] : this->flights) {
     count += static_cast<std::size_t>(requests);
   }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -60,6 +60,8 @@
 
   /// The process stops; late requests are refused from now on.
   void begin_stop(time_point until);
+  /// The process ends, with whatever is still open.
+  void end_stop();
   /// Takes no request any more if none is open.
   /// \return False if one is.
   bool shut_if_idle();
@@ -80,9 +82,10 @@
   bool knows_fleet() const {
     return this->known_catalog && this->servers_known;
   }
+  /// \return Requests that wait for a server.
   std::size_t waiting() const;
-  /// \return Requests that wait or are at a server.
-  std::size_t open_requests() const;
+  /// \return Requests that are at a server.
+  std::size_t running() const;
 
   std::shared_ptr<const fleet::catalog> catalog() const override {
     return this->known_catalog;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -240,6 +240,7 @@
 
 void entry::say_goodbye() {
   this->loop.post([this] {
+    this->requests.end_stop();
     std::error_code ignored;
     this->acceptor.close(ignored);
     this->close_idle();
@@ -256,7 +257,7 @@
   std::this_thread::sleep_until(
       std::min(begin + decide::stop_gate::balancer_notices, end));
   this->close_connections = true;
-  while (time_point::clock::now() < end) {
+  while (!this->shut && time_point::clock::now() < end) {
     const bool last_call = time_point::clock::now() >= end - refuse_before_end;
     this->loop.post([this, last_call] {
       if (last_call) this->requests.refuse_waiting();
@@ -264,8 +265,8 @@
       this->shut = this->requests.shut_if_idle();
     });
     std::this_thread::sleep_for(drain_poll);
-    if (this->shut) return this->say_goodbye();
   }
+  this->say_goodbye();
 }
 
 void entry::stop() {
