Show that a stopping router sends on requests that it will cut off (fails)

Callers saw the first events of an answer and then a closed connection, 1.4 s after the answer had begun. The test plays it over real processes: a request comes 4.7 s after SIGTERM, when an answer of its length still fits; its model is loaded 1.4 s later; the router sends it on, the worker runs it, and the process ends at 7.5 s in the middle of the answer. The stand-in worker gets slow loads and slow events as faults.

--- /dev/null
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -0,0 +1,51 @@
+#include <chrono>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <string>
+#include <thread>
+
+#include "fleet-test/small_fleet.hpp"
+
+namespace boragehill::fleet_test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// \return The bytes of a caller's request that closes its connection.
+std::string request_of(const std::string& attempt, const std::string& path,
+                       const std::string& model) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: valves.example\r\nConnection: close\r\n"
+         "Boragehill-Attempt-Id: " +
+         attempt + "\r\nBoragehill-Model: " + model +
+         "\r\nBoragehill-Token-Count: 10,100\r\n"
+         "Boragehill-Deadline-Ms: 10000\r\nContent-Length: 1\r\n\r\n?";
+}
+
+TEST(stopping_router_test, sends_on_no_waiting_request_that_would_be_cut_off) {
+  // Guards against answers that begin when the stop leaves no time for them,
+  // since their requests waited for a model after they were taken.
+  small_fleet fleet(1, 1, 1, 3);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("worker-1", R"({"kind":"slow_events","ms":700})");
+  fleet.fault("worker-1", R"({"kind":"slow_loads","ms":1100})");
+  fleet["router-1"].signal(SIGTERM);
+  // While it is open the router takes requests.
+  std::string long_answer;
+  std::thread long_stream([&fleet, &long_answer] {
+    long_answer = fleet.raw(1, request_of("open", "/stream/x", "model-1"));
+  });
+  std::this_thread::sleep_for(milliseconds(4700));
+  const auto begin = steady_clock::now();
+  const auto answer = fleet.raw(1, request_of("waits", "/stream/x", "model-3"));
+  EXPECT_LT(steady_clock::now() - begin, milliseconds(1500));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+  EXPECT_EQ(fleet.runs_of("waits"), 0);
+  long_stream.join();
+  EXPECT_NE(long_answer.find("id: 8\n"), std::string::npos) << long_answer;
+}
+
+}  // namespace
+}  // namespace boragehill::fleet_test
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -38,6 +38,10 @@
     ++this->silence_count;
   } else if (kind == "slow") {
     this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
+  } else if (kind == "slow_loads") {
+    this->slow_loads = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
+  } else if (kind == "slow_events") {
+    this->slow_events = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "lose_answers") {
     this->lost_answers = fault.get("count", 1).asUInt();
   } else if (kind == "fail_runs") {
@@ -58,6 +62,8 @@
   this->frozen = false;
   this->silent = false;
   this->slow = std::chrono::milliseconds{0};
+  this->slow_loads = std::chrono::milliseconds{0};
+  this->slow_events = std::chrono::milliseconds{0};
   this->lost_answers = 0;
   this->failed_runs = 0;
   this->cut_streams = 0;
@@ -76,6 +82,16 @@
   std::this_thread::sleep_for(pause);
 }
 
+std::chrono::milliseconds fault_switch::load_delay() {
+  const std::scoped_lock lock(this->mutex);
+  return this->slow_loads;
+}
+
+std::chrono::milliseconds fault_switch::event_delay() {
+  const std::scoped_lock lock(this->mutex);
+  return this->slow_events;
+}
+
 void fault_switch::crash_if_marked(const std::string& body) {
   const std::scoped_lock lock(this->mutex);
   if (this->marker.empty()) return;
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -38,6 +38,13 @@
   /// \return True while writes are refused and reads are not.
   bool refuses_writes();
 
+  /// \return How much longer each load takes, as "slow_loads" says.
+  std::chrono::milliseconds load_delay();
+
+  /// \return How much longer each event of a stream takes, as "slow_events"
+  ///     says.
+  std::chrono::milliseconds event_delay();
+
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
@@ -59,6 +66,8 @@
   bool silent = false;
   std::uint64_t silence_count = 0;
   std::chrono::milliseconds slow{0};
+  std::chrono::milliseconds slow_loads{0};
+  std::chrono::milliseconds slow_events{0};
   std::uint32_t lost_answers = 0;
   std::uint32_t failed_runs = 0;
   std::uint32_t cut_streams = 0;
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -177,7 +177,8 @@
   }
   response.set_header("Boragehill-Attempt-Id", attempt);
   response.set_header("Boragehill-Response-Stamp", this->id);
-  const auto gap = std::chrono::milliseconds(this->delay_ms);
+  const auto gap =
+      std::chrono::milliseconds(this->delay_ms) + this->faults.event_delay();
   int last = 0;
   if (!absl::SimpleAtoi(request.get_header_value("Last-Event-Id"), &last)) {
     last = 0;
@@ -241,7 +242,8 @@
                                const std::string& model) {
   const bool loads = op == "load";
   if (loads) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(this->load_ms));
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->load_ms) +
+                                this->faults.load_delay());
   }
   {
     const std::scoped_lock lock(this->mutex);
