Refuse waiting requests that a stopping router can no longer finish

What callers saw: an answer that began and was closed in the middle when the router that they had reached, four seconds after its SIGTERM, ended (LOST).

Cause: whether a request still fits into the stop was decided when it came. One that had to wait for its model used up the time that had been granted for its answer, and was sent on all the same, up to 0.9 s before the end, when a fixed margin, the same for every length, refused what was left. The class of fault: a decision that rests on time, taken at admission and not looked at again when it is acted on.

Why it works: the gate now judges each request until the moment in which it is sent, at every attempt to send it and ten times a second while it waits, by its own length, and, where the planner has said when its model will be there, from that moment. Its caller is told at once that nothing ran and that another router takes it, instead of at the margin. The margin and its walk through all lines are gone: nothing waits any more when it would come.

--- a/src/decide/stop_gate.hpp
+++ b/src/decide/stop_gate.hpp
@@ -7,14 +7,15 @@
 
 namespace boragehill::decide {
 
-/// Which requests a router still takes while it stops.
+/// Which requests a router still sends to a server while it stops.
 ///
 /// The balancer needs some seconds to send callers elsewhere, so what comes
 /// until then is served. What comes later is served only if it surely ends
 /// before the process does: a longer one would be cut off in the middle, and,
 /// refused at once, its caller finds another router in a moment. Refusing all
 /// of it would be worse where all routers are stopped in quick succession:
-/// then a caller that is sent away meets only others that stop.
+/// then a caller that is sent away meets only others that stop. A request that
+/// waits for a server uses up its time, so it is judged until it is sent.
 class stop_gate {
  public:
   /// The balancer asks once a second and takes a process out of the rotation
@@ -36,8 +37,9 @@
 
   /// \param output_tokens The most that the request may generate; 0 for plain
   ///     services.
-  /// \return True if a request that came now must be refused.
-  bool refuses(int output_tokens, time_point now) const;
+  /// \param start When a server gets the request at the earliest.
+  /// \return True if it must be refused.
+  bool refuses(int output_tokens, time_point start) const;
 
  private:
   std::optional<time_point> began;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -166,14 +166,9 @@
     this->budget_of(request->service()).on_request(request->request().received);
     ++this->arrivals[key_of(*request)];
   }
-  if (this->gate.refuses(request->fields().output_tokens,
-                         time_point::clock::now())) {
-    return request->refuse(result_code::draining, "the router stops",
-                           other_router_takes);
-  }
   if (this->try_send(request)) return;
   const auto vain = this->in_vain(*request, time_point::clock::now());
-  if (vain && vain->code == result_code::no_server) {
+  if (vain && vain->code != result_code::deadline_unreachable) {
     return request->refuse(vain->code, vain->reason, vain->retry_after);
   }
   this->wait_in_line(request);
@@ -245,8 +240,15 @@
 bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
   const auto now = time_point::clock::now();
   auto* server = this->find_server(*request, now);
-  // Where it waits, it ends with its caller's close or with its limit.
-  return server && request->is_wanted(now) && this->send(request, *server, now);
+  // One that may not start is refused, or ends with its caller's close or with
+  // its limit, where it waits.
+  return server && this->may_start(*request, now) &&
+         this->send(request, *server, now);
+}
+
+bool dispatcher::may_start(const exchange& request, time_point now) const {
+  return request.is_wanted(now) &&
+         !this->gate.refuses(request.fields().output_tokens, now);
 }
 
 std::size_t dispatcher::most_connections(const std::string& service) const {
@@ -310,7 +312,7 @@
     // A router that was held up meets news of a server before it meets the
     // close of a caller that has left meanwhile: the server would run for
     // nobody. Such a request ends with that close, or with its limit.
-    if (server && !request->is_wanted(now)) {
+    if (server && !this->may_start(*request, now)) {
       ++each;
       continue;
     }
@@ -420,6 +422,11 @@
     waiting.ready_in =
         milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
   }
+  const auto start = now + waiting.ready_in.value_or(milliseconds(0));
+  if (this->gate.refuses(request.fields().output_tokens, start)) {
+    return vain_wait{result_code::draining, "the router stops",
+                     other_router_takes};
+  }
   const auto back = decide::refuse_waiting_now(waiting);
   if (!back) return std::nullopt;
   if (!listed) {
@@ -465,16 +472,6 @@
   return true;
 }
 
-void dispatcher::refuse_waiting() {
-  const auto all = std::exchange(this->lines, {});
-  for (const auto& [key, line] : all) {
-    for (const auto& each : line) {
-      each->refuse(result_code::draining, "the router stops",
-                   other_router_takes);
-    }
-  }
-}
-
 void dispatcher::tidy() {
   this->pool.drop_old();
   this->drop_unlisted();
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -66,9 +66,6 @@
   /// \return False if one is.
   bool shut_if_idle();
 
-  /// Refuses all that wait, as the process ends: another router serves them.
-  void refuse_waiting();
-
   /// Refuses those that wait in vain; called some times a second.
   void judge_waiting();
 
@@ -134,6 +131,9 @@
   bool send(const std::shared_ptr<exchange>& request, server_state& server,
             time_point now);
   bool try_send(const std::shared_ptr<exchange>& request);
+  /// \return False if it would run for nobody, or be cut off by the end of
+  ///     this process.
+  bool may_start(const exchange& request, time_point now) const;
   bool can_take(const server_state& server, const exchange& request) const;
   decide::answer_pulse* pulse_of(const exchange& request);
   void judge_silence(server_state& server, time_point now);
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -37,8 +37,6 @@
 /// Left before the kill for the last bytes and the end of the threads.
 constexpr milliseconds stop_margin{500};
 constexpr milliseconds drain_poll{50};
-/// What still waits for a server this long before the end would be cut off.
-constexpr milliseconds refuse_before_end{900};
 
 }  // namespace
 
@@ -258,9 +256,7 @@
       std::min(begin + decide::stop_gate::balancer_notices, end));
   this->close_connections = true;
   while (!this->shut && time_point::clock::now() < end) {
-    const bool last_call = time_point::clock::now() >= end - refuse_before_end;
-    this->loop.post([this, last_call] {
-      if (last_call) this->requests.refuse_waiting();
+    this->loop.post([this] {
       this->close_idle();
       this->shut = this->requests.shut_if_idle();
     });
--- a/test/decide-test/stop_gate_test.cpp
+++ b/test/decide-test/stop_gate_test.cpp
@@ -31,6 +31,16 @@
   EXPECT_TRUE(gate.refuses(0, begin + milliseconds(7500)));
 }
 
+TEST(stop_gate_test, refuses_what_starts_too_late_though_it_came_in_time) {
+  // Guards against answers that are cut off since their requests have waited.
+  stop_gate gate;
+  gate.close(begin, begin + std::chrono::seconds(8));
+  const auto came = begin + std::chrono::seconds(1);
+  EXPECT_FALSE(gate.refuses(short_one, came));
+  EXPECT_FALSE(gate.refuses(short_one, came + milliseconds(5000)));
+  EXPECT_TRUE(gate.refuses(short_one, came + milliseconds(5200)));
+}
+
 TEST(stop_gate_test, takes_nothing_in_the_last_moment) {
   // A stopping router has nothing open and ends; a request that it read in
   // between was sent to a worker and cut off 160 ms later.
