Answer what no server has answered when a stopping router ends

What callers saw: a request that was taken shortly after SIGTERM and that no server had answered when the process ended lost its connection without a word (LOST); its caller could not tell it from a network failure, and the log had no line of it.

Cause: at its limit the stop ended the loop with whatever was open.

Evidence: stopping_router_test.answers_what_no_server_has_answered_by_the_end, with a server that takes nine seconds, failed before with a read error after 7.7 s.

Why it works: when the time is up each open request gets its final answer: 502 with outcome unknown where nothing has begun (never "not run", since it may have), a broken connection where an answer has, and a log line in both cases; the tenth of a second that a stop leaves for its last bytes carries them. exchange::give_up is what give_up_silent was, with the reason as an argument. After: passes, as do the other tests of stops.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -464,6 +464,14 @@
 void dispatcher::end_stop() {
   kernel::log_event(kernel::event::drain_ended, {{"running", this->running()},
                                                  {"waiting", this->waiting()}});
+  this->gate.shut();
+  this->judge_waiting();
+  // Requests that end change the servers' lists of them.
+  std::vector<std::shared_ptr<exchange>> open;
+  for (const auto& [id, state] : this->servers) {
+    for (const auto& [key, request] : state.requests) open.push_back(request);
+  }
+  for (const auto& each : open) each->give_up("the router stops");
 }
 
 bool dispatcher::shut_if_idle() {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -60,7 +60,7 @@
 
   /// The process stops; late requests are refused from now on.
   void begin_stop(time_point until);
-  /// The process ends, with whatever is still open.
+  /// The process ends: all that is still open gets its final answer now.
   void end_stop();
   /// Takes no request any more if none is open.
   /// \return False if one is.
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -122,7 +122,8 @@
                      {"silent_ms", silent.silent.count()},
                      {"remaining_ms", silent.remaining.count()},
                      {"begun", silent.begun}});
-  next == step::move ? request->move_from_silent() : request->give_up_silent();
+  next == step::move ? request->move_from_silent()
+                     : request->give_up("server is silent");
 }
 
 void dispatcher::judge_silence(server_state& server, time_point now) {
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -386,10 +386,9 @@
   this->host.place(this->shared_from_this());
 }
 
-void exchange::give_up_silent() {
+void exchange::give_up(const char* reason) {
   this->leave_running();
-  this->refuse(result_code::outcome_unknown, "server is silent",
-               milliseconds(0));
+  this->refuse(result_code::outcome_unknown, reason, milliseconds(0));
 }
 
 void exchange::leave_running() {
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -52,8 +52,9 @@
   bool may_move() const;
   /// Leaves a silent server and goes to another one.
   void move_from_silent();
-  /// Leaves a silent server; its caller is told that the outcome is unknown.
-  void give_up_silent();
+  /// Leaves its server; its caller is told that the outcome is unknown, or, if
+  /// an answer has begun, sees it break off.
+  void give_up(const char* reason);
 
   /// The caller hung up.
   void on_caller_gone();
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -47,5 +47,18 @@
   EXPECT_NE(long_answer.find("id: 8\n"), std::string::npos) << long_answer;
 }
 
+TEST(stopping_router_test, answers_what_no_server_has_answered_by_the_end) {
+  // Guards against connections that are closed without any answer.
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("plain-1", R"({"kind":"slow","ms":9000})");
+  fleet["router-1"].signal(SIGTERM);
+  constexpr int deadline_ms = 10000;
+  const auto answer = fleet.call(1, "slow", {}, "/plain/x", deadline_ms);
+  ASSERT_TRUE(answer) << httplib::to_string(answer.error());
+  EXPECT_EQ(answer->status, 502);
+  EXPECT_FALSE(answer->has_header("Retry-After"));
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
