Refuse waiting requests for what forbids them after they came

What callers saw: a request that waited for its model was sent on although three equal ones had crashed a server each meanwhile, and ran, to crash a fourth; one whose model the operator took out waited until its patience was over and was told that no worker had the model in time.

Found by reading; not seen in the record.

Why it works: dispatcher::barred is the one list of reasons, asked when a request comes, ten times a second while it waits, and before each send.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -149,16 +149,24 @@
   return found && (adapter.empty() || found->has_adapter(adapter));
 }
 
-void dispatcher::place(const std::shared_ptr<exchange>& request) {
-  if (!this->knows_model(*request)) {
-    return request->refuse(result_code::unknown_model,
-                           "no such model in the configuration", next_catalog);
+std::optional<dispatcher::refusal> dispatcher::barred(const exchange& request,
+                                                      time_point now) const {
+  if (!this->knows_model(request)) {
+    return refusal{result_code::unknown_model,
+                   "no such model in the configuration", next_catalog};
   }
-  if (this->crashes.is_convicted(request->fingerprint(),
-                                 time_point::clock::now())) {
+  if (this->crashes.is_convicted(request.fingerprint(), now)) {
     // Nothing is said of coming back: it would only be refused again.
-    return request->refuse(result_code::request_convicted,
-                           "this request crashes servers", milliseconds(0));
+    return refusal{result_code::request_convicted,
+                   "this request crashes servers", milliseconds(0)};
+  }
+  return std::nullopt;
+}
+
+void dispatcher::place(const std::shared_ptr<exchange>& request) {
+  const auto barred = this->barred(*request, time_point::clock::now());
+  if (barred) {
+    return request->refuse(barred->code, barred->reason, barred->retry_after);
   }
   const bool first = !request->sends().sent();
   if (first) {
@@ -247,7 +255,7 @@
 }
 
 bool dispatcher::may_start(const exchange& request, time_point now) const {
-  return request.is_wanted(now) &&
+  return request.is_wanted(now) && !this->barred(request, now) &&
          !this->gate.refuses(request.fields().output_tokens, now);
 }
 
@@ -411,8 +419,9 @@
           .gap_objective = route.gap_objective};
 }
 
-std::optional<dispatcher::vain_wait> dispatcher::in_vain(
-    const exchange& request, time_point now) const {
+std::optional<dispatcher::refusal> dispatcher::in_vain(const exchange& request,
+                                                       time_point now) const {
+  if (auto why = this->barred(request, now)) return why;
   const bool listed = this->may_get_server(request);
   auto waiting = this->waiting_of(request, now);
   // A stream that broke off goes on as soon as there is a server.
@@ -424,21 +433,21 @@
   }
   const auto start = now + waiting.ready_in.value_or(milliseconds(0));
   if (this->gate.refuses(request.fields().output_tokens, start)) {
-    return vain_wait{result_code::draining, "the router stops",
-                     other_router_takes};
+    return refusal{result_code::draining, "the router stops",
+                   other_router_takes};
   }
   const auto back = decide::refuse_waiting_now(waiting);
   if (!back) return std::nullopt;
   if (!listed) {
-    return vain_wait{result_code::no_server, "no server is listed", *back};
+    return refusal{result_code::no_server, "no server is listed", *back};
   }
-  return vain_wait{result_code::deadline_unreachable,
-                   "no worker has the model in time", *back};
+  return refusal{result_code::deadline_unreachable,
+                 "no worker has the model in time", *back};
 }
 
 void dispatcher::judge_waiting() {
   const auto now = time_point::clock::now();
-  std::vector<std::pair<std::shared_ptr<exchange>, vain_wait>> refused;
+  std::vector<std::pair<std::shared_ptr<exchange>, refusal>> refused;
   for (const auto& [key, line] : this->lines) {
     for (const auto& each : line) {
       if (const auto vain = this->in_vain(*each, now)) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -108,8 +108,8 @@
   /// Server, model and adapter.
   using flight_key = std::tuple<std::string, std::string, std::string>;
   using waiting_line = std::deque<std::shared_ptr<exchange>>;
-  /// The refusal of a request that waits in vain.
-  struct vain_wait {
+  /// What a request is told that is not sent to any server.
+  struct refusal {
     result_code code;
     const char* reason;
     milliseconds retry_after;
@@ -118,9 +118,12 @@
   /// Forgets servers that are off the list once no request is there any more.
   void drop_unlisted();
   static demand_key key_of(const exchange& request);
-  /// \return Why no server takes a request in time; nothing if one may.
-  std::optional<vain_wait> in_vain(const exchange& request,
-                                   time_point now) const;
+  /// \return Why a request must not run, whatever servers there are; nothing
+  ///     if it may. That may change while it waits.
+  std::optional<refusal> barred(const exchange& request, time_point now) const;
+  /// \return Why a request waits in vain; nothing if a server may take it in
+  ///     time.
+  std::optional<refusal> in_vain(const exchange& request, time_point now) const;
   /// \return False for a model or adapter that the configuration doesn't have:
   ///     nobody will ever hold it, and names that callers make up must not fill
   ///     the planner's memory.
@@ -131,8 +134,8 @@
   bool send(const std::shared_ptr<exchange>& request, server_state& server,
             time_point now);
   bool try_send(const std::shared_ptr<exchange>& request);
-  /// \return False if it would run for nobody, or be cut off by the end of
-  ///     this process.
+  /// \return False if it must not run, would run for nobody, or would be cut
+  ///     off by the end of this process.
   bool may_start(const exchange& request, time_point now) const;
   bool can_take(const server_state& server, const exchange& request) const;
   decide::answer_pulse* pulse_of(const exchange& request);
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -182,7 +182,8 @@
   }
 }
 
-void small_fleet::configure(std::int64_t version, const std::string& prefix) {
+void small_fleet::configure(std::int64_t version, const std::string& prefix,
+                            std::optional<int> models) {
   Json::Value config;
   config["version"] = Json::Int64(version);
   Json::Value stream;
@@ -222,7 +223,7 @@
   engine["slots"] = 8;
   engine["loadsPerS"] = 10;
   assist["healthPath"] = "/healthz";
-  for (int each = 1; each <= this->models; ++each) {
+  for (int each = 1; each <= models.value_or(this->models); ++each) {
     Json::Value model;
     model["name"] = numbered("model", each);
     model["weightsMb"] = weights_mb;
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -7,6 +7,7 @@
 #include <json/json.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,9 @@
 
   /// Writes the operator's configuration.
   /// \param prefix Of the route to the plain service.
-  void configure(std::int64_t version, const std::string& prefix);
+  /// \param models How many models it has, from model-1 on; all if not told.
+  void configure(std::int64_t version, const std::string& prefix,
+                 std::optional<int> models = std::nullopt);
 
   bool is_ready(int router);
   bool wait_until_ready(int router, std::chrono::milliseconds limit);
