Learn how long answers may take before a stopping router takes them

What callers saw: a request that a router took three to five seconds after its SIGTERM and sent on at once lost its answer in the middle when the process ended (LOST), where workers were busy.

The gate granted 1 s and 9 ms a token, a time that holds at one load. In the restarts of a whole site the workers fill, and answers of the longest kind took up to 5 s where 3.5 s were granted. The class of fault: a constant for what depends on load.

Hypothesis: the slowest answer of the last 10 to 20 s, for each token that it might have had, with half as much again since workers go on filling, bounds what comes. Answers that slow callers held up don't count.

Price: what can't surely end is refused. Kept, as answers that were begun and cut are worse for callers than a refusal that says nothing ran.

--- a/src/decide/stop_gate.cpp
+++ b/src/decide/stop_gate.cpp
@@ -7,10 +7,10 @@
   this->end = until;
 }
 
-bool stop_gate::refuses(int output_tokens, time_point start) const {
+bool stop_gate::refuses(milliseconds needs, time_point start) const {
   if (this->shut_for_good) return true;
   if (!this->began || start < *this->began + balancer_notices) return false;
-  return start + start_needs + token_needs * output_tokens >= this->end;
+  return start + needs >= this->end;
 }
 
 }  // namespace boragehill::decide
--- a/src/decide/stop_gate.hpp
+++ b/src/decide/stop_gate.hpp
@@ -21,11 +21,6 @@
   /// The balancer asks once a second and takes a process out of the rotation
   /// after two misses; the rest is the way there.
   static constexpr milliseconds balancer_notices{2900};
-  /// Many times what a plain call takes; also a generation's time to its first
-  /// token.
-  static constexpr milliseconds start_needs{1000};
-  /// Half above what a token takes at a full worker.
-  static constexpr milliseconds token_needs{9};
 
   /// The stop begins.
   /// \param until When the process ends.
@@ -35,11 +30,10 @@
   /// refused, so that no request is taken in the last moment and cut off.
   void shut() { this->shut_for_good = true; }
 
-  /// \param output_tokens The most that the request may generate; 0 for plain
-  ///     services.
+  /// \param needs From a send to the end of the answer.
   /// \param start When a server gets the request at the earliest.
   /// \return True if it must be refused.
-  bool refuses(int output_tokens, time_point start) const;
+  bool refuses(milliseconds needs, time_point start) const;
 
  private:
   std::optional<time_point> began;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -256,7 +256,16 @@
 
 bool dispatcher::may_start(const exchange& request, time_point now) const {
   return request.is_wanted(now) && !this->barred(request, now) &&
-         !this->gate.refuses(request.fields().output_tokens, now);
+         !this->gate.refuses(this->answer_time(request, now), now);
+}
+
+milliseconds dispatcher::answer_time(const exchange& request,
+                                     time_point now) const {
+  const int tokens = request.fields().output_tokens;
+  const auto found = this->paces.find(request.service());
+  const auto& pace =
+      found == this->paces.end() ? decide::answer_pace() : found->second;
+  return pace.most_time(tokens, now);
 }
 
 std::size_t dispatcher::most_connections(const std::string& service) const {
@@ -432,7 +441,7 @@
         milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
   }
   const auto start = now + waiting.ready_in.value_or(milliseconds(0));
-  if (this->gate.refuses(request.fields().output_tokens, start)) {
+  if (this->gate.refuses(this->answer_time(request, now), start)) {
     return refusal{result_code::draining, "the router stops",
                    other_router_takes};
   }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include <boragehill/result.hpp>
 #include <boragehill/time_point.hpp>
 
+#include "decide/answer_pace.hpp"
 #include "decide/crash_watch.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/send_budget.hpp"
@@ -137,6 +138,8 @@
   /// \return False if it must not run, would run for nobody, or would be cut
   ///     off by the end of this process.
   bool may_start(const exchange& request, time_point now) const;
+  /// \return From a send to the end of the answer, at the most.
+  milliseconds answer_time(const exchange& request, time_point now) const;
   bool can_take(const server_state& server, const exchange& request) const;
   decide::answer_pulse* pulse_of(const exchange& request);
   void judge_silence(server_state& server, time_point now);
@@ -191,6 +194,8 @@
   std::function<void()> waits;
   decide::crash_watch crashes;
   decide::stop_gate gate;
+  /// By service.
+  std::map<std::string, decide::answer_pace> paces;
   bool serving = false;
 };
 
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -19,6 +19,11 @@
     this->crashes.on_answered(request.fingerprint());
   }
   const auto now = time_point::clock::now();
+  if (ended.code == result_code::ok && !request.slowed_by_caller()) {
+    this->paces[request.service()].on_answer(
+        request.fields().output_tokens,
+        milliseconds(ms_between(request.answered().value_or(now), now)), now);
+  }
   const auto received = request.request().received;
   const auto& asked = request.fields();
   if (request.answered()) {
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -280,6 +280,7 @@
   if (!caller->congested() || !this->connection || this->held_up) return;
   this->connection->pause();
   this->held_up = true;
+  this->was_held_up = true;
   this->host.on_held_up(*this);
 }
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -93,6 +93,8 @@
   std::optional<time_point> answered() const { return this->first_byte; }
   /// \return The longest time between two pieces of the answer.
   milliseconds longest_gap() const { return this->widest_gap; }
+  /// \return True if its caller took the answer more slowly than it came.
+  bool slowed_by_caller() const { return this->was_held_up; }
   /// \return True while the server that has it has answered nothing yet.
   bool unanswered() const { return this->unread; }
   /// \return When it was first sent to a server, if it was.
@@ -159,6 +161,7 @@
   bool unread = false;
   /// Its answer isn't read, since the caller is slow.
   bool held_up = false;
+  bool was_held_up = false;
   bool head_passed = false;
   bool not_run_answer = false;
   bool misdirected = false;
--- /dev/null
+++ b/test/decide-test/answer_pace_test.cpp
@@ -0,0 +1,47 @@
+#include "decide/answer_pace.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+using std::chrono::seconds;
+
+const time_point begin{seconds(100)};
+
+TEST(answer_pace_test, takes_the_usual_pace_before_anything_was_seen) {
+  const answer_pace pace;
+  EXPECT_EQ(pace.most_time(0, begin), seconds(1));
+  EXPECT_EQ(pace.most_time(100, begin), milliseconds(1900));
+}
+
+TEST(answer_pace_test, reckons_with_the_slowest_answer_of_late) {
+  // Guards against answers of busy workers that outlast what they are granted.
+  answer_pace pace;
+  pace.on_answer(300, milliseconds(4500), begin);
+  pace.on_answer(300, milliseconds(600), begin + seconds(1));
+  EXPECT_EQ(pace.most_time(300, begin + seconds(2)), milliseconds(7750));
+  EXPECT_EQ(pace.most_time(0, begin + seconds(2)), seconds(1));
+}
+
+TEST(answer_pace_test, never_grants_less_than_the_usual_pace) {
+  // Guards against a few short answers that say nothing of long ones.
+  answer_pace pace;
+  pace.on_answer(300, milliseconds(10), begin);
+  pace.on_answer(0, seconds(60), begin);
+  EXPECT_EQ(pace.most_time(100, begin), milliseconds(1900));
+}
+
+TEST(answer_pace_test, forgets_a_slow_answer_after_a_while) {
+  // Guards against refusals for an hour after a short crowd.
+  answer_pace pace;
+  pace.on_answer(100, seconds(3), begin);
+  pace.on_answer(100, seconds(1), begin + seconds(11));
+  EXPECT_EQ(pace.most_time(100, begin + seconds(11)), milliseconds(5500));
+  pace.on_answer(100, seconds(1), begin + seconds(21));
+  EXPECT_EQ(pace.most_time(100, begin + seconds(21)), milliseconds(2500));
+  EXPECT_EQ(pace.most_time(100, begin + seconds(60)), milliseconds(1900));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- a/test/decide-test/stop_gate_test.cpp
+++ b/test/decide-test/stop_gate_test.cpp
@@ -2,12 +2,15 @@
 
 #include <gtest/gtest.h>
 
+#include "decide/answer_pace.hpp"
+
 namespace boragehill::decide {
 namespace {
 
 const time_point begin{std::chrono::seconds(100)};
-constexpr int long_one = 600;
-constexpr int short_one = 100;
+const milliseconds long_one = answer_pace().most_time(600, begin);
+const milliseconds short_one = answer_pace().most_time(100, begin);
+const milliseconds plain = answer_pace().most_time(0, begin);
 
 TEST(stop_gate_test, refuses_a_late_generation_instead_of_cutting_it) {
   // A router gets SIGTERM while the rest of its zone is busy, and callers still
@@ -27,8 +30,8 @@
   gate.close(begin, begin + std::chrono::seconds(8));
   EXPECT_FALSE(gate.refuses(short_one, begin + std::chrono::seconds(5)));
   EXPECT_TRUE(gate.refuses(short_one, begin + milliseconds(6200)));
-  EXPECT_FALSE(gate.refuses(0, begin + std::chrono::seconds(6)));
-  EXPECT_TRUE(gate.refuses(0, begin + milliseconds(7500)));
+  EXPECT_FALSE(gate.refuses(plain, begin + std::chrono::seconds(6)));
+  EXPECT_TRUE(gate.refuses(plain, begin + milliseconds(7500)));
 }
 
 TEST(stop_gate_test, refuses_what_starts_too_late_though_it_came_in_time) {
@@ -46,9 +49,9 @@
   // between was sent to a worker and cut off 160 ms later.
   stop_gate gate;
   gate.close(begin, begin + std::chrono::seconds(8));
-  EXPECT_FALSE(gate.refuses(0, begin + std::chrono::seconds(5)));
+  EXPECT_FALSE(gate.refuses(plain, begin + std::chrono::seconds(5)));
   gate.shut();
-  EXPECT_TRUE(gate.refuses(0, begin + std::chrono::seconds(5)));
+  EXPECT_TRUE(gate.refuses(plain, begin + std::chrono::seconds(5)));
 }
 
 }  // namespace
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -47,6 +47,23 @@
   EXPECT_NE(long_answer.find("id: 8\n"), std::string::npos) << long_answer;
 }
 
+TEST(stopping_router_test, takes_no_answer_that_lasts_as_the_last_ones_did) {
+  // Guards against answers that are cut off since busy workers are slow.
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("worker-1", R"({"kind":"slow_events","ms":500})");
+  const auto first = fleet.raw(1, request_of("first", "/stream/x", "model-1"));
+  ASSERT_NE(first.find("id: 8\n"), std::string::npos) << first;
+  fleet["router-1"].signal(SIGTERM);
+  std::thread open(
+      [&fleet] { fleet.raw(1, request_of("open", "/stream/x", "model-1")); });
+  std::this_thread::sleep_for(milliseconds(3500));
+  const auto answer = fleet.raw(1, request_of("late", "/stream/x", "model-1"));
+  open.join();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_EQ(fleet.runs_of("late"), 0);
+}
+
 TEST(stopping_router_test, answers_what_no_server_has_answered_by_the_end) {
   // Guards against connections that are closed without any answer.
   small_fleet fleet(1, 1, 1, 1);
