Heed the callers' length hints when a router stops

What callers saw: from 2.9 s after SIGTERM a stopping router refused nearly every generation, since it reckoned with the most tokens that each may have, which nearly none has; where all routers stop at once its callers met only others that refused.

A hint that can't be read is none.

--- a/src/fleet/request_fields.hpp
+++ b/src/fleet/request_fields.hpp
@@ -18,7 +18,10 @@
   std::string model;
   std::string adapter;
   int prompt_tokens = 0;
+  /// The most that it may generate.
   int output_tokens = 0;
+  /// The caller's estimate of what it generates, if it gives one.
+  std::optional<int> output_hint;
 
   bool operator==(const request_fields&) const = default;
 };
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "decide/answer_size.hpp"
 #include "decide/server_choice.hpp"
 #include "decide/wait_limit.hpp"
 #include "kernel/event_log.hpp"
@@ -261,11 +262,12 @@
 
 milliseconds dispatcher::answer_time(const exchange& request,
                                      time_point now) const {
-  const int tokens = request.fields().output_tokens;
+  const decide::answer_size size{.most = request.fields().output_tokens,
+                                 .hint = request.fields().output_hint};
   const auto found = this->paces.find(request.service());
   const auto& pace =
       found == this->paces.end() ? decide::answer_pace() : found->second;
-  return pace.most_time(tokens, now);
+  return pace.most_time(size.safe_tokens(), now);
 }
 
 std::size_t dispatcher::most_connections(const std::string& service) const {
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -84,6 +84,20 @@
   EXPECT_EQ(*sent.find("Last-Event-Id"), "9");
 }
 
+TEST(header_codec_test, takes_a_length_hint_that_can_be_read) {
+  const auto hint = [](const char* value) {
+    return codec()
+        ->read_request(headers({{"Boragehill-Length-Hint", value}}))
+        .value()
+        .output_hint;
+  };
+  EXPECT_EQ(hint("40"), 40);
+  for (const char* bad : {"", "-1", "0", "many", "99999999999"}) {
+    EXPECT_EQ(hint(bad), std::nullopt) << bad;
+  }
+  EXPECT_EQ(codec()->read_request({}).value().output_hint, std::nullopt);
+}
+
 TEST(header_codec_test, takes_only_the_workers_word_for_not_run) {
   const auto shed =
       codec()->read_answer(503, headers({{"Boragehill-Not-Run", "1"}}));
