Read and log that a server says in its answers that it leaves

The logs could not tell whether a router had been told: 809 was written for the store's list alone, and no code read the header. Each router now remembers the lifetimes that have said so, of any answer of theirs (also to another request, and to a status check), unless the answer names another lifetime, and logs 809 with by=answer, the request, and what the list says. Nothing acts on it yet.

--- a/src/fleet/answer_fields.hpp
+++ b/src/fleet/answer_fields.hpp
@@ -16,6 +16,8 @@
   bool misdirected = false;
   /// What the server that answered registered under; empty if not told.
   std::string server;
+  /// The server says that it leaves.
+  bool leaving = false;
   /// It bears the worker's proof that the answer is its own.
   bool stamped = false;
   /// Requests running and waiting at the worker, if it tells.
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "decide/answer_size.hpp"
 #include "decide/server_choice.hpp"
 #include "decide/wait_limit.hpp"
+#include "fleet/request_codec.hpp"
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
 #include "serve/exchange.hpp"
@@ -86,8 +87,9 @@
                          {"version", list.version}});
     }
     if (leaves) {
-      kernel::log_event(kernel::event::server_leaving,
-                        {{"server", id}, {"version", list.version}});
+      kernel::log_event(
+          kernel::event::server_leaving,
+          {{"server", id}, {"by", "list"}, {"version", list.version}});
     }
     state.entry = entry;
   }
@@ -396,6 +398,30 @@
   this->pool.forget(server.entry.id);
 }
 
+void dispatcher::on_answer_head(const exchange& request,
+                                const fleet::answer_fields& answer) {
+  const auto found = this->servers.find(request.server());
+  if (found == this->servers.end()) return;
+  this->take_notice(found->second, answer, request.fields().attempt);
+}
+
+void dispatcher::take_notice(const server_state& server,
+                             const fleet::answer_fields& answer,
+                             const std::string& by) {
+  const auto& id = server.entry.id;
+  const bool other_lifetime =
+      !answer.server.empty() && !this->headers.is_server(answer.server, id);
+  if (other_lifetime) return;
+  if (answer.leaving && this->leaving.on_told(id)) {
+    kernel::log_event(kernel::event::server_leaving,
+                      {{"server", id},
+                       {"by", "answer"},
+                       {"request", by},
+                       {"listed", server.listed},
+                       {"list_says", server.entry.draining}});
+  }
+}
+
 void dispatcher::on_model_missing(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include "decide/answer_pace.hpp"
 #include "decide/crash_watch.hpp"
 #include "decide/demand_report.hpp"
+#include "decide/leaving_servers.hpp"
 #include "decide/send_budget.hpp"
 #include "decide/stop_gate.hpp"
 #include "fleet/catalog.hpp"
@@ -91,6 +92,8 @@
   const fleet::request_codec& codec() const override { return this->headers; }
   void place(const std::shared_ptr<exchange>& request) override;
   void withdraw(const exchange& request) override;
+  void on_answer_head(const exchange& request,
+                      const fleet::answer_fields& answer) override;
   void on_answering(const exchange& request) override;
   void on_heard(const exchange& request) override;
   void on_held_up(const exchange& request) override;
@@ -157,6 +160,9 @@
   bool check_lifetime(server_state& server, const http::message_head& head);
   /// \param by What was answered: a request's attempt, or a question.
   void mark_replaced(server_state& server, const std::string& by);
+  /// Takes up what a server says of itself in an answer.
+  void take_notice(const server_state& server,
+                   const fleet::answer_fields& answer, const std::string& by);
   void on_question_ended(const std::string& server,
                          const result<http::whole_answer>& answer,
                          time_point asked);
@@ -196,6 +202,7 @@
   decide::stop_gate gate;
   /// By service.
   std::map<std::string, decide::answer_pace> paces;
+  decide::leaving_servers leaving;
   bool serving = false;
 };
 
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -172,8 +172,10 @@
 
 bool dispatcher::check_lifetime(server_state& server,
                                 const http::message_head& head) {
-  const auto told = this->headers.read_answer(head.status, head.headers).server;
-  if (told.empty() || this->headers.is_server(told, server.entry.id)) {
+  const auto told = this->headers.read_answer(head.status, head.headers);
+  this->take_notice(server, told, "question");
+  if (told.server.empty() ||
+      this->headers.is_server(told.server, server.entry.id)) {
     return true;
   }
   this->mark_replaced(server, "question");
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -192,6 +192,7 @@
 
 bool exchange::on_head(const http::message_head& head) {
   const auto answer = this->host.codec().read_answer(head.status, head.headers);
+  this->host.on_answer_head(*this, answer);
   const bool ours =
       answer.attempt.empty() || answer.attempt == this->asked.attempt;
   if (!ours) return false;
--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -8,6 +8,7 @@
 
 namespace boragehill::fleet {
 class request_codec;
+struct answer_fields;
 struct catalog;
 struct service;
 }  // namespace boragehill::fleet
@@ -35,6 +36,11 @@
   /// The request waits no longer.
   virtual void withdraw(const exchange& request) = 0;
 
+  /// The head of an answer came from the server that has the request; it may
+  /// be an answer to another one.
+  virtual void on_answer_head(const exchange& request,
+                              const fleet::answer_fields& answer) = 0;
+
   /// The first bytes of the server's answer came.
   virtual void on_answering(const exchange& request) = 0;
 
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -117,5 +117,17 @@
   EXPECT_EQ(good.waiting, 1);
 }
 
+TEST(header_codec_test, reads_that_a_server_leaves) {
+  const auto leaves = [](const char* value) {
+    return codec()
+        ->read_answer(200, headers({{"Server-Leaving", value}}))
+        .leaving;
+  };
+  EXPECT_TRUE(leaves("1"));
+  EXPECT_FALSE(leaves("0"));
+  EXPECT_FALSE(leaves(""));
+  EXPECT_FALSE(codec()->read_answer(200, {}).leaving);
+}
+
 }  // namespace
 }  // namespace boragehill::fleet
--- /dev/null
+++ b/test/decide-test/leaving_servers_test.cpp
@@ -0,0 +1,30 @@
+#include "decide/leaving_servers.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace boragehill::decide {
+namespace {
+
+TEST(leaving_servers_test, is_news_once) {
+  leaving_servers leaving;
+  EXPECT_FALSE(leaving.contains("i-1"));
+  EXPECT_TRUE(leaving.on_told("i-1"));
+  EXPECT_FALSE(leaving.on_told("i-1"));
+  EXPECT_TRUE(leaving.contains("i-1"));
+  EXPECT_FALSE(leaving.contains("i-2"));
+}
+
+TEST(leaving_servers_test, forgets_the_oldest_beyond_its_bound) {
+  // Guards against memory that grows with each server that ever left.
+  leaving_servers leaving;
+  for (std::size_t each = 0; each <= leaving_servers::most; ++each) {
+    EXPECT_TRUE(leaving.on_told("i-" + std::to_string(each)));
+  }
+  EXPECT_FALSE(leaving.contains("i-0"));
+  EXPECT_TRUE(leaving.contains("i-1"));
+  EXPECT_TRUE(leaving.contains("i-" + std::to_string(leaving_servers::most)));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
