Show that routers go on using servers that say they leave (fails)

Callers risked answers that are cut off when such a server goes. The stand-in servers can say that they leave without telling the store.

--- /dev/null
+++ b/test/fleet-test/leaving_server_test.cpp
@@ -0,0 +1,63 @@
+#include <chrono>
+#include <gtest/gtest.h>
+#include <string>
+#include <thread>
+
+#include "fleet-test/small_fleet.hpp"
+
+namespace boragehill::fleet_test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto say_leaving = R"({"kind":"say_leaving"})";
+
+/// Sends calls until a server has answered one.
+void call_until_answered_by(small_fleet& fleet, const std::string& server) {
+  for (int each = 0; each < 64; ++each) {
+    const auto answer = fleet.call(1, "until-" + std::to_string(each), {});
+    ASSERT_TRUE(answer);
+    if (answer->get_header_value("Boragehill-Response-Stamp") == server) return;
+  }
+  FAIL() << server << " answered none";
+}
+
+TEST(leaving_server_test, gets_nothing_after_its_answer_said_that_it_leaves) {
+  // Guards against requests that are cut off at a server whose leaving the
+  // store can't tell.
+  small_fleet fleet(1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("store", R"({"kind":"silent"})");
+  fleet.fault("plain-1", say_leaving);
+  ASSERT_NO_FATAL_FAILURE(call_until_answered_by(fleet, "i-plain-1"));
+  const auto before = fleet.truth("plain-1")["runs"].size();
+  for (int each = 0; each < 20; ++each) {
+    const auto answer = fleet.call(1, "later-" + std::to_string(each), {});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+  }
+  EXPECT_EQ(fleet.truth("plain-1")["runs"].size(), before);
+}
+
+TEST(leaving_server_test, gets_nothing_when_it_is_listed_anew) {
+  // Guards against a list that lapsed and came back with an older state.
+  small_fleet fleet(1, 1, 2, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("plain-1", say_leaving);
+  ASSERT_NO_FATAL_FAILURE(call_until_answered_by(fleet, "i-plain-1"));
+  const auto entry = fleet.entry("i-plain-1");
+  fleet.forget_server("i-plain-1");
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.write_entry("i-plain-1", entry);
+  std::this_thread::sleep_for(milliseconds(200));
+  const auto before = fleet.truth("plain-1")["runs"].size();
+  for (int each = 0; each < 20; ++each) {
+    const auto answer = fleet.call(1, "later-" + std::to_string(each), {});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+  }
+  EXPECT_EQ(fleet.truth("plain-1")["runs"].size(), before);
+}
+
+}  // namespace
+}  // namespace boragehill::fleet_test
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -483,19 +483,27 @@
   this->post(worker, "/standin/fault", kernel::write_json(fault));
 }
 
-std::string small_fleet::planner() {
+std::string small_fleet::row(const std::string& table, const std::string& key) {
   httplib::Client client(this->address_of("store"),
                          this->port_base + store_port_offset);
-  const auto answer = client.Get("/rows-get?table=boragehill&part=");
+  const auto answer = client.Get("/rows-get?table=" + table + "&part=");
   if (!answer) return {};
   const auto rows = kernel::parse_json(answer->body);
+  std::string value;
   for (const auto& each : (*rows)["rows"]) {
-    if (each["key"].asString() != "planner") continue;
-    std::string value;
+    if (each["key"].asString() != key) continue;
     absl::Base64Unescape(each["value"].asString(), &value);
-    return (*kernel::parse_json(value))["router"].asString();
   }
-  return {};
+  return value;
+}
+
+std::string small_fleet::entry(const std::string& id) {
+  return this->row("servers", id);
+}
+
+std::string small_fleet::planner() {
+  const auto row = kernel::parse_json(this->row("boragehill", "planner"));
+  return row ? (*row)["router"].asString() : std::string();
 }
 
 }  // namespace boragehill::fleet_test
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -81,6 +81,8 @@
   void replace_worker(int number, const std::string& id);
   /// Writes bytes among the servers' entries, as another program might.
   void write_entry(const std::string& key, const std::string& bytes);
+  /// \return The bytes of a server's entry; empty if the store has none.
+  std::string entry(const std::string& id);
   /// Takes a server's entry out of the store.
   void forget_server(const std::string& id);
   /// \return Where a stand-in listens, and where others take it to be.
@@ -109,6 +111,8 @@
   std::string planner();
 
  private:
+  /// \return The value of a row of the store; empty if there is none.
+  std::string row(const std::string& table, const std::string& key);
   /// \return The names of all backend servers, model workers first.
   std::vector<std::string> servers() const;
   void await_standin(const std::string& name) const;
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -38,6 +38,8 @@
     ++this->silence_count;
   } else if (kind == "slow") {
     this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
+  } else if (kind == "say_leaving") {
+    this->say_leaving = true;
   } else if (kind == "slow_loads") {
     this->slow_loads = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "slow_events") {
@@ -61,6 +63,7 @@
   this->read_only = false;
   this->frozen = false;
   this->silent = false;
+  this->say_leaving = false;
   this->slow = std::chrono::milliseconds{0};
   this->slow_loads = std::chrono::milliseconds{0};
   this->slow_events = std::chrono::milliseconds{0};
@@ -103,6 +106,11 @@
   return this->down;
 }
 
+bool fault_switch::says_leaving() {
+  const std::scoped_lock lock(this->mutex);
+  return this->say_leaving;
+}
+
 std::uint64_t fault_switch::silences() {
   const std::scoped_lock lock(this->mutex);
   return this->silence_count;
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -45,6 +45,9 @@
   ///     says.
   std::chrono::milliseconds event_delay();
 
+  /// \return True if each answer says that the server leaves ("say_leaving").
+  bool says_leaving();
+
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
@@ -64,6 +67,7 @@
   bool read_only = false;
   bool frozen = false;
   bool silent = false;
+  bool say_leaving = false;
   std::uint64_t silence_count = 0;
   std::chrono::milliseconds slow{0};
   std::chrono::milliseconds slow_loads{0};
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -104,6 +104,7 @@
   if (this->switched.is_silent()) return swallow(response);
   this->switched.crash_if_marked(request.body);
   handle(request, response);
+  if (this->switched.says_leaving()) response.set_header("Server-Leaving", "1");
   this->switched.wait_while_frozen();
   if (this->switched.silences() != silences) return swallow(response);
   if (this->switched.take_lost_answer()) lose(response);
