Send nothing more to a server that has said in an answer that it leaves

What callers risked: answers cut off by a server that goes.

Cause: that a server leaves was taken from the store's list alone, and the store was silent; the answers' own word was read by nobody. The class of fault: one source for what several tell, and the slowest of them.

Why it works: a lifetime that has said so gets no new request from this router, whatever the list says then: the word is kept apart from the entry, since an entry may lapse, come back, or be older. What runs there ends in peace.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -188,7 +188,7 @@
 bool dispatcher::can_take(const server_state& server,
                           const exchange& request) const {
   if (server.entry.service != request.service()) return false;
-  if (!server.takes_new()) return false;
+  if (!this->takes_new(server)) return false;
   if (server.silence.doubted()) return false;
   if (request.sends().tried(server.entry.id)) return false;
   const auto& asked = request.fields();
@@ -203,10 +203,14 @@
       this->servers.begin(), this->servers.end(), [&](const auto& each) {
         const auto& server = each.second;
         return server.entry.service == request.service() &&
-               server.takes_new() && !request.sends().tried(each.first);
+               this->takes_new(server) && !request.sends().tried(each.first);
       });
 }
 
+bool dispatcher::takes_new(const server_state& server) const {
+  return server.takes_new() && !this->leaving.contains(server.entry.id);
+}
+
 server_state* dispatcher::find_server(const exchange& request, time_point now) {
   std::vector<decide::server_candidate> candidates;
   std::vector<server_state*> states;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -144,6 +144,8 @@
   /// \return From a send to the end of the answer, at the most.
   milliseconds answer_time(const exchange& request, time_point now) const;
   bool can_take(const server_state& server, const exchange& request) const;
+  /// \return True if the server may get new requests, by all that is known.
+  bool takes_new(const server_state& server) const;
   decide::answer_pulse* pulse_of(const exchange& request);
   void judge_silence(server_state& server, time_point now);
   /// Judges the requests at servers that left a question unanswered.
--- a/src/serve/server_state.hpp
+++ b/src/serve/server_state.hpp
@@ -34,7 +34,7 @@
   /// Requests of other routers there, as the planner said.
   int other_requests = 0;
 
-  /// \return True if it may get new requests.
+  /// \return True if it may get new requests, by the list.
   bool takes_new() const {
     return this->listed && !this->entry.draining && !this->replaced;
   }
