Read and log that a server asks for rest

The logs told of each repeat that a request was not run, and neither where nor why, so servers that turn requests away could not be told from full ones or wrong views. The Retry-After of a worker's 503 is read, event 815 tells each rest that begins, and 605 names the server that had the request last. Nothing acts on it yet.

--- a/src/fleet/answer_fields.hpp
+++ b/src/fleet/answer_fields.hpp
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string>
 
+#include <boragehill/time_point.hpp>
+
 namespace boragehill::fleet {
 
 /// What a worker's answer says to the system.
@@ -18,6 +20,9 @@
   std::string server;
   /// The server says that it leaves.
   bool leaving = false;
+  /// The server turns the request away and wants nothing from this router for
+  /// so long.
+  std::optional<milliseconds> rest;
   /// It bears the worker's proof that the answer is its own.
   bool stamped = false;
   /// Requests running and waiting at the worker, if it tells.
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -82,6 +82,7 @@
     row{event::server_silent, "server_silent", severity::warning},
     row{event::server_heard, "server_heard", severity::info},
     row{event::server_unanswering, "server_unanswering", severity::info},
+    row{event::server_rests, "server_rests", severity::info},
     row{event::planner_followed, "planner_followed", severity::info},
     row{event::planner_lost, "planner_lost", severity::warning},
     row{event::planner_leads, "planner_leads", severity::info},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -93,6 +93,7 @@
   server_silent = 812,
   server_heard = 813,
   server_unanswering = 814,
+  server_rests = 815,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -424,6 +424,13 @@
                        {"listed", server.listed},
                        {"list_says", server.entry.draining}});
   }
+  if (!answer.rest) return;
+  const auto now = time_point::clock::now();
+  if (this->resting.on_asked(id, now + *answer.rest, now)) {
+    kernel::log_event(
+        kernel::event::server_rests,
+        {{"server", id}, {"request", by}, {"rest_ms", answer.rest->count()}});
+  }
 }
 
 void dispatcher::on_model_missing(const exchange& request) {
@@ -439,6 +446,7 @@
   kernel::log_event(kernel::event::retry,
                     {{"request", request.fields().attempt},
                      {"service", request.service()},
+                     {"server", request.last_server()},
                      {"sends", request.sends().send_count()},
                      {"granted", granted}});
   granted ? this->metrics.on_repeat() : this->metrics.on_repeat_denied();
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -18,6 +18,7 @@
 #include "decide/crash_watch.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/leaving_servers.hpp"
+#include "decide/resting_servers.hpp"
 #include "decide/send_budget.hpp"
 #include "decide/stop_gate.hpp"
 #include "fleet/catalog.hpp"
@@ -205,6 +206,7 @@
   /// By service.
   std::map<std::string, decide::answer_pace> paces;
   decide::leaving_servers leaving;
+  decide::resting_servers resting;
   bool serving = false;
 };
 
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -117,6 +117,20 @@
   EXPECT_EQ(good.waiting, 1);
 }
 
+TEST(header_codec_test, reads_for_how_long_a_server_wants_nothing) {
+  const auto rest = [](int status, const char* value) {
+    return codec()->read_answer(status, headers({{"Retry-After", value}})).rest;
+  };
+  EXPECT_EQ(rest(503, "3"), milliseconds(3000));
+  EXPECT_EQ(rest(503, "0.25"), milliseconds(250));
+  EXPECT_EQ(rest(503, "1e300"), std::chrono::hours(24));
+  for (const char* bad : {"", "-1", "nan", "soon", "3 s"}) {
+    EXPECT_EQ(rest(503, bad), std::nullopt) << bad;
+  }
+  EXPECT_EQ(rest(429, "3"), std::nullopt);
+  EXPECT_EQ(codec()->read_answer(503, {}).rest, std::nullopt);
+}
+
 TEST(header_codec_test, reads_that_a_server_leaves) {
   const auto leaves = [](const char* value) {
     return codec()
--- /dev/null
+++ b/test/decide-test/resting_servers_test.cpp
@@ -0,0 +1,51 @@
+#include "decide/resting_servers.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+using std::chrono::seconds;
+
+const time_point begin{seconds(100)};
+
+TEST(resting_servers_test, rests_until_the_end) {
+  resting_servers resting;
+  EXPECT_EQ(resting.until("i-1", begin), std::nullopt);
+  EXPECT_TRUE(resting.on_asked("i-1", begin + seconds(3), begin));
+  EXPECT_EQ(resting.until("i-1", begin + milliseconds(2999)),
+            begin + seconds(3));
+  EXPECT_EQ(resting.until("i-1", begin + seconds(3)), std::nullopt);
+  EXPECT_EQ(resting.until("i-2", begin), std::nullopt);
+}
+
+TEST(resting_servers_test, is_not_cut_short_by_a_later_answer) {
+  // Guards against answers to requests that were on their way when the rest
+  // began.
+  resting_servers resting;
+  resting.on_asked("i-1", begin + seconds(3), begin);
+  EXPECT_FALSE(resting.on_asked("i-1", begin + seconds(1), begin));
+  EXPECT_EQ(resting.until("i-1", begin), begin + seconds(3));
+  EXPECT_FALSE(resting.on_asked("i-1", begin + seconds(4), begin));
+  EXPECT_EQ(resting.until("i-1", begin), begin + seconds(4));
+}
+
+TEST(resting_servers_test, may_rest_again) {
+  resting_servers resting;
+  resting.on_asked("i-1", begin + seconds(3), begin);
+  const auto later = begin + seconds(5);
+  EXPECT_TRUE(resting.on_asked("i-1", later + seconds(1), later));
+  EXPECT_EQ(resting.until("i-1", later), later + seconds(1));
+}
+
+TEST(resting_servers_test, forgets_rests_that_are_over) {
+  // Guards against memory that grows with each server that ever rested.
+  resting_servers resting;
+  resting.on_asked("i-1", begin + seconds(3), begin);
+  EXPECT_FALSE(resting.drop_ended(begin + seconds(2)));
+  EXPECT_TRUE(resting.drop_ended(begin + seconds(3)));
+  EXPECT_FALSE(resting.drop_ended(begin + seconds(4)));
+}
+
+}  // namespace
+}  // namespace boragehill::decide
