--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -40,6 +40,8 @@
     this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "say_leaving") {
     this->say_leaving = true;
+  } else if (kind == "shed") {
+    this->shed = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "slow_loads") {
     this->slow_loads = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "slow_events") {
@@ -64,6 +66,7 @@
   this->frozen = false;
   this->silent = false;
   this->say_leaving = false;
+  this->shed.reset();
   this->slow = std::chrono::milliseconds{0};
   this->slow_loads = std::chrono::milliseconds{0};
   this->slow_events = std::chrono::milliseconds{0};
@@ -85,6 +88,11 @@
   std::this_thread::sleep_for(pause);
 }
 
+std::optional<std::chrono::milliseconds> fault_switch::shed_rest() {
+  const std::scoped_lock lock(this->mutex);
+  return this->shed;
+}
+
 std::chrono::milliseconds fault_switch::load_delay() {
   const std::scoped_lock lock(this->mutex);
   return this->slow_loads;
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <json/json.h>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace boragehill::standin {
@@ -48,6 +49,10 @@
   /// \return True if each answer says that the server leaves ("say_leaving").
   bool says_leaving();
 
+  /// \return The rest that each refusal of "shed" asks for; nothing if none is
+  ///     set.
+  std::optional<std::chrono::milliseconds> shed_rest();
+
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
@@ -70,6 +75,7 @@
   bool say_leaving = false;
   std::uint64_t silence_count = 0;
   std::chrono::milliseconds slow{0};
+  std::optional<std::chrono::milliseconds> shed;
   std::chrono::milliseconds slow_loads{0};
   std::chrono::milliseconds slow_events{0};
   std::uint32_t lost_answers = 0;
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -20,6 +20,7 @@
 constexpr int conflict_status = 409;
 constexpr int misdirected_status = 421;
 constexpr int failed_status = 500;
+constexpr int unavailable_status = 503;
 constexpr int events_of_a_stream = 8;
 
 std::pair<std::string, std::string> split_model(const std::string& text) {
@@ -125,6 +126,16 @@
   const auto [model, adapter] =
       split_model(request.get_header_value("Boragehill-Model"));
   const auto held = this->models.find(model);
+  const auto rest = this->faults.shed_rest();
+  if (rest) {
+    ++this->turned_away;
+    response.status = unavailable_status;
+    response.set_header("Boragehill-Not-Run", "1");
+    response.set_header(
+        "Retry-After",
+        std::to_string(std::chrono::duration<double>(*rest).count()));
+    return true;
+  }
   const bool there =
       model.empty() || (held != this->models.end() &&
                         (adapter.empty() || held->second.contains(adapter)));
@@ -277,6 +288,7 @@
   told["runs"] = Json::Value(Json::objectValue);
   for (const auto& [attempt, count] : this->runs) told["runs"][attempt] = count;
   told["overcommitted"] = this->overcommitted;
+  told["turned_away"] = this->turned_away;
   told["holders"] = Json::UInt64(this->holders.size());
   told["models"] = this->models_shown();
   return told;
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -56,6 +56,7 @@
   std::map<std::string, int> runs;
   std::set<std::string> holders;
   int overcommitted = 0;
+  int turned_away = 0;
   int running = 0;
   std::vector<std::thread> work;
 };
