Send nothing to a server that asked for rest until it is over

What callers saw: refusals with 503 though idle servers were there.

Cause: the Retry-After of a server's 503 was read by nobody. Such a server has no requests, so it was the first choice for the next one. Class of fault: a refusal taken for a matter of the one request, where it tells of the server.

Why it works: a server that asked for rest isn't chosen, for new requests, repeats and requests from a line alike, nor asked for its status, until the rest is over; a later answer doesn't shorten it. Where all servers that could take a request rest, it waits if the first rest ends while its caller bears it, and is sent there then, also to one that turned it away; else it is refused at once with the time at which a rest ends (2010).

--- a/src/decide/send_record.hpp
+++ b/src/decide/send_record.hpp
@@ -23,8 +23,8 @@
   /// It is handed to a server.
   void on_send(const std::string& server);
   /// The last server proved that it did not run.
-  /// \param ask_again It may be sent there again: the view was wrong, not the
-  ///     server full.
+  /// \param ask_again It may be sent there again: the view was wrong, or the
+  ///     server told when it takes requests again.
   void on_not_run(bool ask_again);
   /// The last server may have run it.
   void on_perhaps_run();
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -185,11 +185,16 @@
   this->wait_in_line(request);
 }
 
-bool dispatcher::can_take(const server_state& server,
-                          const exchange& request) const {
+bool dispatcher::can_take(const server_state& server, const exchange& request,
+                          time_point now) const {
+  return this->suits(server, request) && !server.silence.doubted() &&
+         !this->resting.until(server.entry.id, now);
+}
+
+bool dispatcher::suits(const server_state& server,
+                       const exchange& request) const {
   if (server.entry.service != request.service()) return false;
   if (!this->takes_new(server)) return false;
-  if (server.silence.doubted()) return false;
   if (request.sends().tried(server.entry.id)) return false;
   const auto& asked = request.fields();
   if (asked.model.empty()) return true;
@@ -218,7 +223,7 @@
   for (auto& [id, state] : this->servers) {
     if (state.entry.service != request.service()) continue;
     this->judge_silence(state, now);
-    if (!this->can_take(state, request)) continue;
+    if (!this->can_take(state, request, now)) continue;
     const int slots = state.entry.slots;
     candidates.push_back(
         {.own_requests = static_cast<int>(state.requests.size()),
@@ -468,6 +473,19 @@
           .gap_objective = route.gap_objective};
 }
 
+std::optional<milliseconds> dispatcher::rest_before(const exchange& request,
+                                                    time_point now) const {
+  std::optional<time_point> soonest;
+  for (const auto& [id, server] : this->servers) {
+    if (!this->suits(server, request)) continue;
+    const auto end = this->resting.until(id, now);
+    if (!end) return std::nullopt;
+    soonest = soonest ? std::min(*soonest, *end) : *end;
+  }
+  if (!soonest) return std::nullopt;
+  return std::chrono::ceil<milliseconds>(*soonest - now);
+}
+
 std::optional<dispatcher::refusal> dispatcher::in_vain(const exchange& request,
                                                        time_point now) const {
   if (auto why = this->barred(request, now)) return why;
@@ -480,6 +498,9 @@
     waiting.ready_in =
         milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
   }
+  const auto rest = this->rest_before(request, now);
+  if (rest)
+    waiting.ready_in = std::max(waiting.ready_in.value_or(*rest), *rest);
   const auto start = now + waiting.ready_in.value_or(milliseconds(0));
   if (this->gate.refuses(this->answer_time(request, now), start)) {
     return refusal{result_code::draining, "the router stops",
@@ -490,6 +511,10 @@
   if (!listed) {
     return refusal{result_code::no_server, "no server is listed", *back};
   }
+  if (rest) {
+    return refusal{result_code::server_busy, "all servers asked for rest",
+                   *back};
+  }
   return refusal{result_code::deadline_unreachable,
                  "no worker has the model in time", *back};
 }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -144,7 +144,15 @@
   bool may_start(const exchange& request, time_point now) const;
   /// \return From a send to the end of the answer, at the most.
   milliseconds answer_time(const exchange& request, time_point now) const;
-  bool can_take(const server_state& server, const exchange& request) const;
+  /// \return True if the server may get the request now.
+  bool can_take(const server_state& server, const exchange& request,
+                time_point now) const;
+  /// \return True if it is one for the request and may get new ones at all.
+  bool suits(const server_state& server, const exchange& request) const;
+  /// \return The time until the first rest ends, if all servers for the request
+  ///     rest.
+  std::optional<milliseconds> rest_before(const exchange& request,
+                                          time_point now) const;
   /// \return True if the server may get new requests, by all that is known.
   bool takes_new(const server_state& server) const;
   decide::answer_pulse* pulse_of(const exchange& request);
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -73,13 +73,14 @@
 void dispatcher::watch_silence() {
   const auto now = time_point::clock::now();
   this->excuse_own_pause(now);
-  bool heard = false;
+  // Those that wait are served when a server is heard or has rested.
+  bool back = this->resting.drop_ended(now);
   for (auto& [id, state] : this->servers) {
     const bool was_doubted = state.silence.doubted();
     this->judge_silence(state, now);
-    heard = heard || (was_doubted && !state.silence.doubted());
+    back = back || (was_doubted && !state.silence.doubted());
   }
-  if (heard) this->serve_waiting();
+  if (back) this->serve_waiting();
   this->judge_silent_waits(now);
 }
 
@@ -139,7 +140,8 @@
     kernel::log_event(kernel::event::server_heard,
                       {{"server", server.entry.id}, {"by", "answer"}});
   }
-  if (server.silence.question_due(now)) this->ask(server);
+  const bool rests = this->resting.until(server.entry.id, now).has_value();
+  if (server.silence.question_due(now) && !rests) this->ask(server);
 }
 
 void dispatcher::ask(server_state& server) {
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -158,6 +158,7 @@
   this->sent = now;
   this->not_run_answer = false;
   this->misdirected = false;
+  this->asked_rest = false;
   this->replaced = false;
   this->small_head.reset();
   this->small_body.clear();
@@ -200,6 +201,7 @@
   if (answer.not_run) {
     this->not_run_answer = true;
     this->misdirected = answer.misdirected;
+    this->asked_rest = answer.rest.has_value();
     this->replaced = !answer.server.empty() &&
                      !this->host.codec().is_server(answer.server, this->at);
     return true;
@@ -300,7 +302,8 @@
   this->connection.reset();
   if (this->done) return;
   if (this->not_run_answer) {
-    this->record.on_not_run(this->misdirected);
+    // A server that rests may get it again afterwards.
+    this->record.on_not_run(this->misdirected || this->asked_rest);
     if (this->replaced) {
       this->host.on_server_replaced(*this);
     } else if (this->misdirected) {
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -165,6 +165,7 @@
   bool head_passed = false;
   bool not_run_answer = false;
   bool misdirected = false;
+  bool asked_rest = false;
   bool replaced = false;
   bool resumed = false;
   bool done = false;
