Let plain servers leave by their answers and ask for rest in the soak

Two further kinds of fault: a plain server says in its answers that it leaves and is replaced at the end, and one turns all requests away and asks for 0.6 s of rest. The end of the first counts as a replacement, which may cut off what runs there; the time before excuses nothing.

--- a/test/soak/fault_kind.hpp
+++ b/test/soak/fault_kind.hpp
@@ -23,10 +23,12 @@
   store_silent,
   worker_restart,
   foreign_entry,
-  worker_pause
+  worker_pause,
+  plain_leaves,
+  plain_rests
 };
 
-constexpr int fault_kinds = 19;
+constexpr int fault_kinds = 21;
 
 /// \return The kind's name, for the log.
 const char* name_of(fault_kind kind);
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -15,7 +15,8 @@
     "agent_kill",     "agent_stop",    "agent_pause",   "worker_replace",
     "plain_replace",  "store_link",    "worker_link",   "store_down",
     "store_slow",     "store_lost",    "configuration", "store_silent",
-    "worker_restart", "foreign_entry", "worker_pause"};
+    "worker_restart", "foreign_entry", "worker_pause",  "plain_leaves",
+    "plain_rests"};
 constexpr std::array links{link_fault::delay, link_fault::reset,
                            link_fault::cut_requests, link_fault::cut_answers,
                            link_fault::silence};
@@ -44,6 +45,8 @@
     case fault_kind::router_hangup:
       return size.routers;
     case fault_kind::plain_replace:
+    case fault_kind::plain_leaves:
+    case fault_kind::plain_rests:
       return size.plains;
     case fault_kind::agent_kill:
     case fault_kind::agent_stop:
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -130,6 +130,9 @@
       return numbered("agent", step.target);
     case fault_kind::worker_pause:
       return numbered("worker", step.target);
+    case fault_kind::plain_leaves:
+    case fault_kind::plain_rests:
+      return numbered("plain", step.target);
     case fault_kind::store_link:
       return "store";
     case fault_kind::worker_link:
@@ -162,6 +165,12 @@
     case fault_kind::foreign_entry:
       return this->fleet.write_entry(numbered("x", step.target),
                                      foreign_bytes(step));
+    case fault_kind::plain_leaves:
+      return this->fleet.fault(this->process_of(step),
+                               R"({"kind":"say_leaving"})");
+    case fault_kind::plain_rests:
+      return this->fleet.fault(this->process_of(step),
+                               R"({"kind":"shed","ms":600})");
     case fault_kind::worker_replace:
     case fault_kind::worker_restart:
     case fault_kind::plain_replace:
@@ -198,7 +207,7 @@
                                       this->worker_ids[step.target]);
   }
   const auto id = numbered("i-new", ++this->replaced);
-  if (step.kind == fault_kind::plain_replace) {
+  if (step.kind != fault_kind::worker_replace) {
     return this->fleet.replace_plain(step.target, id);
   }
   this->worker_ids[step.target] = id;
@@ -232,6 +241,13 @@
     case fault_kind::store_answers_lost:
     case fault_kind::store_silent:
       return this->fleet.fault("store", R"({"kind":"none"})");
+    case fault_kind::plain_rests:
+      return this->fleet.fault(this->process_of(fault.step),
+                               R"({"kind":"none"})");
+    case fault_kind::plain_leaves:
+      this->spans.push_back({fault_kind::plain_replace, fault.step.target,
+                             clock::now(), clock::now()});
+      return this->replace(fault.step);
     default:
       return;
   }
