--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -19,7 +19,8 @@
     this->crashes.on_answered(request.fingerprint());
   }
   const auto now = time_point::clock::now();
-  if (ended.code == result_code::ok && !request.slowed_by_caller()) {
+  const bool one_run = request.sends().send_count() == 1;
+  if (ended.code == result_code::ok && one_run && !request.slowed_by_caller()) {
     this->paces[request.service()].on_answer(
         request.fields().output_tokens,
         milliseconds(ms_between(request.answered().value_or(now), now)), now);
