Bound what one short answer teaches, and what a caller may claim

Found in review, by reading: an answer of one token that stalled for 0.4 s taught a pace at which a stopping router would have refused every generation for 10 to 20 s, and a claim of two thousand million tokens overflowed the clock, which admits the request. Short answers count like thirty tokens; no answer is granted more than an hour. Both tests of answer_pace_test fail without it, by their arithmetic.

--- a/src/decide/answer_pace.cpp
+++ b/src/decide/answer_pace.cpp
@@ -10,7 +10,8 @@
                             time_point now) {
   if (most_tokens <= 0) return;
   this->turn(now);
-  const pace seen = static_cast<double>(streamed.count()) / most_tokens;
+  const pace seen = static_cast<double>(streamed.count()) /
+                    std::max(most_tokens, fewest_tokens);
   this->slowest = std::max(this->slowest, seen);
 }
 
@@ -31,8 +32,10 @@
     const pace seen = std::max(this->slowest, this->slowest_before);
     each = std::max(each, seen * headroom);
   }
+  const double ms = each * std::max(tokens, 0);
+  const auto most = static_cast<double>(longest.count());
   return start_needs +
-         milliseconds(static_cast<std::int64_t>(each * std::max(tokens, 0)));
+         milliseconds(static_cast<std::int64_t>(std::min(ms, most)));
 }
 
 }  // namespace boragehill::decide
--- a/src/decide/answer_pace.hpp
+++ b/src/decide/answer_pace.hpp
@@ -13,8 +13,8 @@
 /// load cuts answers off at another.
 class answer_pace {
  public:
-  /// Many times what a plain call takes; also a generation's time to its first
-  /// token.
+  /// The time to a generation's first token, and the whole time of a plain
+  /// call.
   static constexpr milliseconds start_needs{1000};
 
   /// A whole answer was passed on.
@@ -30,8 +30,13 @@
   /// Milliseconds a token.
   using pace = double;
 
-  /// What is taken before anything was seen, and at the least.
+  /// Default and lower bound.
   static constexpr pace usual = 9;
+  /// A shorter answer counts like one of so many tokens: a stall of its server
+  /// says little of long ones.
+  static constexpr int fewest_tokens = 30;
+  /// Longer times overflow clocks.
+  static constexpr milliseconds longest{3600000};
   /// Workers may fill further while an answer is made.
   static constexpr double headroom = 1.5;
   /// A slow answer is remembered for one to two of these.
--- a/src/decide/answer_size.hpp
+++ b/src/decide/answer_size.hpp
@@ -14,7 +14,7 @@
   bool operator==(const answer_size&) const = default;
 
   /// \return The tokens to reckon with where the answer must not be cut off: a
-  ///     multiple of the estimate, which is right in the middle only.
+  ///     multiple of the estimate, which is accurate only at the median.
   int safe_tokens() const {
     constexpr int hint_margin = 3;
     if (!this->hint || *this->hint >= this->most / hint_margin) {
--- a/test/decide-test/answer_pace_test.cpp
+++ b/test/decide-test/answer_pace_test.cpp
@@ -32,6 +32,20 @@
   EXPECT_EQ(pace.most_time(100, begin), milliseconds(1900));
 }
 
+TEST(answer_pace_test, learns_little_from_a_short_answer_that_stalls) {
+  // Guards against refusing all callers for one stalled answer of one token.
+  answer_pace pace;
+  pace.on_answer(1, milliseconds(400), begin);
+  EXPECT_EQ(pace.most_time(300, begin), seconds(7));
+}
+
+TEST(answer_pace_test, grants_no_more_than_clocks_bear) {
+  // Guards against an overflow by what a caller may claim.
+  answer_pace pace;
+  pace.on_answer(1, std::chrono::hours(10), begin);
+  EXPECT_LT(pace.most_time(2000000000, begin), std::chrono::hours(2));
+}
+
 TEST(answer_pace_test, forgets_a_slow_answer_after_a_while) {
   // Guards against refusals for an hour after a short crowd.
   answer_pace pace;
