Move no request from a silent server that must not start elsewhere

At a router that stops, and for one that is convicted, the repeat was paid, the run aborted, and the request refused. may_start is asked first, so it stays where it is.

--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -95,7 +95,7 @@
 }
 
 bool dispatcher::is_movable(const exchange& request, time_point now) {
-  if (!request.may_move()) return false;
+  if (!request.may_move() || !this->may_start(request, now)) return false;
   auto& budget = this->budget_of(request.service());
   return budget.left(now, this->routers) >= 1 &&
          this->find_server(request, now);
