Wait for the loop to end what is open before the process ends

Found in review, by reading: the end of a stop gave the traffic thread a blind tenth of a second. A router that is behind, as small ones are, ended before it had answered what was open, without a word again. It waits for that now, as long as the margin before the kill allows, and then for the last bytes.

--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -1,5 +1,6 @@
 #include "serve/entry.hpp"
 
+#include <future>
 #include <thread>
 #include <utility>
 
@@ -237,14 +238,18 @@
 }
 
 void entry::say_goodbye() {
-  this->loop.post([this] {
+  const auto ended = std::make_shared<std::promise<void>>();
+  this->loop.post([this, ended] {
     this->requests.end_stop();
     std::error_code ignored;
     this->acceptor.close(ignored);
     this->close_idle();
+    ended->set_value();
   });
-  // The last answers are on their way to their callers.
-  std::this_thread::sleep_for(drain_poll * 2);
+  // A loop that is behind gets what the last bytes leave of the margin.
+  constexpr milliseconds flush{100};
+  ended->get_future().wait_for(stop_margin - 2 * flush);
+  std::this_thread::sleep_for(flush);
 }
 
 void entry::drain() {
