Ask a resting server once whether it lives when it falls silent

One question a rest is allowed, within the two requests that the platform bears; if it goes unanswered, what is there is judged as before. resting_servers_test.is_asked_once_in_each_rest.

--- a/src/decide/resting_servers.hpp
+++ b/src/decide/resting_servers.hpp
@@ -24,12 +24,21 @@
   std::optional<time_point> until(const std::string& server,
                                   time_point now) const;
 
+  /// A server that falls silent in its rest may have requests, so it is asked
+  /// whether it lives.
+  /// \return False if it rests and was asked in this rest.
+  bool take_question(const std::string& server, time_point now);
+
   /// Forgets the rests that are over.
   /// \return True if there was one.
   bool drop_ended(time_point now);
 
  private:
-  std::map<std::string, time_point> ends;
+  struct rest {
+    time_point end;
+    bool asked = false;
+  };
+  std::map<std::string, rest> rests;
 };
 
 }  // namespace boragehill::decide
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -73,14 +73,14 @@
 void dispatcher::watch_silence() {
   const auto now = time_point::clock::now();
   this->excuse_own_pause(now);
-  // Those that wait are served when a server is heard or has rested.
-  bool back = this->resting.drop_ended(now);
+  // A server that is heard or has rested may serve those that wait.
+  bool may_serve = this->resting.drop_ended(now);
   for (auto& [id, state] : this->servers) {
     const bool was_doubted = state.silence.doubted();
     this->judge_silence(state, now);
-    back = back || (was_doubted && !state.silence.doubted());
+    may_serve = may_serve || (was_doubted && !state.silence.doubted());
   }
-  if (back) this->serve_waiting();
+  if (may_serve) this->serve_waiting();
   this->judge_silent_waits(now);
 }
 
@@ -140,8 +140,8 @@
     kernel::log_event(kernel::event::server_heard,
                       {{"server", server.entry.id}, {"by", "answer"}});
   }
-  const bool rests = this->resting.until(server.entry.id, now).has_value();
-  if (server.silence.question_due(now) && !rests) this->ask(server);
+  if (!server.silence.question_due(now)) return;
+  if (this->resting.take_question(server.entry.id, now)) this->ask(server);
 }
 
 void dispatcher::ask(server_state& server) {
--- a/test/decide-test/resting_servers_test.cpp
+++ b/test/decide-test/resting_servers_test.cpp
@@ -38,6 +38,19 @@
   EXPECT_EQ(resting.until("i-1", later), later + seconds(1));
 }
 
+TEST(resting_servers_test, is_asked_once_in_each_rest) {
+  // Guards against requests that hang at a server that falls silent in a rest.
+  resting_servers resting;
+  EXPECT_TRUE(resting.take_question("i-1", begin));
+  resting.on_asked("i-1", begin + seconds(3), begin);
+  EXPECT_TRUE(resting.take_question("i-1", begin));
+  EXPECT_FALSE(resting.take_question("i-1", begin + seconds(1)));
+  EXPECT_TRUE(resting.take_question("i-1", begin + seconds(3)));
+  resting.on_asked("i-1", begin + seconds(9), begin + seconds(4));
+  EXPECT_TRUE(resting.take_question("i-1", begin + seconds(4)));
+  EXPECT_FALSE(resting.take_question("i-1", begin + seconds(5)));
+}
+
 TEST(resting_servers_test, forgets_rests_that_are_over) {
   // Guards against memory that grows with each server that ever rested.
   resting_servers resting;
