--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -473,16 +473,16 @@
           .gap_objective = route.gap_objective};
 }
 
-std::optional<milliseconds> dispatcher::rest_before(const exchange& request,
-                                                    time_point now) const {
+milliseconds dispatcher::rest_left(const exchange& request) const {
+  const auto now = time_point::clock::now();
   std::optional<time_point> soonest;
   for (const auto& [id, server] : this->servers) {
     if (!this->suits(server, request)) continue;
     const auto end = this->resting.until(id, now);
-    if (!end) return std::nullopt;
+    if (!end) return milliseconds(0);
     soonest = soonest ? std::min(*soonest, *end) : *end;
   }
-  if (!soonest) return std::nullopt;
+  if (!soonest) return milliseconds(0);
   return std::chrono::ceil<milliseconds>(*soonest - now);
 }
 
@@ -498,9 +498,9 @@
     waiting.ready_in =
         milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
   }
-  const auto rest = this->rest_before(request, now);
-  if (rest)
-    waiting.ready_in = std::max(waiting.ready_in.value_or(*rest), *rest);
+  const auto rest = this->rest_left(request);
+  const bool rests = rest > milliseconds(0);
+  if (rests) waiting.ready_in = std::min(waiting.ready_in.value_or(rest), rest);
   const auto start = now + waiting.ready_in.value_or(milliseconds(0));
   if (this->gate.refuses(this->answer_time(request, now), start)) {
     return refusal{result_code::draining, "the router stops",
@@ -509,9 +509,10 @@
   const auto back = decide::refuse_waiting_now(waiting);
   if (!back) return std::nullopt;
   if (!listed) {
-    return refusal{result_code::no_server, "no server is listed", *back};
+    return refusal{result_code::no_server, "no server takes new requests",
+                   *back};
   }
-  if (rest) {
+  if (rests) {
     return refusal{result_code::server_busy, "all servers asked for rest",
                    *back};
   }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -104,6 +104,7 @@
   void on_server_failed(const exchange& request, bool reached) override;
   void on_model_missing(const exchange& request) override;
   void on_server_replaced(const exchange& request) override;
+  milliseconds rest_left(const exchange& request) const override;
   bool take_repeat(const exchange& request) override;
   void on_finished(const exchange& request) override;
 
@@ -149,10 +150,6 @@
                 time_point now) const;
   /// \return True if it is one for the request and may get new ones at all.
   bool suits(const server_state& server, const exchange& request) const;
-  /// \return The time until the first rest ends, if all servers for the request
-  ///     rest.
-  std::optional<milliseconds> rest_before(const exchange& request,
-                                          time_point now) const;
   /// \return True if the server may get new requests, by all that is known.
   bool takes_new(const server_state& server) const;
   decide::answer_pulse* pulse_of(const exchange& request);
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -35,6 +35,8 @@
 /// A caller that is refused because servers did not take its request comes
 /// back after this; by then the view of the fleet is corrected.
 constexpr milliseconds come_back{600};
+/// After a shorter rest a server would only turn the same request away again.
+constexpr milliseconds rest_to_wait_for{100};
 /// A worker that stops at the limit by itself says so within this; its answer
 /// is better than ours.
 constexpr milliseconds limit_slack{60};
@@ -201,7 +203,7 @@
   if (answer.not_run) {
     this->not_run_answer = true;
     this->misdirected = answer.misdirected;
-    this->asked_rest = answer.rest.has_value();
+    this->asked_rest = answer.rest && *answer.rest >= rest_to_wait_for;
     this->replaced = !answer.server.empty() &&
                      !this->host.codec().is_server(answer.server, this->at);
     return true;
@@ -377,7 +379,8 @@
     return this->host.place(this->shared_from_this());
   }
   if (this->head_passed) return this->break_off(why);
-  this->refuse(result_code::outcome_unknown, why, come_back);
+  this->refuse(result_code::outcome_unknown, why,
+               std::max(come_back, this->host.rest_left(*this)));
 }
 
 bool exchange::may_move() const {
--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -68,6 +68,10 @@
   /// though it is still listed.
   virtual void on_server_replaced(const exchange& request) = 0;
 
+  /// \return The time until a server for the request takes any, if all of them
+  ///     asked for rest; else zero.
+  virtual milliseconds rest_left(const exchange& request) const = 0;
+
   /// \return True if the service's repeats leave room for one more; takes it.
   virtual bool take_repeat(const exchange& request) = 0;
 
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -123,6 +123,7 @@
   };
   EXPECT_EQ(rest(503, "3"), milliseconds(3000));
   EXPECT_EQ(rest(503, "0.25"), milliseconds(250));
+  EXPECT_EQ(rest(503, "0.0001"), milliseconds(1));
   EXPECT_EQ(rest(503, "1e300"), std::chrono::hours(24));
   for (const char* bad : {"", "0", "-1", "nan", "soon", "3 s"}) {
     EXPECT_EQ(rest(503, bad), std::nullopt) << bad;
