Let a broken stream go on at a stopping router while there is time

Found in review: the gate reckons with the whole answer, also for a stream that broke off and may go on elsewhere. From 2.9 s after SIGTERM such a stream was broken off at once, and since waiting requests are judged also one that waited for its next server, which before was served until 0.9 s before the end.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -268,7 +268,14 @@
 
 bool dispatcher::may_start(const exchange& request, time_point now) const {
   return request.is_wanted(now) && !this->barred(request, now) &&
-         !this->gate.refuses(this->answer_time(request, now), now);
+         !this->would_be_cut(request, now);
+}
+
+bool dispatcher::would_be_cut(const exchange& request, time_point start) const {
+  // Nobody knows what is left of an answer that has begun, and without another
+  // run it is cut for sure.
+  if (request.answered()) return false;
+  return this->gate.refuses(this->answer_time(request, start), start);
 }
 
 milliseconds dispatcher::answer_time(const exchange& request,
@@ -502,7 +509,7 @@
   const bool rests = rest > milliseconds(0);
   if (rests) waiting.ready_in = std::min(waiting.ready_in.value_or(rest), rest);
   const auto start = now + waiting.ready_in.value_or(milliseconds(0));
-  if (this->gate.refuses(this->answer_time(request, now), start)) {
+  if (this->would_be_cut(request, start)) {
     return refusal{result_code::draining, "the router stops",
                    other_router_takes};
   }
@@ -552,6 +559,9 @@
   this->judge_waiting();
   // Requests that end change the servers' lists of them.
   std::vector<std::shared_ptr<exchange>> open;
+  for (const auto& [key, line] : std::exchange(this->lines, {})) {
+    open.insert(open.end(), line.begin(), line.end());
+  }
   for (const auto& [id, state] : this->servers) {
     for (const auto& [key, request] : state.requests) open.push_back(request);
   }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -143,6 +143,9 @@
   /// \return False if it must not run, would run for nobody, or would be cut
   ///     off by the end of this process.
   bool may_start(const exchange& request, time_point now) const;
+  /// \param start When a server gets the request at the earliest.
+  /// \return True if the end of this process would cut its answer off.
+  bool would_be_cut(const exchange& request, time_point start) const;
   /// \return From a send to the end of the answer, at the most.
   milliseconds answer_time(const exchange& request, time_point now) const;
   /// \return True if the server may get the request now.
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -14,12 +14,13 @@
 
 /// \return The bytes of a caller's request that closes its connection.
 std::string request_of(const std::string& attempt, const std::string& path,
-                       const std::string& model) {
+                       const std::string& model, int most_tokens = 100) {
   return "POST " + path +
          " HTTP/1.1\r\nHost: valves.example\r\nConnection: close\r\n"
          "Boragehill-Attempt-Id: " +
          attempt + "\r\nBoragehill-Model: " + model +
-         "\r\nBoragehill-Token-Count: 10,100\r\n"
+         "\r\nBoragehill-Token-Count: 10," + std::to_string(most_tokens) +
+         "\r\n"
          "Boragehill-Deadline-Ms: 10000\r\nContent-Length: 1\r\n\r\n?";
 }
 
@@ -39,7 +40,10 @@
   std::this_thread::sleep_for(milliseconds(4700));
   const auto begin = steady_clock::now();
   const auto answer = fleet.raw(1, request_of("waits", "/stream/x", "model-3"));
-  EXPECT_LT(steady_clock::now() - begin, milliseconds(1500));
+  const auto took = steady_clock::now() - begin;
+  // It was taken, and waited.
+  EXPECT_GT(took, milliseconds(300));
+  EXPECT_LT(took, milliseconds(1500));
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
   EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
   EXPECT_EQ(fleet.runs_of("waits"), 0);
@@ -55,15 +59,39 @@
   const auto first = fleet.raw(1, request_of("first", "/stream/x", "model-1"));
   ASSERT_NE(first.find("id: 8\n"), std::string::npos) << first;
   fleet["router-1"].signal(SIGTERM);
-  std::thread open(
-      [&fleet] { fleet.raw(1, request_of("open", "/stream/x", "model-1")); });
+  std::string open_answer;
+  std::thread open([&fleet, &open_answer] {
+    open_answer = fleet.raw(1, request_of("open", "/stream/x", "model-1"));
+  });
   std::this_thread::sleep_for(milliseconds(3500));
   const auto answer = fleet.raw(1, request_of("late", "/stream/x", "model-1"));
   open.join();
+  EXPECT_NE(open_answer.find("id: 8\n"), std::string::npos) << open_answer;
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
   EXPECT_EQ(fleet.runs_of("late"), 0);
 }
 
+TEST(stopping_router_test, lets_a_broken_stream_go_on_while_there_is_time) {
+  // Guards against answers that are cut off for the length that they might
+  // have had.
+  small_fleet fleet(1, 2, 1, 2);
+  ASSERT_TRUE(fleet.start());
+  for (const char* worker : {"worker-1", "worker-2"}) {
+    fleet.fault(worker, R"({"kind":"slow_events","ms":280})");
+  }
+  fleet["router-1"].signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2500));
+  std::string answer;
+  std::thread caller([&fleet, &answer] {
+    answer = fleet.raw(1, request_of("breaks", "/stream/r/x", "model-1", 1000));
+  });
+  std::this_thread::sleep_for(milliseconds(700));
+  fleet["worker-1"].kill();
+  caller.join();
+  EXPECT_NE(answer.find("id: 8\n"), std::string::npos) << answer;
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+}
+
 TEST(stopping_router_test, answers_what_no_server_has_answered_by_the_end) {
   // Guards against connections that are closed without any answer.
   small_fleet fleet(1, 1, 1, 1);
