--- a/src/decide/answer_size.hpp
+++ b/src/decide/answer_size.hpp
@@ -16,7 +16,7 @@
   /// \return The tokens to reckon with where the answer must not be cut off: a
   ///     multiple of the estimate, which is accurate only at the median.
   int safe_tokens() const {
-    constexpr int hint_margin = 3;
+    constexpr int hint_margin = 6;
     if (!this->hint || *this->hint >= this->most / hint_margin) {
       return this->most;
     }
