Give waiting requests and stops a file of their own

What judges waiting requests and what a stop does move to dispatcher_waiting.cpp as they are; the two checks of leaving_server_test that were alike are one function. No behaviour changes.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "decide/answer_size.hpp"
 #include "decide/server_choice.hpp"
-#include "decide/wait_limit.hpp"
 #include "fleet/request_codec.hpp"
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
@@ -22,8 +20,6 @@
 constexpr std::size_t fewest_connections = 4;
 /// A model that was just added is known here after a second or two.
 constexpr milliseconds next_catalog{1500};
-/// A caller that is refused by a router that stops reaches another one.
-constexpr milliseconds other_router_takes{50};
 
 bool is_late(const exchange& request, time_point now) {
   const auto objective = request.route()->latency_objective;
@@ -266,28 +262,6 @@
          this->send(request, *server, now);
 }
 
-bool dispatcher::may_start(const exchange& request, time_point now) const {
-  return request.is_wanted(now) && !this->barred(request, now) &&
-         !this->would_be_cut(request, now);
-}
-
-bool dispatcher::would_be_cut(const exchange& request, time_point start) const {
-  // Nobody knows what is left of an answer that has begun, and without another
-  // run it is cut for sure.
-  if (request.answered()) return false;
-  return this->gate.refuses(this->answer_time(request, start), start);
-}
-
-milliseconds dispatcher::answer_time(const exchange& request,
-                                     time_point now) const {
-  const decide::answer_size size{.most = request.fields().output_tokens,
-                                 .hint = request.fields().output_hint};
-  const auto found = this->paces.find(request.service());
-  const auto& pace =
-      found == this->paces.end() ? decide::answer_pace() : found->second;
-  return pace.most_time(size.safe_tokens(), now);
-}
-
 std::size_t dispatcher::most_connections(const std::string& service) const {
   const auto* found = this->known_catalog
                           ? this->known_catalog->find_service(service)
@@ -470,110 +444,6 @@
       .first->second;
 }
 
-decide::wait_case dispatcher::waiting_of(const exchange& request,
-                                         time_point now) const {
-  const auto& route = *request.route();
-  return {.waited = milliseconds(ms_between(request.request().received, now)),
-          .left = milliseconds(ms_between(now, request.due())),
-          .stream = route.rule == fleet::repeat_rule::stream,
-          .objective = route.latency_objective,
-          .gap_objective = route.gap_objective};
-}
-
-milliseconds dispatcher::rest_left(const exchange& request) const {
-  const auto now = time_point::clock::now();
-  std::optional<time_point> soonest;
-  for (const auto& [id, server] : this->servers) {
-    if (!this->suits(server, request)) continue;
-    const auto end = this->resting.until(id, now);
-    if (!end) return milliseconds(0);
-    soonest = soonest ? std::min(*soonest, *end) : *end;
-  }
-  if (!soonest) return milliseconds(0);
-  return std::chrono::ceil<milliseconds>(*soonest - now);
-}
-
-std::optional<dispatcher::refusal> dispatcher::in_vain(const exchange& request,
-                                                       time_point now) const {
-  if (auto why = this->barred(request, now)) return why;
-  const bool listed = this->may_get_server(request);
-  auto waiting = this->waiting_of(request, now);
-  // A stream that broke off goes on as soon as there is a server.
-  waiting.has_server = listed || request.answered();
-  const auto known = this->expected.find(request.fields().model);
-  if (known != this->expected.end()) {
-    waiting.ready_in =
-        milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
-  }
-  const auto rest = this->rest_left(request);
-  const bool rests = rest > milliseconds(0);
-  if (rests) waiting.ready_in = std::min(waiting.ready_in.value_or(rest), rest);
-  const auto start = now + waiting.ready_in.value_or(milliseconds(0));
-  if (this->would_be_cut(request, start)) {
-    return refusal{result_code::draining, "the router stops",
-                   other_router_takes};
-  }
-  const auto back = decide::refuse_waiting_now(waiting);
-  if (!back) return std::nullopt;
-  if (!listed) {
-    return refusal{result_code::no_server, "no server takes new requests",
-                   *back};
-  }
-  if (rests) {
-    return refusal{result_code::server_busy, "all servers asked for rest",
-                   *back};
-  }
-  return refusal{result_code::deadline_unreachable,
-                 "no worker has the model in time", *back};
-}
-
-void dispatcher::judge_waiting() {
-  const auto now = time_point::clock::now();
-  std::vector<std::pair<std::shared_ptr<exchange>, refusal>> refused;
-  for (const auto& [key, line] : this->lines) {
-    for (const auto& each : line) {
-      if (const auto vain = this->in_vain(*each, now)) {
-        refused.emplace_back(each, *vain);
-      }
-    }
-  }
-  for (const auto& [request, vain] : refused) {
-    this->withdraw(*request);
-    request->refuse(vain.code, vain.reason, vain.retry_after);
-  }
-}
-
-void dispatcher::begin_stop(time_point until) {
-  const auto now = time_point::clock::now();
-  kernel::log_event(kernel::event::drain_started,
-                    {{"running", this->running()},
-                     {"waiting", this->waiting()},
-                     {"until_ms", ms_between(now, until)}});
-  this->gate.close(now, until);
-}
-
-void dispatcher::end_stop() {
-  kernel::log_event(kernel::event::drain_ended, {{"running", this->running()},
-                                                 {"waiting", this->waiting()}});
-  this->gate.shut();
-  this->judge_waiting();
-  // Requests that end change the servers' lists of them.
-  std::vector<std::shared_ptr<exchange>> open;
-  for (const auto& [key, line] : std::exchange(this->lines, {})) {
-    open.insert(open.end(), line.begin(), line.end());
-  }
-  for (const auto& [id, state] : this->servers) {
-    for (const auto& [key, request] : state.requests) open.push_back(request);
-  }
-  for (const auto& each : open) each->give_up("the router stops");
-}
-
-bool dispatcher::shut_if_idle() {
-  if (this->waiting() + this->running() > 0) return false;
-  this->gate.shut();
-  return true;
-}
-
 void dispatcher::tidy() {
   this->pool.drop_old();
   this->drop_unlisted();
--- a/test/fleet-test/leaving_server_test.cpp
+++ b/test/fleet-test/leaving_server_test.cpp
@@ -22,6 +22,17 @@
   FAIL() << server << " answered none";
 }
 
+/// Expects that further calls are answered, and none by that server.
+void expect_unused(small_fleet& fleet, const std::string& server) {
+  const auto before = fleet.truth(server)["runs"].size();
+  for (int each = 0; each < 20; ++each) {
+    const auto answer = fleet.call(1, "later-" + std::to_string(each), {});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+  }
+  EXPECT_EQ(fleet.truth(server)["runs"].size(), before);
+}
+
 TEST(leaving_server_test, gets_nothing_after_its_answer_said_that_it_leaves) {
   // Guards against requests that are cut off at a server whose leaving the
   // store can't tell.
@@ -30,13 +41,7 @@
   fleet.fault("store", R"({"kind":"silent"})");
   fleet.fault("plain-1", say_leaving);
   ASSERT_NO_FATAL_FAILURE(call_until_answered_by(fleet, "i-plain-1"));
-  const auto before = fleet.truth("plain-1")["runs"].size();
-  for (int each = 0; each < 20; ++each) {
-    const auto answer = fleet.call(1, "later-" + std::to_string(each), {});
-    ASSERT_TRUE(answer);
-    EXPECT_EQ(answer->status, 200) << answer->body;
-  }
-  EXPECT_EQ(fleet.truth("plain-1")["runs"].size(), before);
+  expect_unused(fleet, "plain-1");
 }
 
 TEST(leaving_server_test, gets_nothing_when_it_is_listed_anew) {
@@ -50,13 +55,7 @@
   std::this_thread::sleep_for(milliseconds(1000));
   fleet.write_entry("i-plain-1", entry);
   std::this_thread::sleep_for(milliseconds(1000));
-  const auto before = fleet.truth("plain-1")["runs"].size();
-  for (int each = 0; each < 20; ++each) {
-    const auto answer = fleet.call(1, "later-" + std::to_string(each), {});
-    ASSERT_TRUE(answer);
-    EXPECT_EQ(answer->status, 200) << answer->body;
-  }
-  EXPECT_EQ(fleet.truth("plain-1")["runs"].size(), before);
+  expect_unused(fleet, "plain-1");
 }
 
 TEST(leaving_server_test, has_its_models_woken_elsewhere_at_once) {
