--- a/src/decide/resting_servers.hpp
+++ b/src/decide/resting_servers.hpp
@@ -24,6 +24,11 @@
   std::optional<time_point> until(const std::string& server,
                                   time_point now) const;
 
+  /// \return True if none is known to rest; rests that are over count until
+  /// they
+  ///     are dropped.
+  bool empty() const { return this->rests.empty(); }
+
   /// A server that falls silent in its rest may have requests, so it is asked
   /// whether it lives.
   /// \return False if it rests and was asked in this rest.
--- a/src/serve/dispatcher_waiting.cpp
+++ b/src/serve/dispatcher_waiting.cpp
@@ -53,6 +53,7 @@
 }
 
 milliseconds dispatcher::rest_left(const exchange& request) const {
+  if (this->resting.empty()) return milliseconds(0);
   const auto now = time_point::clock::now();
   std::optional<time_point> soonest;
   for (const auto& [id, server] : this->servers) {
--- a/test/decide-test/resting_servers_test.cpp
+++ b/test/decide-test/resting_servers_test.cpp
@@ -56,7 +56,9 @@
   resting_servers resting;
   resting.on_asked("i-1", begin + seconds(3), begin);
   EXPECT_FALSE(resting.drop_ended(begin + seconds(2)));
+  EXPECT_FALSE(resting.empty());
   EXPECT_TRUE(resting.drop_ended(begin + seconds(3)));
+  EXPECT_TRUE(resting.empty());
   EXPECT_FALSE(resting.drop_ended(begin + seconds(4)));
 }
 
