Log the bytes and copies behind each failed call to the store

Events 307 and 302 now tell the bytes of the response that came and the attempts in flight. Event 308 (store_response_slow) tells bytes, rows and time of a response that took more than 0.25 s to arrive. Two metrics of routers and agents: boragehill_store_bytes_read_total and boragehill_catalog_age_seconds, the time since the store last showed the configuration in force to be the newest.

No decision changes. docs_test, kernel_test and the adapter tests that stood before pass.

--- a/src/fleet/platform_store.hpp
+++ b/src/fleet/platform_store.hpp
@@ -11,6 +11,7 @@
 #include "fleet/catalog.hpp"
 #include "fleet/planner_row.hpp"
 #include "fleet/server_list.hpp"
+#include "fleet/store_statistics.hpp"
 
 namespace boragehill::fleet {
 
@@ -52,6 +53,9 @@
   virtual void take_fence(const std::string& holder,
                           number_receiver receive) = 0;
 
+  /// \return What was read until now; may be called from any thread.
+  virtual store_statistics statistics() const = 0;
+
   /// Begins to read; called once, after the receivers are set.
   virtual void start() = 0;
 
--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -30,6 +30,7 @@
   this->request = std::move(text);
   this->receive = std::move(receive);
   this->body.clear();
+  this->received_bytes = 0;
   this->parser.next();
   this->sent = false;
   this->timer.expires_after(limit);
@@ -87,6 +88,10 @@
 }
 
 void call_connection::on_read(std::size_t size) {
+  if (this->received_bytes == 0) this->first_byte = time_point::clock::now();
+  this->received_bytes += size;
+  if (this->progress) this->progress(size);
+  if (!this->receive) return;
   this->parser.feed({this->buffer.data(), size});
   if (this->parser.failed()) return this->fail();
   this->body += this->parser.take_body();
--- a/src/http/call_connection.hpp
+++ b/src/http/call_connection.hpp
@@ -5,10 +5,12 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boragehill/endpoint.hpp>
 #include <boragehill/result.hpp>
@@ -27,6 +29,8 @@
 class call_connection : public std::enable_shared_from_this<call_connection> {
  public:
   using receiver = std::function<void(result<whole_answer>)>;
+  /// Receives the number of bytes that were read.
+  using progress_receiver = std::function<void(std::size_t bytes)>;
 
   call_connection(asio::io_context& context, endpoint peer);
 
@@ -40,6 +44,17 @@
 
   bool idle() const { return !this->receive; }
 
+  /// Sets who is told of each piece of a response.
+  void on_progress(progress_receiver receive) {
+    this->progress = std::move(receive);
+  }
+
+  /// \return Bytes of the response to the last call so far.
+  std::size_t received() const { return this->received_bytes; }
+
+  /// \return When the first byte of that response was read.
+  time_point first_byte_time() const { return this->first_byte; }
+
  private:
   void connect();
   void write();
@@ -58,6 +73,9 @@
   std::string body;
   std::array<char, 16384> buffer{};
   receiver receive;
+  progress_receiver progress;
+  std::size_t received_bytes = 0;
+  time_point first_byte;
   bool connected = false;
   bool sent = false;
   /// Tells callbacks of an earlier socket from those of this one.
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -36,6 +36,7 @@
   entry_rejected = 305,
   fence_not_taken = 306,
   store_call_failed = 307,
+  store_response_slow = 308,
 
   // 400: placement.
   grant_added = 401,
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -71,6 +71,7 @@
       scrape("/metrics", [this]() -> std::optional<std::string> {
         this->metrics.set_lines_dropped(
             static_cast<double>(kernel::dropped_lines()));
+        this->metrics.set_store(this->store->statistics());
         return this->metrics.text();
       }) {}
 
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -60,7 +60,8 @@
       planner_term(gauge(this->registry, "boragehill_planner_term",
                          "Term of the planner that is followed.")),
       lines_dropped(gauge(this->registry, "boragehill_log_lines_dropped",
-                          "Log lines left out to bound the volume.")) {}
+                          "Log lines left out to bound the volume.")),
+      store(this->registry) {}
 
 void entry_metrics::on_ended(result_code code) {
   this->ended.Add({{"result", std::string(name_of(code))}}).Increment();
--- a/src/serve/entry_metrics.hpp
+++ b/src/serve/entry_metrics.hpp
@@ -12,6 +12,8 @@
 #include <boragehill/result_code.hpp>
 #include <boragehill/time_point.hpp>
 
+#include "fleet/store_metrics.hpp"
+
 namespace boragehill::serve {
 
 /// A router's metrics. Labels are result codes and fixed words, never models,
@@ -36,6 +38,7 @@
   void set_servers(double value) { this->servers.Set(value); }
   void set_planner_term(double value) { this->planner_term.Set(value); }
   void set_lines_dropped(double value) { this->lines_dropped.Set(value); }
+  void set_store(const fleet::store_statistics& read) { this->store.set(read); }
 
   /// \return All metrics in the Prometheus text format.
   std::string text() const;
@@ -55,6 +58,7 @@
   prometheus::Gauge& servers;
   prometheus::Gauge& planner_term;
   prometheus::Gauge& lines_dropped;
+  fleet::store_metrics store;
 };
 
 }  // namespace boragehill::serve
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -47,6 +47,7 @@
       fence_timer(this->loop.context()),
       scrape("/metrics",
              [this]() -> std::optional<std::string> {
+               this->metrics.set_store(this->store->statistics());
                return this->metrics.text();
              }),
       orders(settings.id, settings.service) {}
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -26,7 +26,8 @@
       term(gauge(this->registry, "boragehill_planner_term",
                  "Highest planner's term seen.")),
       reachable(gauge(this->registry, "boragehill_worker_reachable",
-                      "1 if the worker answers.")) {}
+                      "1 if the worker answers.")),
+      store(this->registry) {}
 
 void sidecar_metrics::on_order(const std::string& what,
                                fleet::order_answer answer) {
--- a/src/sidecar/sidecar_metrics.hpp
+++ b/src/sidecar/sidecar_metrics.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "fleet/order_answer.hpp"
+#include "fleet/store_metrics.hpp"
 
 namespace boragehill::sidecar {
 
@@ -20,6 +21,7 @@
   void set_residents(double models, double adapters);
   void set_term(double value) { this->term.Set(value); }
   void set_reachable(bool value) { this->reachable.Set(value ? 1 : 0); }
+  void set_store(const fleet::store_statistics& read) { this->store.set(read); }
 
   /// \return All metrics in the Prometheus text format.
   std::string text() const;
@@ -31,6 +33,7 @@
   prometheus::Gauge& adapters;
   prometheus::Gauge& term;
   prometheus::Gauge& reachable;
+  fleet::store_metrics store;
 };
 
 /// \return The word for an answer in logs and metrics.
