Add failing tests of a router on a thin link that missed configurations

What callers saw: 404 for routes that had been confirmed 3.5 s before, from one router on a link of 10 Mbit/s that the store had refused for 12 s.

The fake store keeps its row's history, as the platform's store does, and can share a link of limited bandwidth between its responses; a refusal now also ends the polls that wait, which makes a_refusing_store_is_not_pressed a little stricter.

--- a/test/adapter-test/fake_store.cpp
+++ b/test/adapter-test/fake_store.cpp
@@ -2,18 +2,25 @@
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <algorithm>
 #include <asio/buffer.hpp>
+#include <asio/error.hpp>
 #include <asio/read_until.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
-#include <asio/write.hpp>
 #include <cstdlib>
 #include <istream>
+#include <utility>
 
 namespace boragehill::platform {
 
 namespace {
 
+/// Time between two pieces of a response on a limited link.
+constexpr milliseconds link_tick{5};
+constexpr std::size_t unlimited_piece = 1 << 20;
+
 std::int64_t parameter(const std::string& target, const std::string& name) {
   const auto found = target.find(name + "=");
   if (found == std::string::npos) return 0;
@@ -29,10 +36,13 @@
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   asio::streambuf buffer;
+  /// The newest version that it knows.
+  std::int64_t known = 0;
 };
 
 fake_store::fake_store(asio::io_context& context)
-    : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}) {
+    : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+      link_timer(context) {
   this->accept();
 }
 
@@ -44,6 +54,8 @@
   this->acceptor.async_accept(
       [this](std::error_code error, asio::ip::tcp::socket socket) {
         if (error) return;
+        // A caller on the same thread reads while it is written to.
+        socket.non_blocking(true, error);
         this->read(std::make_shared<caller>(std::move(socket)));
         this->accept();
       });
@@ -69,14 +81,12 @@
     // Kept open: nothing but its own patience tells the caller.
     return this->read(from);
   }
-  if (this->refusal != 0) {
-    return this->write(from, absl::StrCat("HTTP/1.1 ", this->refusal,
-                                          " No\r\nContent-Length: 0\r\n\r\n"));
-  }
-  const bool reads_all = target.starts_with("/rows-get");
-  if (reads_all || parameter(target, "after") < this->version) {
-    return this->answer(from, true);
-  }
+  if (this->refusal != 0) return this->refuse(from);
+  const auto newest = static_cast<std::int64_t>(this->values.size());
+  if (target.starts_with("/rows-get")) return this->answer(from, newest - 1);
+  const auto after = parameter(target, "after");
+  from->known = after;
+  if (after < newest) return this->answer(from, after);
   this->wait_for_news(from, milliseconds(parameter(target, "waitMs")));
 }
 
@@ -87,47 +97,94 @@
   from->timer.async_wait([this, from](std::error_code cancelled) {
     if (cancelled) return;
     this->waiting.remove(from);
-    this->answer(from, false);
+    this->answer(from, from->known);
   });
 }
 
-void fake_store::answer(const std::shared_ptr<caller>& to, bool with_row) {
-  const std::string text = this->body(with_row);
+void fake_store::answer(const std::shared_ptr<caller>& to, std::int64_t after) {
+  const std::string text = this->body(after);
   this->write(to, absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
                                text.size(), "\r\n\r\n", text));
 }
 
+void fake_store::refuse(const std::shared_ptr<caller>& to) {
+  this->write(to, absl::StrCat("HTTP/1.1 ", this->refusal,
+                               " No\r\nContent-Length: 0\r\n\r\n"));
+}
+
 void fake_store::write(const std::shared_ptr<caller>& to,
                        const std::string& text) {
   ++this->calls_answered;
   to->timer.expires_after(this->delay);
   to->timer.async_wait([this, to, text](std::error_code cancelled) {
     if (cancelled) return;
-    auto kept = std::make_shared<std::string>(text);
-    asio::async_write(to->socket, asio::buffer(*kept),
-                      [this, to, kept](std::error_code error, std::size_t) {
-                        if (!error) this->read(to);
-                      });
+    this->transfers.push_back(
+        std::make_shared<transfer>(transfer{.to = to, .text = text}));
+    if (this->transfers.size() == 1) this->send_pieces();
   });
 }
 
-std::string fake_store::body(bool with_row) const {
-  const std::string rows =
-      with_row ? absl::StrCat(R"({"table":"t","part":"","key":"k","value":")",
-                              absl::Base64Escape(this->value), R"(","ver":)",
-                              this->version, "}")
-               : "";
-  return absl::StrCat(R"({"hasMore":false,"ver":)", this->version,
-                      R"(,"rows":[)", rows, "]}");
+void fake_store::send_pieces() {
+  constexpr std::size_t ms_per_s = 1000;
+  std::erase_if(this->transfers, [](const auto& each) {
+    return each->offset >= each->text.size();
+  });
+  if (this->transfers.empty()) return;
+  const std::size_t share = this->link_rate *
+                            static_cast<std::size_t>(link_tick.count()) /
+                            ms_per_s / this->transfers.size();
+  for (const auto& each : this->transfers) {
+    this->send_piece(each, this->link_rate == 0 ? unlimited_piece : share);
+  }
+  this->link_timer.expires_after(link_tick);
+  this->link_timer.async_wait([this](std::error_code cancelled) {
+    if (!cancelled) this->send_pieces();
+  });
 }
 
-void fake_store::put(const std::string& news) {
-  this->value = news;
-  ++this->version;
+void fake_store::send_piece(const std::shared_ptr<transfer>& each,
+                            std::size_t most) {
+  const auto size = std::min(most, each->text.size() - each->offset);
+  std::error_code error;
+  const std::size_t written = each->to->socket.write_some(
+      asio::buffer(each->text.data() + each->offset, size), error);
+  this->sent += written;
+  each->offset += written;
+  if (error && error != asio::error::would_block) {
+    each->offset = each->text.size();
+  } else if (each->offset == each->text.size()) {
+    this->read(each->to);
+  }
+}
+
+std::string fake_store::body(std::int64_t after) const {
+  const auto newest = static_cast<std::int64_t>(this->values.size());
+  std::vector<std::string> rows;
+  for (auto version = after + 1; version <= newest; ++version) {
+    const auto& value = this->values[static_cast<std::size_t>(version - 1)];
+    rows.push_back(absl::StrCat(R"({"table":"t","part":"","key":"k","value":")",
+                                absl::Base64Escape(value), R"(","ver":)",
+                                version, "}"));
+  }
+  return absl::StrCat(R"({"hasMore":false,"ver":)", newest, R"(,"rows":[)",
+                      absl::StrJoin(rows, ","), "]}");
+}
+
+void fake_store::put(const std::string& value) {
+  this->values.push_back(value);
   const auto told = std::exchange(this->waiting, {});
   for (const auto& each : told) {
     each->timer.cancel();
-    this->answer(each, true);
+    this->answer(each, each->known);
+  }
+}
+
+void fake_store::refuse_with(int status) {
+  this->refusal = status;
+  if (status == 0) return;
+  for (const auto& each : std::exchange(this->waiting, {})) {
+    each->timer.cancel();
+    this->refuse(each);
   }
 }
 
