Wait for a response of the store while its bytes arrive

Callers got 404 for routes confirmed 3.5 s before, from one router that the store had refused for 12 s and that kept its old configuration for 9 s more.

Cause: an attempt had 1.5 s for its whole response, and a copy went out every 0.3 to 0.6 s as long as none was whole. Behind a link of 10 Mbit/s a response of 1 MB takes most of a second alone; three or four copies left each a quarter of the link, so each was given up while its bytes were arriving and the next one took its place.

Change: the limit of 1.5 s holds for the first byte and between two pieces; a whole response may take 5 s more. While bytes arrive no copy is sent; the first response that begins ends the attempts that have no byte; no more than two arrive at a time. Noticing a swallowed call is unchanged, since then no byte comes. A response that is cut off, stalls, trickles or is longer than its length is logged as that and ended in bounded time.

Ruled out: the store going on to refuse (it answered 3 to 6 calls a second), a slow thread (0 to 1% processor).

--- a/src/decide/hedge_settings.hpp
+++ b/src/decide/hedge_settings.hpp
@@ -20,9 +20,16 @@
   /// Longest delay before the first retry of an attempt that failed at once,
   /// for example on a connection that the store had closed.
   milliseconds first_retry_delay{100};
-  /// Timeout of an attempt in addition to its hold time. Longer than the
-  /// interval between attempts, so that a slow store can still respond.
+  /// Timeout of an attempt without a byte of its response, in addition to its
+  /// hold time, and of one whose response stalls. Longer than the interval
+  /// between attempts, so that a slow store can still respond.
   milliseconds attempt_timeout_margin{1500};
+  /// Timeout of a response that arrives, in addition to the other two. The
+  /// largest, 1 MB, takes 3.4 s on a link of 10 Mbit/s of which requests take
+  /// three quarters.
+  milliseconds transfer_timeout{5000};
+  /// Responses that may arrive at the same time.
+  int max_transfers = 2;
 
   bool operator==(const hedge_settings&) const = default;
 };
--- a/src/http/call_connection.hpp
+++ b/src/http/call_connection.hpp
@@ -16,6 +16,8 @@
 #include <boragehill/result.hpp>
 #include <boragehill/time_point.hpp>
 
+#include "http/call_failure.hpp"
+#include "http/call_limits.hpp"
 #include "http/message_parser.hpp"
 #include "http/whole_answer.hpp"
 
@@ -36,8 +38,12 @@
 
   /// Sends a request; there must be none under way.
   /// \param text The whole request, head and body.
+  void call(std::string text, const call_limits& limits, receiver receive);
+
   /// \param limit From now to the whole answer.
-  void call(std::string text, milliseconds limit, receiver receive);
+  void call(std::string text, milliseconds limit, receiver receive) {
+    this->call(std::move(text), {limit, limit, limit}, std::move(receive));
+  }
 
   /// Breaks off; the call under way, if any, gets `platform_answer_lost`.
   void close();
@@ -55,12 +61,24 @@
   /// \return When the first byte of that response was read.
   time_point first_byte_time() const { return this->first_byte; }
 
+  /// \return Status of that response; 0 until its head is complete.
+  int status() const {
+    return this->parser.head_complete() ? this->parser.head().status : 0;
+  }
+
+  /// \return Why the last call failed. `too_long` may stand beside a response,
+  ///     which is whole by its own length.
+  call_failure failure() const { return this->why_failed; }
+
  private:
   void connect();
   void write();
   void read();
   void on_read(std::size_t size);
-  void fail();
+  void wait_for_deadline();
+  void on_deadline();
+  time_point deadline() const;
+  void fail(call_failure why);
   void finish(result<whole_answer> answer);
   void drop_socket();
 
@@ -75,7 +93,11 @@
   receiver receive;
   progress_receiver progress;
   std::size_t received_bytes = 0;
+  call_limits limits;
+  time_point called;
   time_point first_byte;
+  time_point last_byte;
+  call_failure why_failed = call_failure::none;
   bool connected = false;
   bool sent = false;
   /// Tells callbacks of an earlier socket from those of this one.
--- a/test/adapter-test/fake_store.cpp
+++ b/test/adapter-test/fake_store.cpp
@@ -118,8 +118,12 @@
   to->timer.expires_after(this->delay);
   to->timer.async_wait([this, to, text](std::error_code cancelled) {
     if (cancelled) return;
-    this->transfers.push_back(
-        std::make_shared<transfer>(transfer{.to = to, .text = text}));
+    const bool bad = this->bad_answers > 0;
+    if (bad) --this->bad_answers;
+    const auto kind = bad ? this->badness : bad_answer::none;
+    const char* surplus = kind == bad_answer::too_long ? "surplus" : "";
+    this->transfers.push_back(std::make_shared<transfer>(
+        transfer{.to = to, .text = text + surplus, .kind = kind}));
     if (this->transfers.size() == 1) this->send_pieces();
   });
 }
@@ -144,7 +148,8 @@
 
 void fake_store::send_piece(const std::shared_ptr<transfer>& each,
                             std::size_t most) {
-  const auto size = std::min(most, each->text.size() - each->offset);
+  const auto size = this->next_size(*each, most);
+  if (size == 0) return;
   std::error_code error;
   const std::size_t written = each->to->socket.write_some(
       asio::buffer(each->text.data() + each->offset, size), error);
@@ -157,6 +162,24 @@
   }
 }
 
+std::size_t fake_store::next_size(transfer& each, std::size_t most) const {
+  const auto left = each.text.size() - each.offset;
+  const auto half = each.text.size() / 2;
+  if (each.kind == bad_answer::none || each.kind == bad_answer::too_long) {
+    return std::min(most, left);
+  }
+  if (each.offset < half) return std::min(most, half - each.offset);
+  const auto now = time_point::clock::now();
+  if (each.kind == bad_answer::cut_off) {
+    std::error_code ignored;
+    each.to->socket.close(ignored);
+    each.offset = each.text.size();
+  }
+  if (each.kind != bad_answer::trickling || now < each.next_byte) return 0;
+  each.next_byte = now + milliseconds(1000);
+  return 1;
+}
+
 std::string fake_store::body(std::int64_t after) const {
   const auto newest = static_cast<std::int64_t>(this->values.size());
   std::vector<std::string> rows;
--- a/test/adapter-test/fake_store.hpp
+++ b/test/adapter-test/fake_store.hpp
@@ -17,6 +17,19 @@
 
 namespace boragehill::platform {
 
+/// What an answer is like that no store should give.
+enum class bad_answer {
+  none,
+  /// The connection ends in the middle.
+  cut_off,
+  /// More bytes follow than its length says.
+  too_long,
+  /// Nothing follows its first half.
+  stalled,
+  /// A byte a second follows its first half.
+  trickling
+};
+
 /// A store of one row and its history, on the test's own thread and loopback,
 /// that can swallow calls: it takes them and never answers, also not when it
 /// answers others. All of its answers can share a link of limited bandwidth.
@@ -41,6 +54,13 @@
   /// limit.
   void limit_link(std::size_t bytes_per_s) { this->link_rate = bytes_per_s; }
 
+  /// Answers the next calls in a way that no store should; answers after them
+  /// are whole.
+  void answer_badly(bad_answer kind, int answers) {
+    this->badness = kind;
+    this->bad_answers = answers;
+  }
+
   int swallowed() const { return this->calls_swallowed; }
   int answered() const { return this->calls_answered; }
   std::size_t bytes_sent() const { return this->sent; }
@@ -52,6 +72,8 @@
     std::shared_ptr<caller> to;
     std::string text;
     std::size_t offset = 0;
+    bad_answer kind = bad_answer::none;
+    time_point next_byte;
   };
 
   void accept();
@@ -63,6 +85,7 @@
   void write(const std::shared_ptr<caller>& to, const std::string& text);
   void send_pieces();
   void send_piece(const std::shared_ptr<transfer>& each, std::size_t most);
+  std::size_t next_size(transfer& each, std::size_t most) const;
   std::string body(std::int64_t after) const;
 
   asio::ip::tcp::acceptor acceptor;
@@ -73,6 +96,8 @@
   std::vector<std::string> values{"first"};
   milliseconds delay{0};
   std::size_t link_rate = 0;
+  bad_answer badness = bad_answer::none;
+  int bad_answers = 0;
   int refusal = 0;
   bool silent = false;
   int calls_swallowed = 0;
--- a/test/decide-test/hedge_schedule_test.cpp
+++ b/test/decide-test/hedge_schedule_test.cpp
@@ -153,5 +153,37 @@
   EXPECT_EQ(schedule.attempt_timeout(hold_time), milliseconds(2500));
 }
 
+// Guards against copies that take a thin link from the response they copy.
+TEST(hedge_schedule_test, sends_no_copy_while_a_response_arrives) {
+  hedge_schedule schedule{{}};
+  schedule.on_request_sent(begin, milliseconds(0));
+  time_point now = begin;
+  while (now < begin + milliseconds(3000)) {
+    now += milliseconds(400);
+    schedule.on_response_progress(now);
+    EXPECT_EQ(schedule.next_time(), now + milliseconds(500));
+  }
+  EXPECT_FALSE(schedule.is_store_lost());
+}
+
+// Guards against a failed attempt that hides behind bytes of its response.
+TEST(hedge_schedule_test, retries_a_response_that_failed_at_once) {
+  hedge_schedule schedule{{}};
+  schedule.on_request_sent(begin, hold_time);
+  schedule.on_response_progress(begin);
+  schedule.on_attempt_failed(begin, 50);
+  EXPECT_EQ(schedule.next_time(), begin + milliseconds(100));
+}
+
+TEST(hedge_schedule_test, limits_the_responses_that_arrive_at_the_same_time) {
+  hedge_schedule schedule{{}};
+  EXPECT_TRUE(schedule.may_hedge(0));
+  EXPECT_TRUE(schedule.may_hedge(1));
+  EXPECT_FALSE(schedule.may_hedge(2));
+  schedule.on_request_sent(begin, milliseconds(0));
+  schedule.on_hedge_skipped(begin + milliseconds(500));
+  EXPECT_EQ(schedule.next_time(), begin + milliseconds(1000));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
