Read the rate limit that a backend server names, and log it

Nothing in our logs tells of a limit, and requests came to them as before (servers.csv: 13 in seconds 5 to 8 and 14 in 9 to 12 at the one).

The header Server-Limit is new on the users' pages. A limit counts for the incarnation that named it; a response without it ends it only if the response is the server's own work. No decision changes yet.

--- a/src/fleet/answer_fields.hpp
+++ b/src/fleet/answer_fields.hpp
@@ -23,6 +23,8 @@
   /// The server turns the request away and wants nothing from this router for
   /// so long.
   std::optional<milliseconds> rest;
+  /// Requests a second that the server takes from all routers together.
+  std::optional<double> rate_limit;
   /// It bears the worker's proof that the answer is its own.
   bool stamped = false;
   /// Requests running and waiting at the worker, if it tells.
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -95,6 +95,7 @@
   server_heard = 813,
   server_unanswering = 814,
   server_rests = 815,
+  server_rate_limited = 816,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "serve/dispatcher.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <utility>
 
@@ -412,6 +413,7 @@
                        {"listed", server.listed},
                        {"list_says", server.entry.draining}});
   }
+  this->take_rate_limit(id, answer, by);
   if (!answer.rest) return;
   const auto now = time_point::clock::now();
   if (this->resting.on_retry_after(id, now + *answer.rest, now)) {
@@ -421,6 +423,22 @@
   }
 }
 
+void dispatcher::take_rate_limit(const std::string& server,
+                                 const fleet::answer_fields& answer,
+                                 const std::string& by) {
+  // A response that isn't the server's own work may lack the header.
+  if (!answer.rate_limit && !answer.stamped) return;
+  const bool is_news = this->rate_limited.on_announcement(
+      {.server = server, .limit = answer.rate_limit}, time_point::clock::now());
+  if (!is_news) return;
+  kernel::log_event(
+      kernel::event::server_rate_limited,
+      {{"server", server},
+       {"request", by},
+       {"limit", answer.rate_limit ? absl::StrCat(*answer.rate_limit)
+                                   : std::string("none")}});
+}
+
 void dispatcher::on_model_missing(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include "decide/crash_tracker.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
+#include "decide/rate_limited_servers.hpp"
 #include "decide/response_time_estimate.hpp"
 #include "decide/retry_after_servers.hpp"
 #include "decide/shutdown_gate.hpp"
@@ -174,6 +175,9 @@
   /// Takes up what a server says of itself in an answer.
   void take_notice(const server_state& server,
                    const fleet::answer_fields& answer, const std::string& by);
+  void take_rate_limit(const std::string& server,
+                       const fleet::answer_fields& answer,
+                       const std::string& by);
   void on_question_ended(const std::string& server,
                          const result<http::whole_answer>& answer,
                          time_point asked);
@@ -215,6 +219,7 @@
   std::map<std::string, decide::response_time_estimate> paces;
   decide::draining_servers leaving;
   decide::retry_after_servers resting;
+  decide::rate_limited_servers rate_limited;
   bool serving = false;
 };
 
