--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -40,6 +40,8 @@
     this->slow = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "say_leaving") {
     this->say_leaving = true;
+  } else if (kind == "limited") {
+    this->limit_text = fault["per_s"].asString();
   } else if (kind == "shed") {
     this->shed = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "slow_loads") {
@@ -67,6 +69,7 @@
   this->silent = false;
   this->say_leaving = false;
   this->shed.reset();
+  this->limit_text.clear();
   this->slow = std::chrono::milliseconds{0};
   this->slow_loads = std::chrono::milliseconds{0};
   this->slow_events = std::chrono::milliseconds{0};
@@ -88,6 +91,11 @@
   std::this_thread::sleep_for(pause);
 }
 
+std::string fault_switch::limit() {
+  const std::scoped_lock lock(this->mutex);
+  return this->limit_text;
+}
+
 std::optional<std::chrono::milliseconds> fault_switch::shed_rest() {
   const std::scoped_lock lock(this->mutex);
   return this->shed;
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -53,6 +53,10 @@
   ///     set.
   std::optional<std::chrono::milliseconds> shed_rest();
 
+  /// \return The requests a second that each answer says it takes ("limited");
+  ///     empty if none is set.
+  std::string limit();
+
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
@@ -76,6 +80,7 @@
   std::uint64_t silence_count = 0;
   std::chrono::milliseconds slow{0};
   std::optional<std::chrono::milliseconds> shed;
+  std::string limit_text;
   std::chrono::milliseconds slow_loads{0};
   std::chrono::milliseconds slow_events{0};
   std::uint32_t lost_answers = 0;
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -105,6 +105,8 @@
   this->switched.crash_if_marked(request.body);
   handle(request, response);
   if (this->switched.says_leaving()) response.set_header("Server-Leaving", "1");
+  const auto limit = this->switched.limit();
+  if (!limit.empty()) response.set_header("Server-Limit", limit);
   this->switched.wait_while_frozen();
   if (this->switched.silences() != silences) return swallow(response);
   if (this->switched.take_lost_answer()) lose(response);
