Keep the rate limits of backend servers over all routers together

Workers in need name the requests a second that they take from all routers together; they got 15 to 17 in 4 s where 11 to 13 are allowed.

Cause: the header was passed on to callers and read by nobody. Class: a bound over all routers that none of them can keep alone, and too small to be divided: twenty routers with one saved request each send twenty at once, where a limit of one a second allows eleven in 4 s.

Change: routers report limits to the planner, which tells all routers of them, keeps a token bucket for each limited server and grants tokens, in turn, to the routers with requests that wait (decide/rate_limit_allocator). Without a token nothing is sent there (decide/rate_limited_servers). Tokens are requested only where no other server has room. A request that no token can reach in time is refused at once, with the time at which one is expected. A new planner is told of all limits and starts with empty buckets; without a planner a limited server gets nothing new.

--- a/src/decide/rate_limited_servers.cpp
+++ b/src/decide/rate_limited_servers.cpp
@@ -12,7 +12,7 @@
   if (!known && !announcement.limit) return false;
   this->announced_at[announcement.server] = now;
   if (!this->set_limit(announcement)) return false;
-  this->announcements.push_back(announcement);
+  this->announcements[announcement.server] = announcement.limit;
   return true;
 }
 
@@ -34,8 +34,7 @@
 
 void rate_limited_servers::announce_again(time_point now) {
   for (const auto& [server, each] : this->servers) {
-    this->announcements.push_back(
-        {.server = server, .limit = each.limit.per_second});
+    this->announcements[server] = each.limit.per_second;
     this->announced_at[server] = now;
   }
 }
@@ -95,7 +94,11 @@
 
 std::vector<rate_limit_announcement>
 rate_limited_servers::take_announcements() {
-  return std::exchange(this->announcements, {});
+  std::vector<rate_limit_announcement> taken;
+  for (auto& [server, limit] : std::exchange(this->announcements, {})) {
+    taken.push_back({.server = server, .limit = limit});
+  }
+  return taken;
 }
 
 void rate_limited_servers::forget(const std::string& server) {
--- a/src/decide/rate_limited_servers.hpp
+++ b/src/decide/rate_limited_servers.hpp
@@ -81,7 +81,7 @@
 
   std::map<std::string, limited_server> servers;
   std::map<std::string, time_point> announced_at;
-  std::vector<rate_limit_announcement> announcements;
+  std::map<std::string, std::optional<double>> announcements;
 };
 
 }  // namespace boragehill::decide
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "serve/dispatcher.hpp"
 
-#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <utility>
 
@@ -67,6 +66,7 @@
                        {"requests", state.requests.size()}});
     this->pool.forget(id);
     this->health.forget(id);
+    this->rate_limited.forget(id);
     state.listed = false;
   }
   this->drop_unlisted();
@@ -116,7 +116,16 @@
     this->expected[each.model] = now + each.ready_in;
   }
   // The first update on a link may be a new planner's, who knows of no crash.
-  if (update.whole) this->crashes.report_quarantined_again(now);
+  if (update.whole) {
+    this->crashes.report_quarantined_again(now);
+    this->rate_limited.announce_again(now);
+  }
+  if (update.rate_limits) {
+    this->rate_limited.on_planner_limits(*update.rate_limits, now);
+  }
+  for (const auto& each : update.tokens) {
+    this->rate_limited.on_tokens(each, now);
+  }
   for (const auto& each : update.convicted) {
     if (this->crashes.is_quarantined(each, now)) continue;
     this->crashes.on_quarantined(each, now);
@@ -184,6 +193,12 @@
 
 bool dispatcher::can_take(const server_state& server, const exchange& request,
                           time_point now) const {
+  return this->is_available(server, request, now) &&
+         this->rate_limited.may_send(server.entry.id, now);
+}
+
+bool dispatcher::is_available(const server_state& server,
+                              const exchange& request, time_point now) const {
   return this->suits(server, request) && !server.silence.is_suspected() &&
          !this->resting.until(server.entry.id, now);
 }
@@ -248,6 +263,7 @@
       server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
+  this->rate_limited.on_sent(server.entry.id, now);
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{server.entry.id, request->fields().model,
@@ -423,22 +439,6 @@
   }
 }
 
-void dispatcher::take_rate_limit(const std::string& server,
-                                 const fleet::answer_fields& answer,
-                                 const std::string& by) {
-  // A response that isn't the server's own work may lack the header.
-  if (!answer.rate_limit && !answer.stamped) return;
-  const bool is_news = this->rate_limited.on_announcement(
-      {.server = server, .limit = answer.rate_limit}, time_point::clock::now());
-  if (!is_news) return;
-  kernel::log_event(
-      kernel::event::server_rate_limited,
-      {{"server", server},
-       {"request", by},
-       {"limit", answer.rate_limit ? absl::StrCat(*answer.rate_limit)
-                                   : std::string("none")}});
-}
-
 void dispatcher::on_model_missing(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include <boragehill/result.hpp>
 #include <boragehill/time_point.hpp>
@@ -17,6 +18,7 @@
 #include "decide/crash_tracker.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
+#include "decide/rate_limit_report.hpp"
 #include "decide/rate_limited_servers.hpp"
 #include "decide/response_time_estimate.hpp"
 #include "decide/retry_after_servers.hpp"
@@ -59,6 +61,9 @@
   std::vector<std::string> take_strikes() {
     return this->crashes.take_crash_reports();
   }
+  /// \return What servers said of rate limits since the last call, and the
+  ///     tokens that waiting requests need.
+  decide::rate_limit_report take_rate_limit_report();
   /// Sets what is called when a request begins to wait.
   void on_waiting(std::function<void()> told) { this->waits = std::move(told); }
 
@@ -152,6 +157,16 @@
   /// \return True if the server may get the request now.
   bool can_take(const server_state& server, const exchange& request,
                 time_point now) const;
+  /// \return True if only a rate limit may keep the request from the server.
+  bool is_available(const server_state& server, const exchange& request,
+                    time_point now) const;
+  /// \return The servers that could take the request if it had a token.
+  std::vector<std::string> limited_servers_for(const exchange& request,
+                                               time_point now) const;
+  /// \return Until a token for the request can be expected; 0 if it needs none.
+  milliseconds rate_limit_wait(const exchange& request, time_point now) const;
+  /// \return Requests that are before it in its line, or all if it is in none.
+  std::size_t requests_ahead(const exchange& request) const;
   /// \return True if it is one for the request and may get new ones at all.
   bool suits(const server_state& server, const exchange& request) const;
   /// \return True if the server may get new requests, by all that is known.
--- a/src/serve/dispatcher_waiting.cpp
+++ b/src/serve/dispatcher_waiting.cpp
@@ -82,6 +82,11 @@
   const auto rest = this->rest_left(request);
   const bool rests = rest > milliseconds(0);
   if (rests) waiting.ready_in = std::min(waiting.ready_in.value_or(rest), rest);
+  const auto limited = this->rate_limit_wait(request, now);
+  const bool is_limited = limited > milliseconds(0);
+  if (is_limited) {
+    waiting.ready_in = std::min(waiting.ready_in.value_or(limited), limited);
+  }
   const auto start = now + waiting.ready_in.value_or(milliseconds(0));
   if (this->would_be_cut(request, start)) {
     return refusal{result_code::draining, "the router stops",
@@ -97,6 +102,10 @@
     return refusal{result_code::server_busy, "all servers asked for rest",
                    *back};
   }
+  if (is_limited) {
+    return refusal{result_code::server_busy, "all servers limit their rate",
+                   *back};
+  }
   return refusal{result_code::deadline_unreachable,
                  "no worker has the model in time", *back};
 }
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -211,14 +211,19 @@
   if (!this->finder->linked()) return;
   auto report = this->requests.take_report();
   auto strikes = this->requests.take_strikes();
+  auto limits = this->requests.take_rate_limit_report();
   // What is told of silence counts only while it is fresh.
   const bool same = report == this->last_report && report.demands.empty() &&
                     report.unresponsive_servers.empty();
-  if (same && strikes.empty()) return;
+  // That no token is needed any more is told once.
+  const bool needed_tokens =
+      std::exchange(this->needs_tokens, !limits.needed.empty());
+  if (same && strikes.empty() && limits.empty() && !needed_tokens) return;
   this->finder->send(
       wire::encode(wire::router_report{.router = this->settings.id,
                                        .demand = report,
-                                       .strikes = std::move(strikes)}));
+                                       .strikes = std::move(strikes),
+                                       .rate_limits = std::move(limits)}));
   this->last_report = std::move(report);
 }
 
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -86,6 +86,7 @@
   /// Bytes of all request bodies that are read or being served.
   std::size_t body_bytes = 0;
   decide::demand_report last_report;
+  bool needs_tokens = false;
   bool report_armed = false;
   std::atomic<bool> knows_fleet{false};
   std::atomic<bool> stopping{false};
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -97,6 +97,9 @@
 void planner_duty::set_servers(std::shared_ptr<const fleet::server_list> news) {
   this->loop.post([this, news = std::move(news)] {
     this->servers = *news;
+    this->rate_limits.keep_servers([this](const std::string& server) {
+      return this->servers.servers.contains(server);
+    });
     this->planner.set_servers(*news, time_point::clock::now());
     if (this->term == 0) return;
     this->link_agents();
@@ -129,6 +132,8 @@
   this->planner.on_demand_report(report.router, report.demand,
                                  time_point::clock::now());
   this->demands[report.router] = std::move(report.demand);
+  this->rate_limits.on_report(report.router, report.rate_limits,
+                              time_point::clock::now());
   for (const auto& each : report.strikes) {
     if (!this->crashes.on_crash(each, time_point::clock::now())) continue;
     this->convicted =
@@ -147,6 +152,7 @@
       [&](const auto& each) { return each.second.router == router; });
   if (linked_again) return;
   this->planner.on_router_removed(router);
+  this->rate_limits.on_router_removed(router);
   this->demands.erase(router);
 }
 
@@ -323,6 +329,8 @@
 
 void planner_duty::tell_routers() {
   const auto now = time_point::clock::now();
+  const auto limits = this->rate_limits.limits();
+  auto tokens = this->rate_limits.grant(now);
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
@@ -339,9 +347,17 @@
     }
     const bool same = this->expects_the_same(each);
     const bool same_convicted = each.convicted == this->convicted;
-    if (update.servers.empty() && each.greeted && same && same_convicted) {
+    const bool same_limits = each.rate_limits == limits;
+    // A router may have two links for a moment; one of them gets its tokens.
+    update.tokens = std::exchange(tokens[each.router], {});
+    if (update.servers.empty() && update.tokens.empty() && each.greeted &&
+        same && same_convicted && same_limits) {
       continue;
     }
+    if (!same_limits) {
+      update.rate_limits = limits;
+      each.rate_limits = limits;
+    }
     if (!same_convicted) {
       update.convicted = this->convicted;
       each.convicted = this->convicted;
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -13,6 +13,7 @@
 #include <boragehill/endpoint.hpp>
 
 #include "decide/crash_counter.hpp"
+#include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
@@ -48,6 +49,7 @@
     std::map<std::string, wire::server_view> told;
     std::map<std::string, time_point> expected;
     std::vector<std::string> convicted;
+    std::map<std::string, decide::rate_limit> rate_limits;
     bool greeted = false;
   };
   struct agent_link {
@@ -88,6 +90,7 @@
   decide::crash_counter crashes{most_struck};
   /// Requests that no router should run, as last summed up.
   std::vector<std::string> convicted;
+  decide::rate_limit_allocator rate_limits;
   time_point last_plan;
   bool soon = false;
 };
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -1,5 +1,6 @@
 #include "wire/planner_codec.hpp"
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,6 +77,65 @@
           .requests = value["requests"].asInt()};
 }
 
+Json::Value encode_tokens(
+    const std::vector<decide::rate_limit_tokens>& tokens) {
+  Json::Value counts(Json::objectValue);
+  for (const auto& each : tokens) counts[each.server] = each.count;
+  return counts;
+}
+
+std::vector<decide::rate_limit_tokens> decode_tokens(
+    const Json::Value& counts) {
+  std::vector<decide::rate_limit_tokens> tokens;
+  for (const auto& server : counts.getMemberNames()) {
+    tokens.push_back({.server = server, .count = counts[server].asInt()});
+  }
+  return tokens;
+}
+
+Json::Value encode_limits(
+    const std::map<std::string, decide::rate_limit>& limits) {
+  Json::Value list(Json::objectValue);
+  for (const auto& [server, each] : limits) {
+    list[server]["per_s"] = each.per_second;
+    list[server]["waiting"] = each.waiting_routers;
+  }
+  return list;
+}
+
+std::map<std::string, decide::rate_limit> decode_limits(
+    const Json::Value& list) {
+  std::map<std::string, decide::rate_limit> limits;
+  for (const auto& server : list.getMemberNames()) {
+    limits[server] = {.per_second = list[server]["per_s"].asDouble(),
+                      .waiting_routers = list[server]["waiting"].asInt()};
+  }
+  return limits;
+}
+
+Json::Value encode_announcements(
+    const std::vector<decide::rate_limit_announcement>& announcements) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& each : announcements) {
+    Json::Value value;
+    value["server"] = each.server;
+    if (each.limit) value["per_s"] = *each.limit;
+    list.append(value);
+  }
+  return list;
+}
+
+std::vector<decide::rate_limit_announcement> decode_announcements(
+    const Json::Value& list) {
+  std::vector<decide::rate_limit_announcement> announcements;
+  for (const auto& each : list) {
+    decide::rate_limit_announcement found{.server = each["server"].asString()};
+    if (each.isMember("per_s")) found.limit = each["per_s"].asDouble();
+    announcements.push_back(std::move(found));
+  }
+  return announcements;
+}
+
 }  // namespace
 
 Json::Value encode(const view_update& update) {
@@ -97,6 +157,10 @@
   if (!update.convicted.empty()) {
     message["convicted"] = encode_texts(update.convicted);
   }
+  if (update.rate_limits) {
+    message["rate_limits"] = encode_limits(*update.rate_limits);
+  }
+  if (!update.tokens.empty()) message["tokens"] = encode_tokens(update.tokens);
   return message;
 }
 
@@ -116,6 +180,10 @@
         {.model = model, .ready_in = milliseconds(expected[model].asInt64())});
   }
   update.convicted = kernel::texts_of(message["convicted"]);
+  if (message.isMember("rate_limits")) {
+    update.rate_limits = decode_limits(message["rate_limits"]);
+  }
+  update.tokens = decode_tokens(message["tokens"]);
   return update;
 }
 
@@ -191,6 +259,11 @@
   if (!report.strikes.empty()) {
     message["strikes"] = encode_texts(report.strikes);
   }
+  const auto& limits = report.rate_limits;
+  if (!limits.announcements.empty()) {
+    message["rate_limits"] = encode_announcements(limits.announcements);
+  }
+  if (!limits.needed.empty()) message["tokens"] = encode_tokens(limits.needed);
   return message;
 }
 
@@ -204,6 +277,9 @@
   }
   report.demand.unresponsive_servers = kernel::texts_of(message["silent"]);
   report.strikes = kernel::texts_of(message["strikes"]);
+  report.rate_limits = {
+      .announcements = decode_announcements(message["rate_limits"]),
+      .needed = decode_tokens(message["tokens"])};
   return report;
 }
 
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "decide/demand_report.hpp"
+#include "decide/rate_limit_report.hpp"
 
 namespace boragehill::wire {
 
@@ -14,6 +15,7 @@
   decide::demand_report demand;
   /// Requests whose runs broke off since the last report, one entry a run.
   std::vector<std::string> strikes;
+  decide::rate_limit_report rate_limits;
 
   bool operator==(const router_report&) const = default;
 };
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -2,9 +2,13 @@
 #define BORAGEHILL_WIRE_VIEW_UPDATE_HPP
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "decide/rate_limit.hpp"
+#include "decide/rate_limit_tokens.hpp"
 #include "wire/expected_model.hpp"
 #include "wire/server_view.hpp"
 
@@ -24,6 +28,10 @@
   /// Requests that crash servers and must not run; all of them whenever they
   /// changed, else none.
   std::vector<std::string> convicted;
+  /// All rate limits by server; nothing if they are as last told.
+  std::optional<std::map<std::string, decide::rate_limit>> rate_limits;
+  /// Tokens granted to this router since the last update.
+  std::vector<decide::rate_limit_tokens> tokens;
 
   bool operator==(const view_update&) const = default;
 };
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -15,7 +15,9 @@
                            .whole = true,
                            .servers = {told, counted},
                            .expected = {{"k", milliseconds(900)}},
-                           .convicted = {"0a1b"}};
+                           .convicted = {"0a1b"},
+                           .rate_limits = {{{"i-1", {1.5, 2}}}},
+                           .tokens = {{"i-1", 3}}};
   EXPECT_EQ(decode_view_update(encode(update)), update);
   const worker_target target{.term = 9,
                              .server = "i-1",
@@ -48,7 +50,9 @@
                                 .model = "m",
                                 .adapter = {},
                                 .requests = 5}}},
-      .strikes = {"0a1b", "0a1b"}};
+      .strikes = {"0a1b", "0a1b"},
+      .rate_limits = {.announcements = {{"i-1", 1.5}, {"i-2", std::nullopt}},
+                      .needed = {{"i-1", 4}}}};
   EXPECT_EQ(decode_router_report(encode(report)), report);
 }
 
