Load models elsewhere that only rate-limited workers hold

A worker that takes one request a second still counted as a full replica, so callers of a model that stood only there waited for tokens, or were refused, while other workers had room for it; and the planner could choose it for further loads.

Change: where requests for a model have waited longer than 0.25 s and all its replicas are at limited workers, it is loaded elsewhere like a model that is loaded nowhere; limited workers get no further models. A request that waits for one token, some ten milliseconds, starts no load.

--- a/src/decide/planned_worker.hpp
+++ b/src/decide/planned_worker.hpp
@@ -37,6 +37,8 @@
   /// Recomputed in each step, like the following members except
   /// `resident_since`.
   bool is_unresponsive = false;
+  /// True if it limits the rate of requests; it gets no more models.
+  bool is_rate_limited = false;
   /// Free accelerator memory in megabytes.
   double free_memory_mb = 0;
   /// Models that may be evicted, with their eviction cost in seconds, in
--- a/src/decide/residency_adapters.cpp
+++ b/src/decide/residency_adapters.cpp
@@ -73,10 +73,4 @@
   adapters.push_back(qualified_name);
 }
 
-bool residency_planner::is_responsive(const planned_worker& worker,
-                                      time_point now) const {
-  return !worker.is_unresponsive && worker.report &&
-         now < worker.reported_at + this->settings.report_max_age;
-}
-
 }  // namespace boragehill::decide
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -190,26 +190,6 @@
   }
 }
 
-void residency_planner::update_unresponsive_workers(time_point now) {
-  for (auto& [id, worker] : this->workers_by_id) {
-    worker.is_unresponsive =
-        worker.reported_unresponsive_at &&
-        now < *worker.reported_unresponsive_at +
-                  this->settings.unresponsive_report_max_age;
-  }
-  // A router whose own connection to a worker is broken receives nothing from
-  // it. Another router that has requests in flight there and does not report it
-  // shows that the worker is alive.
-  for (const auto& [router, report] : this->demand_by_router) {
-    for (const auto& entry : report.in_flight) {
-      const auto found = this->workers_by_id.find(entry.server);
-      if (found == this->workers_by_id.end()) continue;
-      if (!contains_name(report.unresponsive_servers, entry.server))
-        found->second.is_unresponsive = false;
-    }
-  }
-}
-
 std::vector<load_decision> residency_planner::step(time_point now) {
   if (!this->catalog) return {};
   this->aggregate_reports(now);
@@ -238,7 +218,10 @@
     const auto found = this->demand_by_model.find(model.name);
     if (found == this->demand_by_model.end() || found->second.waiting == 0)
       continue;
-    if (this->replica_count(model.name) == 0) requested.push_back(&model);
+    if (this->replica_count(model.name) == 0 ||
+        this->needs_unlimited_replica(model.name, found->second)) {
+      requested.push_back(&model);
+    }
   }
   // Highest weight first, then longest wait.
   std::sort(requested.begin(), requested.end(),
@@ -373,7 +356,8 @@
       this->active_store_loads() < this->store_limit.limit() &&
       !this->is_awaiting_first_reports(service, now);
   for (const auto& [id, worker] : this->workers_by_id) {
-    if (worker.list_entry.service != service.name || worker.is_draining())
+    if (worker.list_entry.service != service.name || worker.is_draining() ||
+        worker.is_rate_limited)
       continue;
     if (!this->is_responsive(worker, now) ||
         worker.total_in_flight > max_in_flight)
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_DECIDE_RESIDENCY_PLANNER_HPP
 #define BORAGEHILL_DECIDE_RESIDENCY_PLANNER_HPP
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,6 +55,10 @@
                         time_point now);
   void on_router_removed(const std::string& router);
 
+  /// Tells which workers limit the rate of requests.
+  void set_rate_limited_workers(
+      const std::function<bool(const std::string&)>& is_rate_limited);
+
   /// Computes a new plan; the targets are in `workers()` afterwards.
   /// \return The loads that this step decided.
   std::vector<load_decision> step(time_point now);
@@ -85,7 +90,15 @@
   /// demand.
   static constexpr double horizon_seconds = 5;
 
+  /// Wait of a request for a model above which rate-limited workers alone don't
+  /// suffice; a token usually comes within some ten milliseconds.
+  static constexpr milliseconds max_token_wait{250};
+
   void aggregate_reports(time_point now);
+  /// \return True if requests for the model wait and all of its replicas are at
+  ///     workers that limit the rate of requests.
+  bool needs_unlimited_replica(const std::string& model,
+                               const aggregated_demand& demand) const;
   /// Marks workers from which no router receives anything as unresponsive.
   ///
   /// Otherwise a worker whose machine stalls for seconds stays in use as long
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -258,6 +258,9 @@
 void planner_duty::plan() {
   this->soon = false;
   this->link_agents();
+  const auto limits = this->rate_limits.limits();
+  this->planner.set_rate_limited_workers(
+      [&](const std::string& server) { return limits.contains(server); });
   for (const auto& move : this->planner.step(time_point::clock::now())) {
     this->log_move(move);
   }
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -664,5 +664,40 @@
   EXPECT_EQ(store_loads, simulated_fleet::store_capacity);
 }
 
+// Guards against callers who wait for a worker that takes a request a second
+// while others have room.
+TEST(residency_planner_test, loads_elsewhere_what_only_a_limited_worker_holds) {
+  simulated_fleet fleet(2, 2);
+  fleet.add_models("w0", {"m0"});
+  fleet.set_disk_copies("w1", {"m0"});
+  fleet.send_reports();
+  fleet.planner.set_rate_limited_workers(
+      [](const std::string& id) { return id == "w0"; });
+  model_demand demand{
+      .service = "assist", .model = "m0", .arrivals = 1, .waiting = 1};
+  demand.oldest_wait = milliseconds(30);
+  fleet.send_demand({demand});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_with_target("m0"), std::set<std::string>{"w0"});
+  demand.oldest_wait = milliseconds(300);
+  fleet.send_demand({demand});
+  fleet.step();
+  EXPECT_EQ(fleet.workers_with_target("m0"),
+            (std::set<std::string>{"w0", "w1"}));
+}
+
+// Guards against loads at a worker that takes hardly any requests.
+TEST(residency_planner_test, plans_no_load_on_a_rate_limited_worker) {
+  simulated_fleet fleet(1, 1);
+  fleet.set_disk_copies("w0", {"m0"});
+  fleet.send_reports();
+  fleet.planner.set_rate_limited_workers(
+      [](const std::string&) { return true; });
+  fleet.send_demand(
+      {{.service = "assist", .model = "m0", .arrivals = 1, .waiting = 1}});
+  fleet.step();
+  EXPECT_TRUE(fleet.workers_with_target("m0").empty());
+}
+
 }  // namespace
 }  // namespace boragehill::decide
