Hedge a stalled response half a second after its last byte

Found when reading the change again: for a long poll, a response that began to arrive early in the hold time and then stalled was followed by a copy only at the end of the hold time (1.5 s for a router's configuration, 10.5 s for an agent's), although the hold is over with the first byte. The stall limit of 1.5 s ended the attempt before that, so the configuration came 1.6 s late at most.

Change: each piece sets the next attempt to half a second later, as DESIGN says; this replaces the time of the last piece that was kept beside it.

--- a/src/decide/hedge_schedule.cpp
+++ b/src/decide/hedge_schedule.cpp
@@ -20,7 +20,6 @@
 void hedge_schedule::on_request_sent(time_point now, milliseconds hold_time) {
   this->hedges = 0;
   this->failures = 0;
-  this->last_progress.reset();
   this->attempt_interval =
       std::max(this->settings.attempt_interval, hold_time / 2);
   this->next_attempt = now + hold_time + this->settings.overdue_delay;
@@ -35,7 +34,6 @@
 void hedge_schedule::on_attempt_failed(time_point now,
                                        std::uint64_t random_bits) {
   ++this->failures;
-  this->last_progress.reset();
   const bool is_first_failure = this->failures == 1 && this->hedges == 0;
   const auto max_delay = is_first_failure ? this->settings.first_retry_delay
                                           : this->attempt_interval;
@@ -43,12 +41,6 @@
                                 now + jittered_delay(max_delay, random_bits));
 }
 
-time_point hedge_schedule::next_time() const {
-  if (!this->last_progress) return this->next_attempt;
-  return std::max(this->next_attempt,
-                  *this->last_progress + this->settings.overdue_delay);
-}
-
 bool hedge_schedule::is_store_lost() const {
   return this->failures > 0 || this->hedges > 1;
 }
--- a/src/decide/hedge_schedule.hpp
+++ b/src/decide/hedge_schedule.hpp
@@ -2,7 +2,6 @@
 #define BORAGEHILL_DECIDE_HEDGE_SCHEDULE_HPP
 
 #include <cstdint>
-#include <optional>
 
 #include <boragehill/time_point.hpp>
 
@@ -33,12 +32,10 @@
   /// Records a hedged copy, sent at the time that `next_time` returned.
   void on_hedge_sent(time_point now, std::uint64_t random_bits);
 
-  /// Records bytes of a response to an attempt. While they arrive, no copy is
-  /// sent: it would compete with them for the link.
-  void on_response_progress(time_point now) { this->last_progress = now; }
-
-  /// Records that no hedged copy was sent, since enough responses arrive.
-  void on_hedge_skipped(time_point now) {
+  /// Records bytes of a response to an attempt, or that no hedged copy was sent
+  /// since enough responses arrive. While they arrive, no copy is sent: it
+  /// would compete with them for the link.
+  void on_response_progress(time_point now) {
     this->next_attempt = now + this->settings.overdue_delay;
   }
 
@@ -52,7 +49,7 @@
   void on_attempt_failed(time_point now, std::uint64_t random_bits);
 
   /// \return Time to send the next attempt if there is no response by then.
-  time_point next_time() const;
+  time_point next_time() const { return this->next_attempt; }
 
   /// \return True if the store counts as lost: an attempt failed, or a second
   ///     hedged copy was due. One late response alone is not enough.
@@ -78,7 +75,6 @@
  private:
   hedge_settings settings;
   time_point next_attempt;
-  std::optional<time_point> last_progress;
   milliseconds attempt_interval{0};
   int hedges = 0;
   int failures = 0;
