Forget the rate limits of an earlier term, and ask servers that take nothing

A router that led, stepped down and led again still had the limits of its first term and told all routers of them, though a server may have ended its limit meanwhile. Now a new term begins with none, and the routers announce what holds.

A server that names a limit of 0 would never have got a request again, and so could never have said that its limit is over. Now it gets one in ten seconds, from all routers together; the users' rule allows five in 4 s.

--- a/src/decide/rate_limit_allocator.cpp
+++ b/src/decide/rate_limit_allocator.cpp
@@ -26,7 +26,7 @@
     }
     const auto known =
         this->buckets.try_emplace(each.server, bucket{.filled_at = now}).first;
-    known->second.rate = *each.limit;
+    known->second.limit = *each.limit;
   }
   this->on_router_waits_for_none(router);
   for (const auto& each : report.needed) {
@@ -59,7 +59,7 @@
 std::map<std::string, rate_limit> rate_limit_allocator::limits() const {
   std::map<std::string, rate_limit> limits;
   for (const auto& [server, each] : this->buckets) {
-    limits[server] = {.per_second = each.rate,
+    limits[server] = {.per_second = each.limit,
                       .waiting_routers = static_cast<int>(each.waiting.size())};
   }
   return limits;
@@ -67,9 +67,10 @@
 
 void rate_limit_allocator::fill(bucket& filled, time_point now) {
   const std::chrono::duration<double> passed = now - filled.filled_at;
+  const double rate = rate_limit{.per_second = filled.limit}.token_rate();
   filled.filled_at = now;
-  filled.tokens = std::min(filled.tokens + filled.rate * passed.count(),
-                           capacity_of(filled.rate));
+  filled.tokens =
+      std::min(filled.tokens + rate * passed.count(), capacity_of(rate));
 }
 
 std::string rate_limit_allocator::next_router(const bucket& from) {
--- a/src/decide/rate_limit_allocator.hpp
+++ b/src/decide/rate_limit_allocator.hpp
@@ -42,8 +42,8 @@
 
  private:
   struct bucket {
-    /// Tokens per second.
-    double rate = 0;
+    /// Requests per second.
+    double limit = 0;
     double tokens = 0;
     time_point filled_at;
     /// Tokens that are needed and not granted, by router.
--- a/src/serve/dispatcher_rate_limits.cpp
+++ b/src/serve/dispatcher_rate_limits.cpp
@@ -2,9 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -18,10 +16,8 @@
 
 namespace {
 
-/// More tokens at a time would expire unused.
+/// More at a time would expire unused.
 constexpr int most_needed_tokens = 8;
-/// A server that takes nothing may say otherwise after this.
-constexpr milliseconds wait_without_rate{10000};
 
 }  // namespace
 
@@ -76,7 +72,6 @@
                                          time_point now) const {
   if (this->rate_limited.empty()) return milliseconds(0);
   double rate = 0;
-  bool any = false;
   for (const auto& [id, server] : this->servers) {
     if (!this->is_available(server, request, now)) continue;
     const auto limit = this->rate_limited.limit(id);
@@ -84,17 +79,12 @@
     if (!limit || this->rate_limited.tokens(id, now) > 0) {
       return milliseconds(0);
     }
-    any = true;
-    rate += limit->per_second / std::max(limit->waiting_routers, 1);
+    rate += limit->token_rate() / std::max(limit->waiting_routers, 1);
   }
-  if (!any) return milliseconds(0);
-  const double ahead = static_cast<double>(this->requests_ahead(request));
-  constexpr double ms_per_s = 1000;
-  const double wait_ms = rate > 0
-                             ? (ahead + 1) / rate * ms_per_s
-                             : static_cast<double>(wait_without_rate.count());
-  return milliseconds(static_cast<std::int64_t>(std::ceil(
-      std::min(wait_ms, static_cast<double>(wait_without_rate.count())))));
+  if (rate == 0) return milliseconds(0);
+  const auto ahead = static_cast<double>(this->requests_ahead(request));
+  const std::chrono::duration<double> wait((ahead + 1) / rate);
+  return std::chrono::ceil<milliseconds>(wait);
 }
 
 std::size_t dispatcher::requests_ahead(const exchange& request) const {
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -79,6 +79,8 @@
     kernel::log_event(kernel::event::planner_leads, {{"term", new_term}});
     this->term = new_term;
     this->planner.start(time_point::clock::now());
+    // What an earlier term knew may be over; routers announce what holds.
+    this->rate_limits = {};
     // What an earlier term told the agents must be told again under this one.
     for (auto& [address, each] : this->agents) each.told = {};
     this->link_agents();
--- a/test/decide-test/rate_limit_test.cpp
+++ b/test/decide-test/rate_limit_test.cpp
@@ -148,6 +148,15 @@
   EXPECT_TRUE(allocator.limits().empty());
 }
 
+// Guards against a server that took nothing for a moment and is never asked
+// again.
+TEST(rate_limit_test, a_server_that_takes_nothing_is_asked_now_and_then) {
+  limited_fleet fleet(6, 0.0, 3);
+  fleet.run(milliseconds(60000));
+  EXPECT_GE(fleet.all_sent(), 3U);
+  EXPECT_LE(fleet.most_in_a_window(), 5U);
+}
+
 // Guards against limits of servers that are gone and stay forever.
 TEST(rate_limit_test, forgets_servers_that_are_gone) {
   rate_limit_allocator allocator;
