Let the soak turn the store's link thin and limit a server's rate

The stand-in store keeps its history and its feed holds each change, as the platform's does. At the end of a run a new configuration has to be in force on every router within 3 s (read from its metrics).

What this doesn't check: how old a configuration gets while a link is thin, and the sum of requests at the limited server; the tests of both matters do.

--- a/test/fleet-test/rate_limited_server_test.cpp
+++ b/test/fleet-test/rate_limited_server_test.cpp
@@ -128,6 +128,7 @@
     const auto most = most_in_a_window(fleet, callers.told(), announced);
     const auto allowed = tolerance * limit * window.count() / 1000 + extra;
     EXPECT_LE(static_cast<double>(most), allowed) << limit << " a second";
+    RecordProperty("most_at_" + std::to_string(limit), std::to_string(most));
     EXPECT_EQ(callers.told().size(), std::size_t{routers});
   }
 }
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -25,6 +26,7 @@
 constexpr int caller_port_offset = 1;
 constexpr int ready_port_offset = 2;
 constexpr int link_port_offset = 3;
+constexpr int metrics_port_offset = 4;
 constexpr int worker_port_offset = 5;
 constexpr int proxy_port_offset = 6;
 /// A worker of the stand-in holds this many models.
@@ -183,8 +185,9 @@
 }
 
 void small_fleet::configure(std::int64_t version, const std::string& prefix,
-                            std::optional<int> models) {
+                            std::optional<int> models, std::size_t padding) {
   Json::Value config;
+  if (padding > 0) config["padding"] = std::string(padding, 'x');
   config["version"] = Json::Int64(version);
   Json::Value stream;
   stream["name"] = "r-stream";
@@ -266,6 +269,18 @@
   return answer && answer->status == 200;
 }
 
+std::int64_t small_fleet::catalog_version(int router) {
+  constexpr std::string_view name = "\nboragehill_catalog_version ";
+  httplib::Client client(this->address_of(numbered("router", router)),
+                         this->port_base + metrics_port_offset);
+  const auto answer = client.Get("/metrics");
+  if (!answer) return -1;
+  const auto found = answer->body.find(name);
+  if (found == std::string::npos) return -1;
+  return static_cast<std::int64_t>(
+      std::strtod(answer->body.c_str() + found + name.size(), nullptr));
+}
+
 bool small_fleet::wait_until_ready(int router, milliseconds limit) {
   const auto end = std::chrono::steady_clock::now() + limit;
   while (std::chrono::steady_clock::now() < end) {
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_FLEET_TEST_SMALL_FLEET_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <httplib.h>
 #include <json/json.h>
@@ -48,8 +49,13 @@
   /// Writes the operator's configuration.
   /// \param prefix Of the route to the plain service.
   /// \param models How many models it has, from model-1 on; all if not told.
+  /// \param padding Bytes that it is larger than it need be.
   void configure(std::int64_t version, const std::string& prefix,
-                 std::optional<int> models = std::nullopt);
+                 std::optional<int> models = std::nullopt,
+                 std::size_t padding = 0);
+
+  /// \return The configuration that a router has in force; -1 if not told.
+  std::int64_t catalog_version(int router);
 
   bool is_ready(int router);
   bool wait_until_ready(int router, std::chrono::milliseconds limit);
--- a/test/soak/fault_kind.hpp
+++ b/test/soak/fault_kind.hpp
@@ -25,10 +25,12 @@
   foreign_entry,
   worker_pause,
   plain_leaves,
-  plain_rests
+  plain_rests,
+  store_thin,
+  plain_limited
 };
 
-constexpr int fault_kinds = 21;
+constexpr int fault_kinds = 23;
 
 /// \return The kind's name, for the log.
 const char* name_of(fault_kind kind);
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -16,7 +16,7 @@
     "plain_replace",  "store_link",    "worker_link",   "store_down",
     "store_slow",     "store_lost",    "configuration", "store_silent",
     "worker_restart", "foreign_entry", "worker_pause",  "plain_leaves",
-    "plain_rests"};
+    "plain_rests",    "store_thin",    "plain_limited"};
 constexpr std::array links{link_fault::delay, link_fault::reset,
                            link_fault::cut_requests, link_fault::cut_answers,
                            link_fault::silence};
@@ -47,6 +47,7 @@
     case fault_kind::plain_replace:
     case fault_kind::plain_leaves:
     case fault_kind::plain_rests:
+    case fault_kind::plain_limited:
       return size.plains;
     case fault_kind::agent_kill:
     case fault_kind::agent_stop:
--- a/test/soak/fault_proxy.cpp
+++ b/test/soak/fault_proxy.cpp
@@ -50,7 +50,8 @@
       [this](std::error_code failed, asio::ip::tcp::socket socket) {
         if (failed == asio::error::operation_aborted) return;
         if (!failed) {
-          auto link = std::make_shared<proxied_link>(std::move(socket));
+          auto link =
+              std::make_shared<proxied_link>(std::move(socket), this->pacer);
           this->links.insert(link);
           link->start(this->target, this->current);
         }
--- a/test/soak/fault_proxy.hpp
+++ b/test/soak/fault_proxy.hpp
@@ -9,6 +9,7 @@
 
 #include "kernel/event_loop.hpp"
 #include "soak/link_fault.hpp"
+#include "soak/link_pacer.hpp"
 
 namespace boragehill::soak {
 
@@ -41,6 +42,7 @@
   kernel::event_loop loop;
   asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<proxied_link>> links;
+  std::shared_ptr<link_pacer> pacer = std::make_shared<link_pacer>();
   link_fault current = link_fault::none;
 };
 
--- a/test/soak/link_fault.hpp
+++ b/test/soak/link_fault.hpp
@@ -15,7 +15,9 @@
   /// Nothing passes back to it.
   cut_answers,
   /// Nothing passes either way; connections stay open.
-  silence
+  silence,
+  /// All connections share a limited bandwidth.
+  thin
 };
 
 }  // namespace boragehill::soak
--- a/test/soak/proxied_link.cpp
+++ b/test/soak/proxied_link.cpp
@@ -13,11 +13,13 @@
 
 }  // namespace
 
-proxied_link::proxied_link(asio::ip::tcp::socket accepted)
+proxied_link::proxied_link(asio::ip::tcp::socket accepted,
+                           std::shared_ptr<link_pacer> pacer)
     : caller(std::move(accepted)),
       server(this->caller.get_executor()),
       requests(this->caller.get_executor()),
-      answers(this->caller.get_executor()) {
+      answers(this->caller.get_executor()),
+      pacer(std::move(pacer)) {
   this->requests.from = this->answers.to = &this->caller;
   this->requests.to = this->answers.from = &this->server;
   this->requests.cut = link_fault::cut_requests;
@@ -66,8 +68,9 @@
 }
 
 void proxied_link::pass(direction& way) {
-  if (this->fault != link_fault::delay) return this->write(way);
-  way.timer.expires_after(delay);
+  const bool thin = this->fault == link_fault::thin;
+  if (!thin && this->fault != link_fault::delay) return this->write(way);
+  way.timer.expires_after(thin ? this->pacer->delay_of(way.held) : delay);
   way.timer.async_wait(
       [self = this->shared_from_this(), &way](std::error_code cancelled) {
         if (!cancelled && !self->is_cut(way)) self->write(way);
--- a/test/soak/proxied_link.hpp
+++ b/test/soak/proxied_link.hpp
@@ -9,6 +9,7 @@
 #include <boragehill/endpoint.hpp>
 
 #include "soak/link_fault.hpp"
+#include "soak/link_pacer.hpp"
 
 namespace boragehill::soak {
 
@@ -16,7 +17,7 @@
 /// thread.
 class proxied_link : public std::enable_shared_from_this<proxied_link> {
  public:
-  explicit proxied_link(asio::ip::tcp::socket caller);
+  proxied_link(asio::ip::tcp::socket caller, std::shared_ptr<link_pacer> pacer);
 
   void start(const endpoint& target, link_fault now);
   void set(link_fault now);
@@ -47,6 +48,7 @@
   asio::ip::tcp::socket server;
   direction requests;
   direction answers;
+  std::shared_ptr<link_pacer> pacer;
   link_fault fault = link_fault::none;
   bool over = false;
 };
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -21,6 +21,10 @@
 constexpr int impatient_callers = 4;
 /// Everything is back after the last fault within this.
 constexpr milliseconds recovery_limit{15000};
+/// A confirmed configuration is in force on all routers within this.
+constexpr milliseconds in_force_limit{3000};
+constexpr int versions_on_a_thin_link = 10;
+constexpr std::size_t large_configuration = 30000;
 constexpr int ok_status = 200;
 
 /// What another program may write among the servers' entries.
@@ -132,8 +136,10 @@
       return numbered("worker", step.target);
     case fault_kind::plain_leaves:
     case fault_kind::plain_rests:
+    case fault_kind::plain_limited:
       return numbered("plain", step.target);
     case fault_kind::store_link:
+    case fault_kind::store_thin:
       return "store";
     case fault_kind::worker_link:
       return step.target <= this->size.workers
@@ -171,6 +177,11 @@
     case fault_kind::plain_rests:
       return this->fleet.fault(this->process_of(step),
                                R"({"kind":"shed","ms":600})");
+    case fault_kind::plain_limited:
+      return this->fleet.fault(this->process_of(step),
+                               R"({"kind":"limited","per_s":"2"})");
+    case fault_kind::store_thin:
+      return this->begin_thin_link();
     case fault_kind::worker_replace:
     case fault_kind::worker_restart:
     case fault_kind::plain_replace:
@@ -180,6 +191,14 @@
   }
 }
 
+void soak_run::begin_thin_link() {
+  this->proxies.at("store")->set(link_fault::thin);
+  for (int each = 0; each < versions_on_a_thin_link; ++each) {
+    this->fleet.configure(++this->version, "/plain/", std::nullopt,
+                          large_configuration);
+  }
+}
+
 void soak_run::begin_signal(const fault_step& step) {
   const auto name = this->process_of(step);
   auto& process = this->fleet[name];
@@ -229,6 +248,7 @@
 void soak_run::end_fault(const open_fault& fault) {
   switch (fault.step.kind) {
     case fault_kind::store_link:
+    case fault_kind::store_thin:
     case fault_kind::worker_link:
       return this->proxies.at(this->process_of(fault.step))
           ->set(link_fault::none);
@@ -242,6 +262,7 @@
     case fault_kind::store_silent:
       return this->fleet.fault("store", R"({"kind":"none"})");
     case fault_kind::plain_rests:
+    case fault_kind::plain_limited:
       return this->fleet.fault(this->process_of(fault.step),
                                R"({"kind":"none"})");
     case fault_kind::plain_leaves:
@@ -288,7 +309,7 @@
 }
 
 std::vector<std::string> soak_run::recover() {
-  const auto limit = clock::now() + recovery_limit;
+  auto limit = clock::now() + recovery_limit;
   std::vector<std::string> lost;
   const auto wait_for = [&](const std::string& what, const auto& holds) {
     while (!holds()) {
@@ -309,6 +330,12 @@
     wait_for(model + " is not served", [&] { return this->answers(1, model); });
   }
   this->fleet.configure(++this->version, "/plain/");
+  limit = clock::now() + in_force_limit;
+  for (int each = 1; each <= this->size.routers; ++each) {
+    wait_for(numbered("router", each) + " lacks the newest configuration", [&] {
+      return this->fleet.catalog_version(each) == this->version;
+    });
+  }
   return lost;
 }
 
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -41,6 +41,8 @@
   std::map<std::string, clock::time_point> run_begins() const;
   void play_faults(clock::time_point begin);
   void begin_fault(const fault_step& step);
+  /// The store's link turns thin while large configurations follow each other.
+  void begin_thin_link();
   void begin_signal(const fault_step& step);
   void end_faults(clock::time_point now);
   void end_fault(const open_fault& fault);
--- a/test/standin/row_standin.cpp
+++ b/test/standin/row_standin.cpp
@@ -74,8 +74,8 @@
   }
   ++this->version;
   for (const auto& each : call["setKeys"]) {
-    this->rows[{each["table"].asString(), each["key"].asString()}] = {
-        each["value"].asString(), this->version, false};
+    this->write({each["table"].asString(), each["key"].asString()},
+                {each["value"].asString(), this->version, false});
   }
   answer["ver"] = Json::Int64(this->version);
   this->changed.notify_all();
@@ -105,7 +105,7 @@
       std::atoll(parameter(request, "waitMs").c_str()));
   Json::Value news(Json::arrayValue);
   const auto look = [&] {
-    for (const auto& [name, found] : this->rows) {
+    for (const auto& [name, found] : this->history) {
       if (name.first != table || found.version <= after) continue;
       news.append(this->shown(name, found));
     }
@@ -119,13 +119,19 @@
   reply(response, ok_status, answer);
 }
 
+void row_standin::write(const row_name& name, row written) {
+  this->history.emplace_back(name, written);
+  this->rows[name] = std::move(written);
+}
+
 void row_standin::put(const httplib::Request& request,
                       httplib::Response& response) {
   const auto call = body_of(request);
   const std::scoped_lock lock(this->mutex);
   ++this->version;
-  this->rows[{call["table"].asString(), call["key"].asString()}] = {
-      call["value"].asString(), this->version, call["deleted"].asBool()};
+  this->write(
+      {call["table"].asString(), call["key"].asString()},
+      {call["value"].asString(), this->version, call["deleted"].asBool()});
   this->changed.notify_all();
   reply(response, ok_status, Json::Value(Json::objectValue));
 }
--- a/test/standin/row_standin.hpp
+++ b/test/standin/row_standin.hpp
@@ -9,14 +9,15 @@
 #include <mutex>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace boragehill::standin {
 
 class standin_server;
 
 /// Stands in for the platform's store of rows: tables of rows with versions
-/// from one counter, conditional transactions, and feeds that wait for
-/// changes. A test writes the operator's and the workers' rows by
+/// from one counter, conditional transactions, and feeds that wait for changes
+/// and hold each of them. A test writes the operator's and the workers' rows by
 /// `POST /standin/put`.
 class row_standin {
  public:
@@ -35,12 +36,15 @@
   void get(const httplib::Request& request, httplib::Response& response);
   void feed(const httplib::Request& request, httplib::Response& response);
   void put(const httplib::Request& request, httplib::Response& response);
+  void write(const row_name& name, row written);
   bool holds(const Json::Value& expected, Json::Value& current) const;
   Json::Value shown(const row_name& name, const row& found) const;
 
   std::mutex mutex;
   std::condition_variable changed;
   std::map<row_name, row> rows;
+  /// Each row as it was written, in order.
+  std::vector<std::pair<row_name, row>> history;
   std::int64_t version = 0;
 };
 
