Share the fixture of the feed's tests, and cut figures from two comments

table_feed_test and thin_link_test set up the same store, feed and wait loop; they are in feed_fixture.hpp now. Two comments of the fixes of CONFIG gave a figure in place of a reason.

--- a/src/decide/catch_up_source.hpp
+++ b/src/decide/catch_up_source.hpp
@@ -14,7 +14,7 @@
   newest_rows
 };
 
-/// A change every 0.15 s, the operator's fastest, leaves a few versions.
+/// Longer than the pause in which a reader lets changes add up.
 constexpr milliseconds max_feed_gap{1000};
 
 /// The changes cost as much as was missed, so they are requested only while
--- a/src/decide/hedge_settings.hpp
+++ b/src/decide/hedge_settings.hpp
@@ -24,9 +24,8 @@
   /// hold time, and of one whose response stalls. Longer than the interval
   /// between attempts, so that a slow store can still respond.
   milliseconds attempt_timeout_margin{1500};
-  /// Timeout of a response that arrives, in addition to the other two. The
-  /// largest, 1 MB, takes 3.4 s on a link of 10 Mbit/s of which requests take
-  /// three quarters.
+  /// Timeout of a response that arrives, in addition to that of its first byte.
+  /// Enough for the largest one on the thinnest link, beside requests.
   milliseconds transfer_timeout{5000};
   /// Responses that may arrive at the same time.
   int max_transfers = 2;
--- a/test/adapter-test/table_feed_test.cpp
+++ b/test/adapter-test/table_feed_test.cpp
@@ -1,58 +1,13 @@
 #include "platform/table_feed.hpp"
 
-#include <functional>
 #include <gtest/gtest.h>
-#include <optional>
 
-#include "adapter-test/fake_store.hpp"
-#include "serve/node_settings.hpp"
+#include "adapter-test/feed_fixture.hpp"
 
 namespace boragehill::platform {
 namespace {
 
-/// A confirmed change has to be in force this much later.
-constexpr milliseconds in_force_limit{2000};
-
-class table_feed_test : public testing::Test {
- protected:
-  void begin() {
-    this->feed = std::make_unique<table_feed>(
-        this->context, this->store.address(), "t",
-        serve::node_settings{}.feed_wait,
-        [this](const row_batch& batch, bool) {
-          for (const auto& each : batch.rows) this->known = each.value;
-        },
-        [this](bool reached) { this->in_reach = reached; });
-    this->feed->start();
-  }
-
-  /// Lets the feed and the store run until something holds.
-  /// \return How long that took; nothing if it didn't in time.
-  std::optional<milliseconds> run_until(const std::function<bool()>& holds,
-                                        milliseconds longest) {
-    const auto began = time_point::clock::now();
-    const auto passed = [&] {
-      return milliseconds(ms_between(began, time_point::clock::now()));
-    };
-    while (!holds()) {
-      if (passed() > longest) return std::nullopt;
-      this->context.run_one_for(milliseconds(10));
-      this->context.restart();
-    }
-    return passed();
-  }
-
-  bool learns(const std::string& value, milliseconds longest) {
-    return this->run_until([&] { return this->known == value; }, longest)
-        .has_value();
-  }
-
-  asio::io_context context;
-  fake_store store{this->context};
-  std::string known;
-  bool in_reach = false;
-  std::unique_ptr<table_feed> feed;
-};
+class table_feed_test : public feed_fixture {};
 
 class swallowed_polls_test : public table_feed_test {
  protected:
--- a/test/adapter-test/thin_link_test.cpp
+++ b/test/adapter-test/thin_link_test.cpp
@@ -1,66 +1,25 @@
-#include <functional>
 #include <gtest/gtest.h>
-#include <optional>
 #include <string>
 
-#include "adapter-test/fake_store.hpp"
-#include "platform/table_feed.hpp"
-#include "serve/node_settings.hpp"
+#include "adapter-test/feed_fixture.hpp"
 
 namespace boragehill::platform {
 namespace {
 
-/// A confirmed change has to be in force this much later.
-constexpr milliseconds in_force_limit{2000};
 /// The thinnest link of the users' sheets, 10 Mbit/s.
 constexpr std::size_t thin_link = 1250000;
 constexpr std::size_t large_configuration = 32768;
 constexpr int refused_status = 503;
 
-class thin_link_test : public testing::Test {
+class thin_link_test : public feed_fixture {
  protected:
-  void begin() {
-    this->feed = std::make_unique<table_feed>(
-        this->context, this->store.address(), "t",
-        serve::node_settings{}.feed_wait,
-        [this](const row_batch& batch, bool) {
-          for (const auto& each : batch.rows) this->known = each.value;
-        },
-        [](bool) {});
-    this->store.limit_link(thin_link);
-    this->feed->start();
-  }
-
-  /// Lets the feed and the store run until something holds.
-  /// \return How long that took; nothing if it didn't in time.
-  std::optional<milliseconds> run_until(const std::function<bool()>& holds,
-                                        milliseconds longest) {
-    const auto began = time_point::clock::now();
-    const auto passed = [&] {
-      return milliseconds(ms_between(began, time_point::clock::now()));
-    };
-    while (!holds()) {
-      if (passed() > longest) return std::nullopt;
-      this->context.run_one_for(milliseconds(5));
-      this->context.restart();
-    }
-    return passed();
-  }
-
-  void run_for(milliseconds time) {
-    this->run_until([] { return false; }, time);
-  }
-
-  std::optional<milliseconds> time_to_learn(const std::string& value,
-                                            milliseconds longest) {
-    return this->run_until([&] { return this->known == value; }, longest);
-  }
+  void SetUp() override { this->store.limit_link(thin_link); }
 
   /// Changes the row so many times while the store refuses this process.
   /// \return The newest value.
   std::string change_while_refused(int versions, std::size_t size) {
     this->store.refuse_with(refused_status);
-    this->run_for(milliseconds(1200));
+    this->run_until([] { return false; }, milliseconds(1200));
     std::string newest;
     for (int each = 1; each <= versions; ++each) {
       newest = std::to_string(each) + std::string(size, 'x');
@@ -69,11 +28,6 @@
     this->store.refuse_with(0);
     return newest;
   }
-
-  asio::io_context context;
-  fake_store store{this->context};
-  std::string known;
-  std::unique_ptr<table_feed> feed;
 };
 
 // Guards against copies of one request that share a thin link until none of
