Tell routers only the ready times that they wait for, and prepare the view once

Cause: each update to a router held the ready times of all models that were being loaded, up to 100 updates a second to each of 103 routers.

Change: a router is told of the models that its own requests wait for (decide/awaited_models). The list of models that a worker keeps, built anew for each router and worker before (103 x 180 a plan), is built once a plan and compared by a version (decide/fleet_view). A worker that becomes full is always told of.

--- a/src/decide/request_count_filter.hpp
+++ b/src/decide/request_count_filter.hpp
@@ -22,6 +22,16 @@
   return change >= min_change && change * change_divisor >= reported;
 }
 
+/// Decides like `is_significant_change`, and reports each worker that becomes
+/// full: routers that don't know it would all send one more request.
+/// \param reported The number that was reported last.
+/// \param current The current number.
+/// \param full_at The number at which the worker takes no more requests.
+inline bool is_significant_change(int reported, int current, double full_at) {
+  if (current >= full_at && reported < full_at) return true;
+  return is_significant_change(reported, current);
+}
+
 }  // namespace boragehill::decide
 
 #endif  // BORAGEHILL_DECIDE_REQUEST_COUNT_FILTER_HPP
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "decide/awaited_models.hpp"
 #include "decide/request_count_filter.hpp"
 #include "kernel/event_log.hpp"
 #include "wire/planner_codec.hpp"
@@ -23,32 +24,15 @@
 /// Between two tries to reach an agent.
 constexpr milliseconds agent_retry_interval{300};
 
-std::vector<fleet::resident_model> kept_models(
-    const decide::planned_worker& worker) {
-  std::vector<fleet::resident_model> kept;
-  if (worker.is_draining()) return kept;
-  for (const auto& each : worker.report->models) {
-    if (worker.has_target_model(each.name)) kept.push_back(each);
-  }
-  return kept;
-}
-
-/// \param told What the router was told of the worker; brought up to date.
-/// \return What it has to hear now, if anything.
-std::optional<wire::server_view> news_of(wire::server_view& told,
-                                         const decide::planned_worker& worker,
-                                         int others) {
-  auto models = kept_models(worker);
-  const bool same = told.models && *told.models == models;
-  if (same && !decide::is_significant_change(told.other_requests, others)) {
-    return std::nullopt;
-  }
-  wire::server_view news{.server = worker.list_entry.id,
-                         .other_requests = others};
-  if (!same) news.models = models;
-  told.other_requests = others;
-  told.models = std::move(models);
-  return news;
+bool is_same_expectation(const std::map<std::string, time_point>& told,
+                         const std::map<std::string, time_point>& news) {
+  if (news.size() != told.size()) return false;
+  return std::equal(news.begin(), news.end(), told.begin(),
+                    [](const auto& one, const auto& other) {
+                      return one.first == other.first &&
+                             std::chrono::abs(one.second - other.second) <
+                                 expectation_slack;
+                    });
 }
 
 }  // namespace
@@ -61,7 +45,8 @@
                  this->on_router(link);
                }),
       timer(this->loop.context()),
-      planner(settings.planner) {}
+      planner(settings.planner),
+      view(settings.queue_share) {}
 
 std::error_code planner_duty::start() {
   const auto error = this->listener.start(this->settings.link_address());
@@ -321,36 +306,52 @@
   return requests;
 }
 
-bool planner_duty::expects_the_same(const router_link& router) const {
-  const auto& news = this->planner.expected_ready_times();
-  if (news.size() != router.expected.size()) return false;
-  return std::equal(news.begin(), news.end(), router.expected.begin(),
-                    [](const auto& one, const auto& other) {
-                      return one.first == other.first &&
-                             std::chrono::abs(one.second - other.second) <
-                                 expectation_slack;
-                    });
+std::map<std::string, time_point> planner_duty::expected_at(
+    const std::string& router) const {
+  const auto found = this->demands.find(router);
+  if (found == this->demands.end()) return {};
+  return decide::awaited_models(this->planner.expected_ready_times(),
+                                found->second);
+}
+
+void planner_duty::add_news(router_link& router,
+                            const std::map<std::string, int>& own,
+                            wire::view_update& update) const {
+  router.told.resize(this->view.index_count());
+  // Both are in the order of the workers' ids.
+  auto next = own.begin();
+  for (const auto& worker : this->view.workers()) {
+    auto& told = router.told[worker.index];
+    while (next != own.end() && next->first < *worker.id) ++next;
+    const bool has_own = next != own.end() && next->first == *worker.id;
+    const int mine = has_own ? next->second : 0;
+    const int others = worker.requests - mine + worker.granted;
+    const bool same = told.models_version == worker.models_version;
+    if (same && !decide::is_significant_change(told.other_requests, others,
+                                               worker.capacity - mine)) {
+      continue;
+    }
+    wire::server_view news{.server = *worker.id, .other_requests = others};
+    if (!same) news.models = *worker.models;
+    update.servers.push_back(std::move(news));
+    told = {.models_version = worker.models_version, .other_requests = others};
+  }
 }
 
 void planner_duty::tell_routers() {
   const auto now = time_point::clock::now();
   const auto limits = this->rate_limits.limits();
   auto tokens = this->rate_limits.grant(now);
+  this->view.update(this->planner.workers(), {});
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
     wire::view_update update{.term = this->term,
                              .routers = static_cast<int>(this->demands.size()),
                              .whole = !each.greeted};
-    for (const auto& [id, worker] : this->planner.workers()) {
-      if (!worker.report) continue;
-      const auto mine = own.find(id);
-      const int others =
-          worker.total_in_flight - (mine == own.end() ? 0 : mine->second);
-      auto news = news_of(each.told[id], worker, others);
-      if (news) update.servers.push_back(std::move(*news));
-    }
-    const bool same = this->expects_the_same(each);
+    this->add_news(each, own, update);
+    const auto expected = this->expected_at(each.router);
+    const bool same = is_same_expectation(each.expected, expected);
     const bool same_convicted = each.convicted == this->convicted;
     const bool same_limits = each.rate_limits == limits;
     // A router may have two links for a moment; one of them gets its tokens.
@@ -367,8 +368,8 @@
       update.convicted = this->convicted;
       each.convicted = this->convicted;
     }
-    if (!same) each.expected = this->planner.expected_ready_times();
-    for (const auto& [model, at] : this->planner.expected_ready_times()) {
+    if (!same) each.expected = expected;
+    for (const auto& [model, at] : expected) {
       update.expected.push_back(
           {.model = model,
            .ready_in = std::chrono::ceil<milliseconds>(at - now)});
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -13,12 +13,13 @@
 #include <boragehill/endpoint.hpp>
 
 #include "decide/crash_counter.hpp"
+#include "decide/fleet_view.hpp"
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
 #include "wire/link_listener.hpp"
-#include "wire/server_view.hpp"
+#include "wire/view_update.hpp"
 #include "wire/worker_target.hpp"
 
 namespace boragehill::serve {
@@ -43,10 +44,17 @@
  private:
   /// Requests that break off, over all routers; convicted ones stay longest.
   static constexpr std::size_t most_struck = 1024;
+  /// What a router was told of a worker.
+  struct told_worker {
+    /// 0 before the first update.
+    std::uint64_t models_version = 0;
+    int other_requests = 0;
+  };
   struct router_link {
     std::shared_ptr<wire::message_link> link;
     std::string router;
-    std::map<std::string, wire::server_view> told;
+    /// By the worker's index.
+    std::vector<told_worker> told;
     std::map<std::string, time_point> expected;
     std::vector<std::string> convicted;
     std::map<std::string, decide::rate_limit> rate_limits;
@@ -71,7 +79,12 @@
   void log_move(const decide::load_decision& move) const;
   void tell_agents();
   void tell_routers();
-  bool expects_the_same(const router_link& router) const;
+  /// Adds what changed at the workers since the router was told of them.
+  void add_news(router_link& router, const std::map<std::string, int>& own,
+                wire::view_update& update) const;
+  /// \return The ready times that the router has to know.
+  std::map<std::string, time_point> expected_at(
+      const std::string& router) const;
   std::map<std::string, int> requests_of(const std::string& router) const;
 
   entry_settings settings;
@@ -91,6 +104,7 @@
   /// Requests that no router should run, as last summed up.
   std::vector<std::string> convicted;
   decide::rate_limit_allocator rate_limits;
+  decide::fleet_view view;
   time_point last_plan;
   bool soon = false;
 };
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -23,7 +23,8 @@
   int routers = 0;
   bool whole = false;
   std::vector<server_view> servers;
-  /// Models that are asked for and stand nowhere; all of them each time.
+  /// Models that requests of this router wait for and that stand nowhere; all
+  /// of them each time.
   std::vector<expected_model> expected;
   /// Requests that crash servers and must not run; all of them whenever they
   /// changed, else none.
--- a/test/decide-test/request_count_filter_test.cpp
+++ b/test/decide-test/request_count_filter_test.cpp
@@ -29,5 +29,14 @@
   EXPECT_LT(report_count, 20);
 }
 
+TEST(request_count_filter_test, reports_that_a_worker_became_full) {
+  // Routers that don't know it all send one more request.
+  constexpr double full_at = 20;
+  EXPECT_TRUE(is_significant_change(19, 20, full_at));
+  EXPECT_FALSE(is_significant_change(17, 19, full_at));
+  EXPECT_FALSE(is_significant_change(20, 19, full_at));
+  EXPECT_TRUE(is_significant_change(20, 15, full_at));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
