Scale out by the load of the workers, and keep replicas that are needed

Load pattern: workers with 16 slots hold three models each, and a hundred routers send a little each. Three models with five requests each fill a worker, but only a model with more than six was scaled out. Requests beyond the slots queued at the worker, so none waited in a router and no load from the store was started for a model whose copies were used up. A second replica counted as free to evict while the others would get no more than six requests, also in a moment without requests: busy models lost replicas to wakes of rare ones and were scaled out again two seconds later.

Change: a model is busy also when its workers are filled beyond 0.3 of their slots; starved also when the workers that hold it have more requests than slots; a replica is kept when the remaining ones would get more than a quarter of their slots, reckoned with at least the usual requests.

--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -14,6 +14,15 @@
   /// A model with fewer requests per replica is not scaled out: below this, a
   /// batch step of a worker takes hardly longer than on an idle worker.
   double requests_per_replica = 6;
+  /// A model with fewer requests per replica is not scaled out either when its
+  /// workers are busy with other models.
+  double min_requests_per_replica = 2;
+  /// Requests per slot at the workers that hold a model, above which the model
+  /// is scaled out: a short batch fills up with few requests of each model.
+  double max_holder_utilization = 0.3;
+  /// A replica may be evicted at no cost while the remaining ones get at most
+  /// this many requests per slot, since each worker holds several models.
+  double max_kept_utilization = 0.25;
   /// A further replica is placed only on a worker whose load is below this
   /// fraction of the load of the workers that have the model.
   double scale_out_load_ratio = 0.6;
--- a/src/decide/residency_eviction.cpp
+++ b/src/decide/residency_eviction.cpp
@@ -67,6 +67,13 @@
   }
 }
 
+double residency_planner::kept_requests(const planned_worker& worker) const {
+  const int slots = worker.list_entry.slots;
+  if (slots <= 0) return this->settings.requests_per_replica;
+  return std::min(this->settings.requests_per_replica,
+                  this->settings.max_kept_utilization * slots);
+}
+
 double residency_planner::eviction_cost_seconds(const planned_worker& worker,
                                                 const std::string& model,
                                                 time_point now) const {
@@ -89,10 +96,14 @@
     return cost + (expected_requests + demand.in_flight + demand.waiting) *
                       reload_seconds;
   }
+  // At a moment without requests a model is not idle yet.
+  const double usual_requests =
+      demand.recent_arrivals.per_second(now) * run_seconds;
+  const double requests =
+      std::max<double>(demand.in_flight + demand.waiting, usual_requests);
   const double requests_per_replica =
-      (demand.in_flight + demand.waiting) / static_cast<double>(replicas - 1);
-  const double excess =
-      requests_per_replica - this->settings.requests_per_replica;
+      requests / static_cast<double>(replicas - 1);
+  const double excess = requests_per_replica - this->kept_requests(worker);
   return cost + std::max(excess, 0.0) * reload_seconds;
 }
 
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// Converts the number of waiting requests to a number of arrivals: requests
-/// wait for a little over 2 s, arrivals count for 15 s.
-constexpr double waiting_to_arrivals_factor = 6;
 /// Remaining time that is assumed for an overdue load.
 constexpr milliseconds min_remaining_load_time{200};
 
@@ -157,6 +154,7 @@
   this->update_unresponsive_workers(now);
   this->replica_counts.clear();
   this->loaded_models.clear();
+  this->holder_loads.clear();
   for (auto& [id, worker] : this->workers_by_id) {
     worker.in_flight.clear();
     worker.total_in_flight = 0;
@@ -188,6 +186,18 @@
       this->demand_by_model[entry.model].in_flight += entry.requests;
     }
   }
+  this->sum_holder_loads(now);
+}
+
+void residency_planner::sum_holder_loads(time_point now) {
+  for (const auto& [id, worker] : this->workers_by_id) {
+    if (worker.is_draining() || !this->is_responsive(worker, now)) continue;
+    for (const auto& name : worker.target.models) {
+      auto& load = this->holder_loads[name];
+      load.in_flight += worker.total_in_flight;
+      load.slots += worker.list_entry.slots;
+    }
+  }
 }
 
 std::vector<load_decision> residency_planner::step(time_point now) {
@@ -299,55 +309,6 @@
   }
 }
 
-void residency_planner::scale_out_busy_models(const fleet::service& service,
-                                              time_point now) {
-  std::vector<std::pair<double, const fleet::model*>> busy;
-  for (const auto& model : service.models) {
-    const auto found = this->demand_by_model.find(model.name);
-    if (found == this->demand_by_model.end()) continue;
-    const int replicas = this->replica_count(model.name);
-    if (replicas == 0) continue;
-    const double requests = found->second.in_flight + found->second.waiting;
-    const double requests_per_replica = requests / replicas;
-    if (requests_per_replica > this->settings.requests_per_replica) {
-      busy.emplace_back(requests_per_replica, &model);
-    }
-  }
-  // Free workers and store slots are scarce: most requests per replica first.
-  std::sort(busy.begin(), busy.end(), [](const auto& left, const auto& right) {
-    return left.first > right.first;
-  });
-  for (const auto& [requests_per_replica, model] : busy) {
-    this->scale_out(service, *model, requests_per_replica, now);
-  }
-}
-
-void residency_planner::scale_out(const fleet::service& service,
-                                  const fleet::model& model,
-                                  double requests_per_replica, time_point now) {
-  const auto& demand = this->demand_by_model.at(model.name);
-  const int replicas = this->replica_count(model.name);
-  double current_load = 0;
-  for (const auto& [id, worker] : this->workers_by_id) {
-    if (worker.has_target_model(model.name))
-      current_load += worker.total_in_flight;
-  }
-  current_load = std::max(current_load / replicas, requests_per_replica);
-  const auto chosen = this->choose_worker(
-      service, model, this->settings.scale_out_load_ratio * current_load, now);
-  if (!chosen) return;
-  // The eviction cost must not exceed the gain of these requests.
-  if (chosen->eviction_cost_seconds > requests_per_replica) return;
-  if (!chosen->from_store) {
-    return this->start_load(*chosen, "relief", now);
-  }
-  // The store is many times slower, so it is used only for requests that exceed
-  // the capacity of all replicas.
-  if (!this->is_starved(model.name, demand)) return;
-  this->wanted_store_loads.push_back(
-      {&model, "relief", demand.waiting * waiting_to_arrivals_factor});
-}
-
 std::optional<residency_planner::load_choice> residency_planner::choose_worker(
     const fleet::service& service, const fleet::model& model,
     double max_in_flight, time_point now) {
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -76,6 +76,11 @@
 
  private:
   struct load_choice;
+  /// Requests of all models and slots at the workers that serve a model.
+  struct holder_load {
+    int in_flight = 0;
+    int slots = 0;
+  };
   /// A load from the weight store that this step would like to start.
   struct wanted_store_load {
     const fleet::model* model = nullptr;
@@ -95,6 +100,7 @@
   static constexpr milliseconds max_token_wait{250};
 
   void aggregate_reports(time_point now);
+  void sum_holder_loads(time_point now);
   /// \return True if requests for the model wait and all of its replicas are at
   ///     workers that limit the rate of requests.
   bool needs_unlimited_replica(const std::string& model,
@@ -139,10 +145,21 @@
   /// Adds a replica of a busy model.
   void scale_out(const fleet::service& service, const fleet::model& model,
                  double requests_per_replica, time_point now);
+  /// \return Requests in flight and waiting per replica; 0 without a replica.
+  double requests_per_replica(const std::string& model) const;
+  /// \return True if a further replica would shorten waits: the model has many
+  ///     requests per replica, or its share of workers that are more than half
+  ///     full is considerable.
+  bool is_busy(const std::string& model) const;
+  /// \return Requests that wait in the routers or, beyond the slots, at the
+  ///     workers that hold the model.
+  double excess_requests(const std::string& model) const;
   /// \return True if requests for a loaded model exceed the capacity of its
   ///     replicas and no store load for it is running.
-  bool is_starved(const std::string& model,
-                  const aggregated_demand& demand) const;
+  ///
+  /// Many routers that each send a little fill the queues of the workers, and
+  /// hardly a request waits in a router.
+  bool is_starved(const std::string& model) const;
   /// Loads the models with the highest replica gain into free memory.
   ///
   /// After a release, the loss of a failure domain or a crash, workers come
@@ -192,6 +209,9 @@
                                              const planned_worker& worker,
                                              bool may_use_store,
                                              time_point now) const;
+  /// \return Requests per remaining replica up to which the eviction of a
+  ///     replica costs nothing.
+  double kept_requests(const planned_worker& worker) const;
   double eviction_cost_seconds(const planned_worker& worker,
                                const std::string& model, time_point now) const;
   void start_load(const load_choice& chosen, const char* reason,
@@ -224,10 +244,12 @@
   std::map<std::string, demand_report> demand_by_router;
   std::unordered_map<std::string, const fleet::model*> models_by_name;
   std::map<std::string, aggregated_demand> demand_by_model;
-  /// Number of workers that serve each model or are about to, and the models
-  /// that at least one worker serves now. Both are valid for one step.
+  /// Number of workers that serve each model or are about to, the models that
+  /// at least one worker serves now, and the load of the workers by model. All
+  /// are valid for one step.
   std::unordered_map<std::string, int> replica_counts;
   std::unordered_map<std::string, bool> loaded_models;
+  std::unordered_map<std::string, holder_load> holder_loads;
   time_point started_at;
   std::vector<load_decision> decided_loads;
   std::map<std::string, time_point> ready_times;
--- a/src/decide/residency_store.cpp
+++ b/src/decide/residency_store.cpp
@@ -41,19 +41,6 @@
   return count;
 }
 
-bool residency_planner::is_starved(const std::string& model,
-                                   const aggregated_demand& demand) const {
-  if (demand.waiting < this->settings.requests_per_replica) return false;
-  if (demand.oldest_wait < this->settings.starvation_wait) return false;
-  // At most one store load per model, so that other starved models get a slot.
-  return std::none_of(this->workers_by_id.begin(), this->workers_by_id.end(),
-                      [&model](const auto& item) {
-                        const auto& worker = item.second;
-                        return worker.is_loading_from_store() &&
-                               worker.pending_load->model == model;
-                      });
-}
-
 void residency_planner::start_store_loads(const fleet::service& service,
                                           time_point now) {
   std::sort(this->wanted_store_loads.begin(), this->wanted_store_loads.end(),
