Grant each free slot of a worker to one router with waiting requests

Load pattern: more requests for a model than its replicas have slots.

Change: the planner grants each free slot to one router (decide/slot_allocator). Who can't meet the objective any more is late from 150 ms (at most a quarter of the objective) before it, not after it: sent last, and into slots only. New requests choose at random among servers that differ by less than the numbers of other routers' requests may be wrong (decide/server_choice); for one router that is nothing, for four less than one request. A request whose only server was full goes there again with a grant; it waited until its caller left (seen for 16 s, and a grant for it was repeated each 8 ms: an unused grant is now reported with the next report).

--- a/src/decide/demand_report.hpp
+++ b/src/decide/demand_report.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_DECIDE_DEMAND_REPORT_HPP
 #define BORAGEHILL_DECIDE_DEMAND_REPORT_HPP
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
   std::vector<model_in_flight> in_flight;
   /// Servers from which the router receives nothing.
   std::vector<std::string> unresponsive_servers;
+  /// The last round of slot grants that the router received; 0 before the first.
+  std::uint64_t last_grant_round = 0;
 
   bool operator==(const demand_report&) const = default;
 };
--- a/src/decide/model_demand.hpp
+++ b/src/decide/model_demand.hpp
@@ -17,6 +17,8 @@
   int arrivals = 0;
   /// Requests that wait now because the model is not loaded on any worker.
   int waiting = 0;
+  /// Those of them that can't meet their latency objective any more.
+  int late = 0;
   /// How long the oldest of them has waited.
   milliseconds oldest_wait{0};
   /// Sum of the weights of the waiting requests; a request of the highest
--- a/src/decide/server_choice.cpp
+++ b/src/decide/server_choice.cpp
@@ -1,5 +1,7 @@
 #include "decide/server_choice.hpp"
 
+#include <algorithm>
+
 namespace boragehill::decide {
 
 namespace {
@@ -14,6 +16,23 @@
 /// others are full.
 constexpr double suspected_cost = 1000;
 
+/// Changes by less than three requests aren't reported, at either of two
+/// servers.
+constexpr double max_view_error = 6;
+/// With so many routers one request more or less is in doubt.
+constexpr double routers_per_error = 8;
+
+/// \return Uniformly distributed in [0, 1), another number for each index.
+double random_fraction(std::uint64_t random, std::size_t index) {
+  // The mixing function of splitmix64.
+  std::uint64_t bits = random + 0x9e3779b97f4a7c15U * (index + 1);
+  bits = (bits ^ (bits >> 30U)) * 0xbf58476d1ce4e5b9U;
+  bits = (bits ^ (bits >> 27U)) * 0x94d049bb133111ebU;
+  bits ^= bits >> 31U;
+  constexpr double steps = 1U << 24U;
+  return static_cast<double>(bits >> 40U) / steps;
+}
+
 double cost_of(const server_candidate& server) {
   const double requests = server.own_requests + server.other_requests;
   double cost = requests / server.slots +
@@ -34,7 +53,7 @@
 
 std::optional<std::size_t> choose_server(
     const std::vector<server_candidate>& candidates, double queue_share,
-    int max_backlog_tokens, std::uint64_t random) {
+    int max_backlog_tokens, std::uint64_t random, double view_error) {
   std::optional<std::size_t> best;
   double best_cost = 0;
   const std::size_t count = candidates.size();
@@ -44,7 +63,8 @@
     if (server.slots <= 0 || is_full(server, queue_share, max_backlog_tokens)) {
       continue;
     }
-    const double cost = cost_of(server);
+    const double cost = cost_of(server) + view_error / server.slots *
+                                              random_fraction(random, index);
     if (best && cost >= best_cost) continue;
     best = index;
     best_cost = cost;
@@ -52,4 +72,8 @@
   return best;
 }
 
+double view_error_of(int routers) {
+  return std::min((routers - 1) / routers_per_error, max_view_error);
+}
+
 }  // namespace boragehill::decide
--- a/src/decide/server_choice.hpp
+++ b/src/decide/server_choice.hpp
@@ -28,10 +28,19 @@
 ///     until their callers gave up.
 /// \param random Random bits that break ties, so that routers with the same
 ///     view don't all choose the same server.
+/// \param view_error Requests by which the known number of the other routers'
+///     requests may be wrong, see `view_error_of`. Servers that differ by less
+///     are chosen at random: a hundred routers that all chose the server with
+///     the fewest known requests sent it all prompts of a tenth of a second,
+///     and its streams paused, while others had free slots.
 /// \return Index of the candidate; nothing if all are full.
 std::optional<std::size_t> choose_server(
     const std::vector<server_candidate>& candidates, double queue_share,
-    int max_backlog_tokens, std::uint64_t random);
+    int max_backlog_tokens, std::uint64_t random, double view_error = 0);
+
+/// \return Requests by which a router's number of the other routers' requests
+///     at a server may be wrong, since these send between two reports.
+double view_error_of(int routers);
 
 }  // namespace boragehill::decide
 
--- a/src/decide/wait_limit.cpp
+++ b/src/decide/wait_limit.cpp
@@ -14,6 +14,8 @@
 /// From sending a request to its first event: the network round trip and the
 /// processing of the prompt.
 constexpr milliseconds first_event_time{150};
+/// At most this part of a latency objective is reserved for the first event.
+constexpr int reserved_objective_divisor = 4;
 /// Added so that a retry doesn't arrive just before the load has finished.
 constexpr milliseconds retry_margin{100};
 /// Used if the time at which the model will be loaded is unknown.
@@ -34,6 +36,13 @@
   return std::min(time_limit, tolerated);
 }
 
+bool is_late(milliseconds waited, milliseconds objective) {
+  if (objective <= milliseconds(0)) return false;
+  const auto reserved =
+      std::min(first_event_time, objective / reserved_objective_divisor);
+  return waited > objective - reserved;
+}
+
 std::optional<milliseconds> retry_after_if_rejected(const wait_state& request) {
   if (!request.has_server) return no_server_retry_after;
   const auto remaining =
--- a/src/decide/wait_limit.hpp
+++ b/src/decide/wait_limit.hpp
@@ -19,6 +19,16 @@
 /// \return Time since the start of the wait.
 milliseconds caller_timeout(const wait_state& request);
 
+/// Decides whether a request that is sent now is late: its first event can't
+/// meet the latency objective any more.
+///
+/// Load pattern: more requests than slots. The oldest ones are sent first, and
+/// if those count as in time until the objective has passed, each one is sent
+/// just before and answered just after it, so that none is in time.
+/// \param waited Time since the request was received.
+/// \param objective Latency objective of its route; 0 if it has none.
+bool is_late(milliseconds waited, milliseconds objective);
+
 /// Decides whether a waiting request should be rejected now.
 ///
 /// If demand moves to a model that is not loaded on any worker, loading it may
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -85,6 +85,7 @@
     row{event::server_unanswering, "server_unanswering", severity::info},
     row{event::server_rests, "server_rests", severity::info},
     row{event::server_rate_limited, "server_rate_limited", severity::info},
+    row{event::slots_granted, "slots_granted", severity::info},
     row{event::planner_followed, "planner_followed", severity::info},
     row{event::planner_lost, "planner_lost", severity::warning},
     row{event::planner_leads, "planner_leads", severity::info},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -96,6 +96,7 @@
   server_unanswering = 814,
   server_rests = 815,
   server_rate_limited = 816,
+  slots_granted = 817,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -21,19 +21,6 @@
 /// A model that was just added is known here after a second or two.
 constexpr milliseconds next_catalog{1500};
 
-bool is_late(const exchange& request, time_point now) {
-  const auto objective = request.route()->latency_objective;
-  return objective > milliseconds(0) &&
-         now > request.request().received + objective;
-}
-
-bool more_urgent(const exchange& left, const exchange& right) {
-  if (left.route()->priority != right.route()->priority) {
-    return left.route()->priority < right.route()->priority;
-  }
-  return left.request().received < right.request().received;
-}
-
 }  // namespace
 
 dispatcher::dispatcher(asio::io_context& context,
@@ -117,6 +104,7 @@
   }
   // The first update on a link may be a new planner's, who knows of no crash.
   if (update.whole) {
+    this->grant_round = 0;
     this->crashes.report_quarantined_again(now);
     this->rate_limited.announce_again(now);
   }
@@ -132,12 +120,17 @@
     kernel::log_event(kernel::event::convicted, {{"fingerprint", each}});
   }
   this->metrics.set_planner_term(static_cast<double>(update.term));
+  if (update.grant_round > 0) {
+    this->grant_round = update.grant_round;
+    this->use_grants(update.grants);
+  }
   this->serve_waiting();
   this->judge_waiting();
 }
 
 void dispatcher::on_planner_lost() {
   this->planner_linked = false;
+  this->grant_round = 0;
   this->expected.clear();
   for (auto& [id, state] : this->servers) {
     state.told.reset();
@@ -205,9 +198,14 @@
 
 bool dispatcher::suits(const server_state& server,
                        const exchange& request) const {
+  return !request.sends().has_tried(server.entry.id) &&
+         this->holds_what_it_needs(server, request);
+}
+
+bool dispatcher::holds_what_it_needs(const server_state& server,
+                                     const exchange& request) const {
   if (server.entry.service != request.service()) return false;
   if (!this->takes_new(server)) return false;
-  if (request.sends().has_tried(server.entry.id)) return false;
   const auto& asked = request.fields();
   if (asked.model.empty()) return true;
   return server.serves(asked.model, asked.adapter, this->planner_linked);
@@ -250,10 +248,10 @@
     states.push_back(&state);
   }
   const int most_unread =
-      this->settings.unread.router_limit(is_late(request, now), this->routers);
-  const auto chosen =
-      decide::choose_server(candidates, this->settings.queue_share, most_unread,
-                            kernel::random_bits());
+      this->settings.unread.router_limit(request.is_late(now), this->routers);
+  const auto chosen = decide::choose_server(
+      candidates, this->settings.queue_share, most_unread,
+      kernel::random_bits(), decide::view_error_of(this->routers));
   return chosen ? states[*chosen] : nullptr;
 }
 
@@ -291,71 +289,6 @@
   return std::max(static_cast<std::size_t>(share), fewest_connections);
 }
 
-void dispatcher::wait_in_line(const std::shared_ptr<exchange>& request) {
-  auto& line = this->lines[key_of(*request)];
-  const auto behind = std::find_if(line.begin(), line.end(),
-                                   [&](const std::shared_ptr<exchange>& each) {
-                                     return more_urgent(*request, *each);
-                                   });
-  line.insert(behind, request);
-  if (this->waits) this->waits();
-}
-
-void dispatcher::withdraw(const exchange& request) {
-  const auto found = this->lines.find(key_of(request));
-  if (found == this->lines.end()) return;
-  std::erase_if(found->second, [&](const std::shared_ptr<exchange>& each) {
-    return each.get() == &request;
-  });
-  if (found->second.empty()) this->lines.erase(found);
-}
-
-void dispatcher::serve_waiting() {
-  // Sending may end a request at once, which comes back here.
-  if (this->serving) return;
-  this->serving = true;
-  std::vector<demand_key> keys;
-  for (const auto& [key, line] : this->lines) keys.push_back(key);
-  for (const auto& key : keys) {
-    const auto found = this->lines.find(key);
-    if (found == this->lines.end()) continue;
-    this->serve_line(found->second);
-    if (found->second.empty()) this->lines.erase(found);
-  }
-  this->serving = false;
-}
-
-void dispatcher::serve_line(waiting_line& line) {
-  // Those that can still be in time go first.
-  for (const bool late : {false, true}) this->serve_line(line, late);
-}
-
-void dispatcher::serve_line(waiting_line& line, bool late) {
-  const auto now = time_point::clock::now();
-  for (auto each = line.begin(); each != line.end();) {
-    const auto request = *each;
-    if (is_late(*request, now) != late) {
-      ++each;
-      continue;
-    }
-    auto* server = this->find_server(*request, now);
-    // A router that was held up meets news of a server before it meets the
-    // close of a caller that has left meanwhile: the server would run for
-    // nobody. Such a request ends with that close, or with its limit.
-    if (server && !this->may_start(*request, now)) {
-      ++each;
-      continue;
-    }
-    if (server && this->send(request, *server, now)) {
-      each = line.erase(each);
-      continue;
-    }
-    // One that was refused before may lack a server where others have one.
-    if (!request->sends().was_attempted()) return;
-    ++each;
-  }
-}
-
 void dispatcher::on_left(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found != this->servers.end()) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -23,6 +24,7 @@
 #include "decide/response_time_estimate.hpp"
 #include "decide/retry_after_servers.hpp"
 #include "decide/shutdown_gate.hpp"
+#include "decide/slot_grant.hpp"
 #include "decide/windowed_retry_budget.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/server_list.hpp"
@@ -120,6 +122,7 @@
   /// Server, model and adapter.
   using flight_key = std::tuple<std::string, std::string, std::string>;
   using waiting_line = std::deque<std::shared_ptr<exchange>>;
+  using line_map = std::map<demand_key, waiting_line>;
   /// What a request is told that is not sent to any server.
   struct refusal {
     result_code code;
@@ -169,6 +172,13 @@
   std::size_t requests_ahead(const exchange& request) const;
   /// \return True if it is one for the request and may get new ones at all.
   bool suits(const server_state& server, const exchange& request) const;
+  /// \return The same, also for a server that has rejected the request.
+  bool holds_what_it_needs(const server_state& server,
+                           const exchange& request) const;
+  /// \return True if a waiting request may take a slot that the planner
+  /// granted.
+  bool can_use_grant(const server_state& server, const exchange& request,
+                     time_point now) const;
   /// \return True if the server may get new requests, by all that is known.
   bool takes_new(const server_state& server) const;
   decide::response_progress* pulse_of(const exchange& request);
@@ -201,8 +211,16 @@
   /// \return False if no server is listed that could ever take the request.
   bool may_get_server(const exchange& request) const;
   std::size_t most_connections(const std::string& service) const;
+  void drop_line(line_map::iterator line);
   void wait_in_line(const std::shared_ptr<exchange>& request);
   void serve_waiting();
+  /// Sends waiting requests to the servers that the planner granted slots of.
+  void use_grants(const std::vector<decide::slot_grant>& grants);
+  /// \return True if a request was sent.
+  bool use_grant(const decide::slot_grant& grant);
+  /// \return True if the request may go to a server with room only with a grant
+  ///     of the planner, since requests wait at other routers, too.
+  bool awaits_grant(const exchange& request, time_point now);
   void serve_line(waiting_line& line);
   /// \param late Only those whose latency objective has passed, or only the
   ///     others.
@@ -221,7 +239,11 @@
   bool servers_known = false;
   bool planner_linked = false;
   int routers = 4;
-  std::map<demand_key, waiting_line> lines;
+  line_map lines;
+  /// Since when a server with room is seen, by line.
+  std::map<demand_key, time_point> room_seen;
+  /// The last round of grants that was received.
+  std::uint64_t grant_round = 0;
   std::map<demand_key, int> arrivals;
   /// When models that are asked for will be there, as the planner said.
   std::map<std::string, time_point> expected;
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -80,6 +80,7 @@
     auto& demand = demands[key];
     demand.waiting = static_cast<int>(line.size());
     for (const auto& each : line) {
+      if (each->is_late(now)) ++demand.late;
       demand.oldest_wait =
           std::max(demand.oldest_wait,
                    milliseconds(ms_between(each->request().received, now)));
@@ -100,6 +101,7 @@
       report.unresponsive_servers.push_back(id);
     }
   }
+  report.last_grant_round = this->grant_round;
   this->arrivals.clear();
   return report;
 }
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -20,6 +20,12 @@
       section.number("store_loads", planner.initial_store_loads, 1, 1000));
   planner.requests_per_replica = section.real(
       "requests_per_replica", planner.requests_per_replica, 1, 1000);
+  constexpr double most_utilization = 1000;
+  planner.max_holder_utilization =
+      section.real("holder_utilization", planner.max_holder_utilization, 0,
+                   most_utilization);
+  planner.max_kept_utilization = section.real(
+      "kept_utilization", planner.max_kept_utilization, 0, most_utilization);
   planner.scale_out_load_ratio =
       section.real("relief", planner.scale_out_load_ratio, 0, 1);
   constexpr milliseconds longest(60000);
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "decide/wait_limit.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/request_codec.hpp"
 #include "fleet/server.hpp"
@@ -85,6 +86,11 @@
   return caller && !caller->has_left();
 }
 
+bool exchange::is_late(time_point now) const {
+  const milliseconds waited(ms_between(this->what.received, now));
+  return decide::is_late(waited, this->way->latency_objective);
+}
+
 void exchange::start() {
   if (!this->read_fields() || !this->choose_route()) return;
   this->choose_service();
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -89,6 +89,8 @@
   /// \return False if its time is over or its caller has closed the connection,
   ///     though neither may have been handled yet.
   bool is_wanted(time_point now) const;
+  /// \return True if it can't meet its latency objective any more.
+  bool is_late(time_point now) const;
   /// \return When the head of the answer that was passed on came, if it did.
   std::optional<time_point> answered() const { return this->first_byte; }
   /// \return The longest time between two pieces of the answer.
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -46,6 +46,7 @@
                }),
       timer(this->loop.context()),
       planner(settings.planner),
+      slots({.queue_share = settings.queue_share}),
       view(settings.queue_share) {}
 
 std::error_code planner_duty::start() {
@@ -66,6 +67,7 @@
     this->planner.start(time_point::clock::now());
     // What an earlier term knew may be over; routers announce what holds.
     this->rate_limits = {};
+    this->slots.clear();
     // What an earlier term told the agents must be told again under this one.
     for (auto& [address, each] : this->agents) each.told = {};
     this->link_agents();
@@ -118,6 +120,7 @@
   found->second.router = report.router;
   this->planner.on_demand_report(report.router, report.demand,
                                  time_point::clock::now());
+  this->slots.on_report(report.router, report.demand);
   this->demands[report.router] = std::move(report.demand);
   this->rate_limits.on_report(report.router, report.rate_limits,
                               time_point::clock::now());
@@ -140,6 +143,7 @@
   if (linked_again) return;
   this->planner.on_router_removed(router);
   this->rate_limits.on_router_removed(router);
+  this->slots.on_router_removed(router);
   this->demands.erase(router);
 }
 
@@ -314,6 +318,16 @@
                                 found->second);
 }
 
+decide::slot_allocator::grant_map planner_duty::grant_slots(time_point now) {
+  return this->slots.grant(
+      this->planner.workers(),
+      [](const decide::planned_worker& worker) {
+        return worker.report && !worker.is_draining() &&
+               !worker.is_unresponsive && !worker.is_rate_limited;
+      },
+      now);
+}
+
 void planner_duty::add_news(router_link& router,
                             const std::map<std::string, int>& own,
                             wire::view_update& update) const {
@@ -325,7 +339,10 @@
     while (next != own.end() && next->first < *worker.id) ++next;
     const bool has_own = next != own.end() && next->first == *worker.id;
     const int mine = has_own ? next->second : 0;
-    const int others = worker.requests - mine + worker.granted;
+    int others = worker.requests - mine + worker.granted;
+    if (worker.granted > 0) {
+      others -= this->slots.unconfirmed_of(*worker.id, router.router);
+    }
     const bool same = told.models_version == worker.models_version;
     if (same && !decide::is_significant_change(told.other_requests, others,
                                                worker.capacity - mine)) {
@@ -342,7 +359,8 @@
   const auto now = time_point::clock::now();
   const auto limits = this->rate_limits.limits();
   auto tokens = this->rate_limits.grant(now);
-  this->view.update(this->planner.workers(), {});
+  auto grants = this->grant_slots(now);
+  this->view.update(this->planner.workers(), this->slots.unconfirmed());
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
@@ -356,8 +374,11 @@
     const bool same_limits = each.rate_limits == limits;
     // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
-    if (update.servers.empty() && update.tokens.empty() && each.greeted &&
-        same && same_convicted && same_limits) {
+    update.grants = std::exchange(grants[each.router], {});
+    if (!update.grants.empty()) update.grant_round = this->slots.round();
+    if (update.servers.empty() && update.tokens.empty() &&
+        update.grants.empty() && each.greeted && same && same_convicted &&
+        same_limits) {
       continue;
     }
     if (!same_limits) {
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -16,6 +16,7 @@
 #include "decide/fleet_view.hpp"
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
+#include "decide/slot_allocator.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
 #include "wire/link_listener.hpp"
@@ -82,6 +83,7 @@
   /// Adds what changed at the workers since the router was told of them.
   void add_news(router_link& router, const std::map<std::string, int>& own,
                 wire::view_update& update) const;
+  decide::slot_allocator::grant_map grant_slots(time_point now);
   /// \return The ready times that the router has to know.
   std::map<std::string, time_point> expected_at(
       const std::string& router) const;
@@ -104,6 +106,7 @@
   /// Requests that no router should run, as last summed up.
   std::vector<std::string> convicted;
   decide::rate_limit_allocator rate_limits;
+  decide::slot_allocator slots;
   decide::fleet_view view;
   time_point last_plan;
   bool soon = false;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -45,6 +45,7 @@
   if (demand.arrivals > 0) value["arrivals"] = demand.arrivals;
   if (demand.waiting > 0) {
     value["waiting"] = demand.waiting;
+    if (demand.late > 0) value["late"] = demand.late;
     value["oldest_ms"] = Json::Int64(demand.oldest_wait.count());
     value["worth"] = demand.weight;
   }
@@ -57,6 +58,7 @@
           .adapter = value["adapter"].asString(),
           .arrivals = value["arrivals"].asInt(),
           .waiting = value["waiting"].asInt(),
+          .late = value["late"].asInt(),
           .oldest_wait = milliseconds(value["oldest_ms"].asInt64()),
           .weight = value["worth"].asDouble()};
 }
@@ -93,6 +95,30 @@
   return tokens;
 }
 
+Json::Value encode_grants(const std::vector<decide::slot_grant>& grants) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& each : grants) {
+    Json::Value value;
+    value["server"] = each.server;
+    value["model"] = each.model;
+    if (!each.adapter.empty()) value["adapter"] = each.adapter;
+    value["slots"] = each.count;
+    list.append(value);
+  }
+  return list;
+}
+
+std::vector<decide::slot_grant> decode_grants(const Json::Value& list) {
+  std::vector<decide::slot_grant> grants;
+  for (const auto& each : list) {
+    grants.push_back({.server = each["server"].asString(),
+                      .model = each["model"].asString(),
+                      .adapter = each["adapter"].asString(),
+                      .count = each["slots"].asInt()});
+  }
+  return grants;
+}
+
 Json::Value encode_limits(
     const std::map<std::string, decide::rate_limit>& limits) {
   Json::Value list(Json::objectValue);
@@ -161,6 +187,10 @@
     message["rate_limits"] = encode_limits(*update.rate_limits);
   }
   if (!update.tokens.empty()) message["tokens"] = encode_tokens(update.tokens);
+  if (!update.grants.empty()) {
+    message["grants"] = encode_grants(update.grants);
+    message["grant_round"] = Json::UInt64(update.grant_round);
+  }
   return message;
 }
 
@@ -184,6 +214,8 @@
     update.rate_limits = decode_limits(message["rate_limits"]);
   }
   update.tokens = decode_tokens(message["tokens"]);
+  update.grants = decode_grants(message["grants"]);
+  update.grant_round = message["grant_round"].asUInt64();
   return update;
 }
 
@@ -253,6 +285,9 @@
   for (const auto& each : report.demand.in_flight) {
     flights.append(encode_flight(each));
   }
+  if (report.demand.last_grant_round > 0) {
+    message["grant_round"] = Json::UInt64(report.demand.last_grant_round);
+  }
   if (!report.demand.unresponsive_servers.empty()) {
     message["silent"] = encode_texts(report.demand.unresponsive_servers);
   }
@@ -276,6 +311,7 @@
     report.demand.in_flight.push_back(decode_flight(each));
   }
   report.demand.unresponsive_servers = kernel::texts_of(message["silent"]);
+  report.demand.last_grant_round = message["grant_round"].asUInt64();
   report.strikes = kernel::texts_of(message["strikes"]);
   report.rate_limits = {
       .announcements = decode_announcements(message["rate_limits"]),
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -9,6 +9,7 @@
 
 #include "decide/rate_limit.hpp"
 #include "decide/rate_limit_tokens.hpp"
+#include "decide/slot_grant.hpp"
 #include "wire/expected_model.hpp"
 #include "wire/server_view.hpp"
 
@@ -33,6 +34,9 @@
   std::optional<std::map<std::string, decide::rate_limit>> rate_limits;
   /// Tokens granted to this router since the last update.
   std::vector<decide::rate_limit_tokens> tokens;
+  /// Slots granted to this router, and their round; 0 if there are none.
+  std::vector<decide::slot_grant> grants;
+  std::uint64_t grant_round = 0;
 
   bool operator==(const view_update&) const = default;
 };
--- a/test/decide-test/server_choice_test.cpp
+++ b/test/decide-test/server_choice_test.cpp
@@ -86,5 +86,38 @@
   EXPECT_TRUE(choose_server(servers, 0.25, 2000, 0));
 }
 
+TEST(server_choice_test, many_routers_with_one_view_choose_different_servers) {
+  // A hundred routers that know the same numbers send the requests of a tenth
+  // of a second to one server, and its streams pause.
+  std::vector<server_candidate> servers;
+  for (const int requests : {7, 8, 8, 9, 9}) {
+    servers.push_back({.other_requests = requests, .slots = 16});
+  }
+  constexpr int routers = 100;
+  std::vector<int> chosen_count(servers.size());
+  for (std::uint64_t router = 0; router < routers; ++router) {
+    const auto chosen = choose_server(servers, 0.25, no_backlog_limit,
+                                      router * 7919, view_error_of(routers));
+    ASSERT_TRUE(chosen);
+    ++chosen_count[*chosen];
+  }
+  for (const int count : chosen_count) EXPECT_LE(count, routers / 2);
+}
+
+TEST(server_choice_test, a_view_error_does_not_hide_a_large_difference) {
+  const std::vector<server_candidate> servers{
+      {.other_requests = 14, .slots = 16}, {.other_requests = 8, .slots = 16}};
+  for (std::uint64_t request = 0; request < 100; ++request) {
+    EXPECT_EQ(choose_server(servers, 0.25, no_backlog_limit, request * 7919,
+                            view_error_of(100)),
+              1U);
+  }
+}
+
+TEST(server_choice_test, one_router_knows_all_requests) {
+  EXPECT_EQ(view_error_of(1), 0);
+  EXPECT_LT(view_error_of(4), 0.5);
+}
+
 }  // namespace
 }  // namespace boragehill::decide
--- a/test/decide-test/wait_limit_test.cpp
+++ b/test/decide-test/wait_limit_test.cpp
@@ -55,5 +55,16 @@
   EXPECT_EQ(caller_timeout(short_deadline), milliseconds(800));
 }
 
+TEST(wait_limit_test, a_request_is_late_before_its_objective_has_passed) {
+  // Under overload each request was sent just before its objective and answered
+  // just after it.
+  EXPECT_FALSE(is_late(milliseconds(400), milliseconds(600)));
+  EXPECT_TRUE(is_late(milliseconds(500), milliseconds(600)));
+  EXPECT_FALSE(is_late(milliseconds(3800), milliseconds(4000)));
+  EXPECT_FALSE(is_late(milliseconds(100), milliseconds(150)));
+  EXPECT_TRUE(is_late(milliseconds(130), milliseconds(150)));
+  EXPECT_FALSE(is_late(milliseconds(60000), milliseconds(0)));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -17,7 +17,9 @@
                            .expected = {{"k", milliseconds(900)}},
                            .convicted = {"0a1b"},
                            .rate_limits = {{{"i-1", {1.5, 2}}}},
-                           .tokens = {{"i-1", 3}}};
+                           .tokens = {{"i-1", 3}},
+                           .grants = {{"i-1", "m", "a1", 2}},
+                           .grant_round = 12};
   EXPECT_EQ(decode_view_update(encode(update)), update);
   const worker_target target{.term = 9,
                              .server = "i-1",
@@ -44,12 +46,14 @@
                               .adapter = "a1",
                               .arrivals = 3,
                               .waiting = 2,
+                              .late = 1,
                               .oldest_wait = milliseconds(70),
                               .weight = 1.5}},
                  .in_flight = {{.server = "i-1",
                                 .model = "m",
                                 .adapter = {},
-                                .requests = 5}}},
+                                .requests = 5}},
+                 .last_grant_round = 11},
       .strikes = {"0a1b", "0a1b"},
       .rate_limits = {.announcements = {{"i-1", 1.5}, {"i-2", std::nullopt}},
                       .needed = {{"i-1", 4}}}};
