Grant no slots at a worker that a router doesn't reach and nobody uses

A request whose connection failed could be granted the same worker again.

Change: routers report the servers that their connections failed to lately. A worker in such a report at which no router has a request gets no grants, and no router is granted slots of a worker that it doesn't reach itself. A router that is cut off alone thus takes no worker from the others.

Test: slot_allocator_test.grants_nothing_at_a_worker_that_seems_lost.

--- a/src/decide/demand_report.hpp
+++ b/src/decide/demand_report.hpp
@@ -17,6 +17,8 @@
   std::vector<model_in_flight> in_flight;
   /// Servers from which the router receives nothing.
   std::vector<std::string> unresponsive_servers;
+  /// Servers to which the router's connections failed lately.
+  std::vector<std::string> unreachable_servers;
   /// The last round of slot grants that the router received; 0 before the first.
   std::uint64_t last_grant_round = 0;
 
--- a/src/decide/slot_allocator.cpp
+++ b/src/decide/slot_allocator.cpp
@@ -4,8 +4,12 @@
 #include <numeric>
 #include <utility>
 
+#include "decide/planner_name_list.hpp"
+
 namespace boragehill::decide {
 
+using detail::contains_name;
+
 namespace {
 
 bool is_for(const slot_grant& grant, const model_demand& demand) {
@@ -47,6 +51,7 @@
     this->unconfirmed_by_server[each.slots.server] -= each.slots.count;
     return true;
   });
+  this->unreachable_by_router[router] = report.unreachable_servers;
   auto& waiting = this->waiting_by_router[router];
   waiting.clear();
   std::copy_if(report.demands.begin(), report.demands.end(),
@@ -60,10 +65,12 @@
   }
   this->unconfirmed_by_router.erase(router);
   this->waiting_by_router.erase(router);
+  this->unreachable_by_router.erase(router);
 }
 
 void slot_allocator::clear() {
   this->waiting_by_router.clear();
+  this->unreachable_by_router.clear();
   this->unconfirmed_by_router.clear();
   this->unconfirmed_by_server.clear();
 }
@@ -74,6 +81,21 @@
                      [](const auto& each) { return !each.second.empty(); });
 }
 
+bool slot_allocator::is_unreachable(const std::string& server,
+                                    const std::string& router) const {
+  const auto found = this->unreachable_by_router.find(router);
+  return found != this->unreachable_by_router.end() &&
+         contains_name(found->second, server);
+}
+
+bool slot_allocator::seems_lost(const planned_worker& worker) const {
+  if (worker.total_in_flight > 0) return false;
+  return std::any_of(this->unreachable_by_router.begin(),
+                     this->unreachable_by_router.end(), [&](const auto& each) {
+                       return contains_name(each.second, worker.list_entry.id);
+                     });
+}
+
 void slot_allocator::drop_expired(time_point now) {
   const auto oldest = now - this->settings.confirmation_timeout;
   for (auto& [router, grants] : this->unconfirmed_by_router) {
@@ -125,8 +147,7 @@
 }
 
 slot_allocator::candidate* slot_allocator::choose(
-    std::vector<candidate>& candidates, const model_demand& demand,
-    bool late) const {
+    std::vector<candidate>& candidates, const need& asked, bool late) const {
   const double queue_share = late ? 0 : this->settings.queue_share;
   candidate* best = nullptr;
   double best_utilization = 0;
@@ -138,7 +159,9 @@
     if (each.requests >= slots * (1 + queue_share)) continue;
     const double utilization = static_cast<double>(each.requests) / slots;
     if (best && utilization >= best_utilization) continue;
-    if (!serves(*each.worker, demand)) continue;
+    if (!serves(*each.worker, *asked.demand)) continue;
+    if (this->is_unreachable(each.worker->list_entry.id, asked.router))
+      continue;
     best = &each;
     best_utilization = utilization;
   }
@@ -159,7 +182,7 @@
   for (const bool late : {false, true}) {
     for (const auto& each : this->list_needs(late)) {
       for (int missing = each.missing; missing > 0; --missing) {
-        auto* chosen = this->choose(candidates, *each.demand, late);
+        auto* chosen = this->choose(candidates, each, late);
         if (!chosen) break;
         ++chosen->requests;
         ++chosen->unconfirmed;
--- a/src/decide/slot_allocator.hpp
+++ b/src/decide/slot_allocator.hpp
@@ -54,7 +54,8 @@
     if (!this->has_waiting()) return {};
     std::vector<const planned_worker*> usable;
     for (const auto& [id, worker] : workers) {
-      if (may_use(worker)) usable.push_back(&worker);
+      if (may_use(worker) && !this->seems_lost(worker))
+        usable.push_back(&worker);
     }
     return this->grant_slots(usable, now);
   }
@@ -91,18 +92,28 @@
   };
 
   bool has_waiting() const;
+  /// \return True if a router doesn't reach the worker, and none has a request
+  ///     there.
+  ///
+  /// A worker that has just crashed is the one with the lowest utilization for
+  /// as long as its last report counts, and would get all grants.
+  bool seems_lost(const planned_worker& worker) const;
+  /// \return True if the router's connections to the worker failed lately.
+  bool is_unreachable(const std::string& server,
+                      const std::string& router) const;
   void drop_expired(time_point now);
   std::vector<need> list_needs(bool late) const;
   grant_map grant_slots(const std::vector<const planned_worker*>& workers,
                         time_point now);
   /// \return The candidate with the lowest utilization that has room for one
   ///     more request; null if none has.
-  candidate* choose(std::vector<candidate>& candidates,
-                    const model_demand& demand, bool late) const;
+  candidate* choose(std::vector<candidate>& candidates, const need& asked,
+                    bool late) const;
   int unconfirmed_slots(const std::string& server) const;
 
   slot_allocator_settings settings;
   std::map<std::string, std::vector<model_demand>> waiting_by_router;
+  std::map<std::string, std::vector<std::string>> unreachable_by_router;
   std::map<std::string, std::vector<unconfirmed_grant>> unconfirmed_by_router;
   std::map<std::string, int> unconfirmed_by_server;
   std::uint64_t last_round = 0;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -53,6 +53,7 @@
                        {"requests", state.requests.size()}});
     this->pool.forget(id);
     this->health.forget(id);
+    this->reachability.forget(id);
     this->rate_limited.forget(id);
     state.listed = false;
   }
@@ -316,7 +317,10 @@
       {{"request", request.fields().attempt},
        {"server", request.server()},
        {"reason", reached ? "answer broke off" : "connection failed"}});
-  if (!reached) return;
+  if (!reached) {
+    this->reachability.on_failure(request.server(), time_point::clock::now());
+    return;
+  }
   this->crashes.on_interrupted(request.fingerprint(), time_point::clock::now());
   kernel::log_event(kernel::event::striked,
                     {{"request", request.fields().attempt},
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -232,6 +232,8 @@
   entry_metrics& metrics;
   server_pool pool;
   server_health health;
+  /// Of the failures only those of connections.
+  server_health reachability;
   std::shared_ptr<const fleet::catalog> known_catalog;
   asio::io_context& context;
   std::map<std::string, server_state> servers;
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -113,6 +113,7 @@
   // may be the only one with the model.
   return this->holds_what_it_needs(server, request) &&
          !server.silence.is_suspected() &&
+         !this->reachability.suspect(server.entry.id, now) &&
          !this->resting.until(server.entry.id, now) &&
          this->rate_limited.may_send(server.entry.id, now) &&
          this->may_start(request, now);
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -100,6 +100,9 @@
     if (state.listed && state.silence.is_confirmed(now)) {
       report.unresponsive_servers.push_back(id);
     }
+    if (state.listed && this->reachability.suspect(id, now)) {
+      report.unreachable_servers.push_back(id);
+    }
   }
   report.last_grant_round = this->grant_round;
   this->arrivals.clear();
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -291,6 +291,9 @@
   if (!report.demand.unresponsive_servers.empty()) {
     message["silent"] = encode_texts(report.demand.unresponsive_servers);
   }
+  if (!report.demand.unreachable_servers.empty()) {
+    message["unreachable"] = encode_texts(report.demand.unreachable_servers);
+  }
   if (!report.strikes.empty()) {
     message["strikes"] = encode_texts(report.strikes);
   }
@@ -311,6 +314,7 @@
     report.demand.in_flight.push_back(decode_flight(each));
   }
   report.demand.unresponsive_servers = kernel::texts_of(message["silent"]);
+  report.demand.unreachable_servers = kernel::texts_of(message["unreachable"]);
   report.demand.last_grant_round = message["grant_round"].asUInt64();
   report.strikes = kernel::texts_of(message["strikes"]);
   report.rate_limits = {
--- a/test/decide-test/slot_allocator_test.cpp
+++ b/test/decide-test/slot_allocator_test.cpp
@@ -159,6 +159,25 @@
   EXPECT_TRUE(fleet.grant().contains("r0"));
 }
 
+TEST(slot_allocator_test, grants_nothing_at_a_worker_that_seems_lost) {
+  // A crashed worker had no requests any more, so it got all grants for as long
+  // as its last report counted, and each of them cost a retry.
+  waiting_fleet fleet;
+  fleet.add_worker("w0", 0);
+  fleet.add_worker("w1", 9);
+  fleet.reports["r1"].unreachable_servers = {"w0"};
+  fleet.report_of("r1");
+  fleet.wait_at("r0", 1);
+  EXPECT_EQ(count_slots_at(fleet.grant(), "w1"), 1);
+  // With a request there it is only the router r1 that doesn't reach it.
+  fleet.workers["w0"].total_in_flight = 1;
+  fleet.wait_at("r0", 2);
+  fleet.wait_at("r1", 1);
+  const auto grants = fleet.grant();
+  EXPECT_EQ(grants.at("r0").front().server, "w0");
+  EXPECT_EQ(grants.at("r1").front().server, "w1");
+}
+
 TEST(slot_allocator_test, grants_nothing_at_workers_without_the_adapter) {
   waiting_fleet fleet;
   fleet.add_worker("w0", 0);
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -53,6 +53,7 @@
                                 .model = "m",
                                 .adapter = {},
                                 .requests = 5}},
+                 .unreachable_servers = {"i-3"},
                  .last_grant_round = 11},
       .strikes = {"0a1b", "0a1b"},
       .rate_limits = {.announcements = {{"i-1", 1.5}, {"i-2", std::nullopt}},
