Keep the links of routers that know of a planner's lead before it does

Change: a planner that doesn't lead yet keeps a link for a second before it closes it.

Test: planner_duty_test; its first test fails with a time of 0.

--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds plan_delay{8};
 /// Routers needn't hear of a smaller change of an expectation.
 constexpr milliseconds expectation_slack{200};
+/// A router that read the planner's row may connect before this one has heard
+/// that its write of the row took effect: after a restart of all processes that
+/// takes some tenths of a second.
+constexpr milliseconds lead_timeout{1000};
 /// Between two tries to reach an agent.
 constexpr milliseconds agent_retry_interval{300};
 
@@ -103,14 +107,18 @@
         this->on_router_message(number, message);
       },
       [this, number] { this->on_router_gone(number); });
-  this->routers[number].link = link;
+  auto& added = this->routers[number];
+  added.link = link;
+  added.linked_at = time_point::clock::now();
 }
 
 void planner_duty::on_router_message(std::uint64_t number,
                                      const Json::Value& message) {
   const auto found = this->routers.find(number);
   if (found == this->routers.end()) return;
-  if (this->term == 0) {
+  const bool may_lead_soon =
+      time_point::clock::now() - found->second.linked_at < lead_timeout;
+  if (this->term == 0 && !may_lead_soon) {
     // It follows a row that isn't ours any more.
     found->second.link->close();
     this->on_router_gone(number);
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -53,6 +53,7 @@
   };
   struct router_link {
     std::shared_ptr<wire::message_link> link;
+    time_point linked_at;
     std::string router;
     /// By the worker's index.
     std::vector<told_worker> told;
--- /dev/null
+++ b/test/adapter-test/planner_duty_test.cpp
@@ -0,0 +1,116 @@
+#include "serve/planner_duty.hpp"
+
+#include <chrono>
+#include <functional>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unistd.h>
+
+#include "kernel/event_loop.hpp"
+#include "wire/message_link.hpp"
+#include "wire/planner_codec.hpp"
+
+namespace boragehill::serve {
+namespace {
+
+/// A router's link to a planner, with what came of it.
+class router_side {
+ public:
+  explicit router_side(const endpoint& planner) : loop("router", 64) {
+    this->loop.start();
+    this->loop.post([this, planner] {
+      this->link = std::make_shared<wire::message_link>(this->loop.context());
+      this->link->on_events(
+          [this](const Json::Value& message) {
+            const std::lock_guard<std::mutex> lock(this->guard);
+            this->last_term = wire::decode_view_update(message).term;
+          },
+          [this] {
+            const std::lock_guard<std::mutex> lock(this->guard);
+            this->has_ended = true;
+          });
+      this->link->connect(planner);
+      this->link->send(wire::encode(wire::router_report{.router = "r-1"}));
+    });
+  }
+  ~router_side() { this->loop.stop(); }
+  router_side(const router_side&) = delete;
+  router_side& operator=(const router_side&) = delete;
+
+  void report() {
+    this->loop.post([this] {
+      this->link->send(wire::encode(wire::router_report{.router = "r-1"}));
+    });
+  }
+
+  bool ended() {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    return this->has_ended;
+  }
+
+  std::int64_t term() {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    return this->last_term;
+  }
+
+ private:
+  kernel::event_loop loop;
+  std::shared_ptr<wire::message_link> link;
+  std::mutex guard;
+  bool has_ended = false;
+  std::int64_t last_term = 0;
+};
+
+entry_settings planner_settings_of_test() {
+  entry_settings settings;
+  settings.id = "planner";
+  constexpr int addresses = 200;
+  settings.address =
+      "127.91." + std::to_string(getpid() % addresses + 1) + ".1";
+  settings.link_port = 21750;
+  return settings;
+}
+
+bool becomes_true(const std::function<bool()>& condition) {
+  constexpr std::chrono::seconds limit(3);
+  const auto until = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= until) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+TEST(planner_duty_test,
+     keeps_the_links_of_routers_that_know_of_its_lead_first) {
+  // After a restart of all processes each new planner closed the links of the
+  // routers that had read its row earlier than it had, and was replaced.
+  const auto settings = planner_settings_of_test();
+  planner_duty planner(settings);
+  ASSERT_FALSE(planner.start());
+  router_side router(settings.link_address());
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_FALSE(router.ended());
+  planner.lead(7);
+  router.report();
+  EXPECT_TRUE(becomes_true([&] { return router.term() == 7; }));
+  EXPECT_FALSE(router.ended());
+  planner.stop();
+}
+
+TEST(planner_duty_test, closes_the_links_of_routers_that_follow_an_old_row) {
+  const auto settings = planner_settings_of_test();
+  planner_duty planner(settings);
+  ASSERT_FALSE(planner.start());
+  router_side router(settings.link_address());
+  EXPECT_TRUE(becomes_true([&] {
+    router.report();
+    return router.ended();
+  }));
+  planner.stop();
+}
+
+}  // namespace
+}  // namespace boragehill::serve
