Reuse a slot that a router's own request has left, and report it at once

Change: when a request leaves a server, its router sends one of its own waiting requests without a grant, which keeps the number of requests there; it reports at once if the server was full, since others may wait for the slot.

--- a/src/decide/planner_settings.hpp
+++ b/src/decide/planner_settings.hpp
@@ -19,7 +19,7 @@
   double min_requests_per_replica = 2;
   /// Requests per slot at the workers that hold a model, above which the model
   /// is scaled out: a short batch fills up with few requests of each model.
-  double max_holder_utilization = 0.3;
+  double max_holder_utilization = 0.5;
   /// A replica may be evicted at no cost while the remaining ones get at most
   /// this many requests per slot, since each worker holds several models.
   double max_kept_utilization = 0.25;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -307,7 +307,11 @@
   if (flight != this->flights.end() && --flight->second <= 0) {
     this->flights.erase(flight);
   }
-  if (!this->lines.empty()) this->serve_waiting();
+  if (found != this->servers.end()) {
+    this->reuse_slot(found->second);
+  } else if (!this->lines.empty()) {
+    this->serve_waiting();
+  }
 }
 
 void dispatcher::on_server_failed(const exchange& request, bool reached) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -221,6 +221,8 @@
   /// \return True if the request may go to a server with room only with a grant
   ///     of the planner, since requests wait at other routers, too.
   bool awaits_grant(const exchange& request, time_point now);
+  /// Uses the slot that a request of this router has left.
+  void reuse_slot(const server_state& server);
   void serve_line(waiting_line& line);
   /// \param late Only those whose latency objective has passed, or only the
   ///     others.
@@ -244,6 +246,9 @@
   line_map lines;
   /// Since when a server with room is seen, by line.
   std::map<demand_key, time_point> room_seen;
+  /// Slots that a request of this router has just left; one of its waiting
+  /// requests may follow without a grant.
+  int own_free_slots = 0;
   /// The last round of grants that was received.
   std::uint64_t grant_round = 0;
   std::map<demand_key, int> arrivals;
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -78,7 +78,10 @@
     }
     auto* server = this->find_server(*request, now);
     if (!server) this->room_seen.erase(key_of(*request));
-    if (server && this->awaits_grant(*request, now)) return;
+    if (server && this->awaits_grant(*request, now)) {
+      if (this->own_free_slots == 0) return;
+      --this->own_free_slots;
+    }
     // A router that was held up meets news of a server before it meets the
     // close of a caller that has left meanwhile: the server would run for
     // nobody. Such a request ends with that close, or with its limit.
@@ -107,6 +110,20 @@
   return now < seen->second + grant_patience;
 }
 
+void dispatcher::reuse_slot(const server_state& server) {
+  // The request that left is not among them any more.
+  const int requests =
+      static_cast<int>(server.requests.size()) + server.other_requests + 1;
+  const bool was_full =
+      server.entry.slots > 0 && requests >= server.entry.slots;
+  // Others may wait for the slot.
+  if (was_full && this->planner_linked && this->waits) this->waits();
+  if (this->lines.empty()) return;
+  this->own_free_slots = 1;
+  this->serve_waiting();
+  this->own_free_slots = 0;
+}
+
 bool dispatcher::can_use_grant(const server_state& server,
                                const exchange& request, time_point now) const {
   // A server that was full when it rejected the request has a free slot now; it
