Tell routers that a worker which its agent can't reach holds nothing

Change: the planner tells such a worker with no models. A new planner says nothing of workers that have not reported to it yet.

Test: fleet_view_test.

--- a/src/decide/fleet_view.cpp
+++ b/src/decide/fleet_view.cpp
@@ -9,7 +9,7 @@
 std::vector<fleet::resident_model> list_kept_models(
     const planned_worker& worker) {
   std::vector<fleet::resident_model> kept;
-  if (worker.is_draining()) return kept;
+  if (!worker.report || worker.is_draining()) return kept;
   for (const auto& each : worker.report->models) {
     if (worker.has_target_model(each.name)) kept.push_back(each);
   }
@@ -25,7 +25,7 @@
     return !workers.contains(each.first);
   });
   for (const auto& [id, worker] : workers) {
-    if (!worker.report) continue;
+    if (!worker.report && !this->known.contains(id)) continue;
     const auto inserted = this->known.try_emplace(id);
     auto& entry = inserted.first->second;
     auto models = list_kept_models(worker);
--- a/src/decide/fleet_view.hpp
+++ b/src/decide/fleet_view.hpp
@@ -24,12 +24,18 @@
   ///     overfilled.
   explicit fleet_view(double queue_share) : queue_share(queue_share) {}
 
-  /// Takes the workers over as the last plan left them.
-  /// \param granted Slots that routers were granted and have not confirmed, by
+  /// Takes the workers over as the last plan left them. A worker that had
+  /// reported and that its agent can't reach any more holds nothing: routers
+  /// that kept what they were told of it each sent requests to a crashed
+  /// worker, until it was taken off the server list. \param granted Slots that
+  /// routers were granted and have not confirmed, by
   ///     worker.
   void update(const std::map<std::string, planned_worker>& workers,
               const std::map<std::string, int>& granted);
 
+  /// Forgets all workers, for a new term: none has reported to it yet.
+  void clear() { this->known.clear(); }
+
   /// \return The workers that have reported, in the order of their ids.
   const std::vector<worker_view>& workers() const { return this->views; }
 
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -72,6 +72,7 @@
     // What an earlier term knew may be over; routers announce what holds.
     this->rate_limits = {};
     this->slots.clear();
+    this->view.clear();
     // What an earlier term told the agents must be told again under this one.
     for (auto& [address, each] : this->agents) each.told = {};
     this->link_agents();
--- a/test/decide-test/fleet_view_test.cpp
+++ b/test/decide-test/fleet_view_test.cpp
@@ -50,6 +50,32 @@
   EXPECT_TRUE(view.workers()[0].models->empty());
 }
 
+TEST(fleet_view_test, a_worker_that_its_agent_cannot_reach_holds_nothing) {
+  // A hundred routers went on sending to a crashed worker what it had held.
+  fleet_view view(0);
+  std::map<std::string, planned_worker> workers{
+      {"w0", worker_with("w0", {"m0"})}};
+  view.update(workers, {});
+  const auto version = view.workers()[0].models_version;
+  workers["w0"].report.reset();
+  view.update(workers, {});
+  ASSERT_EQ(view.workers().size(), 1U);
+  EXPECT_TRUE(view.workers()[0].models->empty());
+  EXPECT_NE(view.workers()[0].models_version, version);
+}
+
+TEST(fleet_view_test, says_nothing_of_workers_that_have_not_reported_yet) {
+  // A new planner knows nothing of them; what the platform lists holds.
+  fleet_view view(0);
+  std::map<std::string, planned_worker> workers{
+      {"w0", worker_with("w0", {"m0"})}};
+  view.update(workers, {});
+  workers["w0"].report.reset();
+  view.clear();
+  view.update(workers, {});
+  EXPECT_TRUE(view.workers().empty());
+}
+
 TEST(fleet_view_test, a_worker_that_comes_back_is_a_new_one) {
   // Routers would keep what they were told of the one before.
   fleet_view view(0);
