--- a/src/decide/demand_report.hpp
+++ b/src/decide/demand_report.hpp
@@ -19,7 +19,8 @@
   std::vector<std::string> unresponsive_servers;
   /// Servers to which the router's connections failed lately.
   std::vector<std::string> unreachable_servers;
-  /// The last round of slot grants that the router received; 0 before the first.
+  /// The last round of slot grants that the router received; 0 before the
+  /// first.
   std::uint64_t last_grant_round = 0;
 
   bool operator==(const demand_report&) const = default;
