--- a/src/decide/awaited_models.hpp
+++ b/src/decide/awaited_models.hpp
@@ -13,9 +13,8 @@
 /// Selects the ready times that a router needs.
 ///
 /// Load pattern: a burst for rare models, when dozens of them load at a time.
-/// With all ready times in each of a hundred updates a second to each of a
-/// hundred routers, the planner's link was full, and what it told routers and
-/// agents arrived 0.35 s late.
+/// With all ready times in each update to each of a hundred routers, the
+/// planner's link was full, and routers and agents heard of everything late.
 /// \param ready_times When each requested model is expected to be ready.
 /// \param demand The last report of the router.
 /// \return The ready times of the models that its requests wait for.
--- a/test/decide-test/residency_scale_out_test.cpp
+++ b/test/decide-test/residency_scale_out_test.cpp
@@ -62,9 +62,8 @@
 }
 
 TEST(residency_scale_out_test, keeps_replicas_that_others_can_not_replace) {
-  // A rare model is requested. The busy model's second replica looked free, and
-  // after its eviction the first one, with a batch to share, was scaled out
-  // again a moment later.
+  // A busy model's second replica looked free and was evicted for a rare model,
+  // though the first one, with a batch to share, was then scaled out again.
   simulated_fleet fleet(2, 8, few_slots);
   fleet.add_models("w0", {"m0", "m1", "m2"});
   fleet.add_models("w1", {"m0", "m3", "m4"});
