--- a/test/fleet-test/rate_limited_server_test.cpp
+++ b/test/fleet-test/rate_limited_server_test.cpp
@@ -99,9 +99,9 @@
     if (!each.attempt.starts_with("r")) continue;
     const auto found = told.find(steady_callers::router_of(each.attempt));
     const bool counts = found != told.end() &&
-                        each.begin >= found->second + told_time &&
-                        each.begin >= announced + contact_time;
-    if (counts) counted.push_back(each.begin);
+                        each.at >= found->second + told_time &&
+                        each.at >= announced + contact_time;
+    if (counts) counted.push_back(each.at);
   }
   std::sort(counted.begin(), counted.end());
   std::size_t most = 0;
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -451,22 +451,31 @@
   return kept;
 }
 
-std::vector<small_fleet::logged_run> small_fleet::logged_runs() const {
-  std::vector<logged_run> runs;
+std::vector<invariants::service_event> small_fleet::logged(
+    const std::string& what) const {
+  std::vector<invariants::service_event> events;
   for (const auto& each : std::filesystem::directory_iterator(this->folder)) {
     std::ifstream log(each.path());
     std::string line;
     while (std::getline(log, line)) {
-      if (!line.starts_with("ran ")) continue;
-      std::istringstream fields(line.substr(4));
-      logged_run run;
-      std::int64_t begin_ms = 0;
-      if (!(fields >> run.attempt >> begin_ms)) continue;
-      run.begin = std::chrono::steady_clock::time_point(milliseconds(begin_ms));
-      runs.push_back(std::move(run));
+      if (!line.starts_with(what + " ")) continue;
+      std::istringstream fields(line.substr(what.size() + 1));
+      invariants::service_event event;
+      std::int64_t at_ms = 0;
+      if (!(fields >> event.attempt >> at_ms >> event.service)) continue;
+      event.at = time_point(milliseconds(at_ms));
+      events.push_back(std::move(event));
     }
   }
-  return runs;
+  return events;
+}
+
+std::vector<invariants::service_event> small_fleet::logged_runs() const {
+  return this->logged("ran");
+}
+
+std::vector<invariants::service_event> small_fleet::logged_arrivals() const {
+  return this->logged("arrived");
 }
 
 std::map<std::string, int> small_fleet::all_runs() const {
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -14,6 +14,7 @@
 
 #include <boragehill/endpoint.hpp>
 
+#include "invariants/retries_within_budget.hpp"
 #include "process-test/process.hpp"
 
 namespace boragehill::fleet_test {
@@ -100,14 +101,10 @@
   /// which goes with the fleet.
   /// \return That folder.
   std::string keep_logs(const std::string& name) const;
-  /// A run of a request, by the log of the server that began it.
-  struct logged_run {
-    std::string attempt;
-    std::chrono::steady_clock::time_point begin;
-  };
-
-  /// \return The runs of all servers.
-  std::vector<logged_run> logged_runs() const;
+  /// \return The runs that all servers began, by their logs.
+  std::vector<invariants::service_event> logged_runs() const;
+  /// \return What arrived at all servers, including what they rejected.
+  std::vector<invariants::service_event> logged_arrivals() const;
   /// \return How often each attempt ran, by the logs of all servers.
   std::map<std::string, int> all_runs() const;
   /// Kills a plain server and starts another lifetime at its address; the
@@ -117,6 +114,8 @@
   std::string planner();
 
  private:
+  /// \return The lines of all servers' logs that tell so of an attempt.
+  std::vector<invariants::service_event> logged(const std::string& what) const;
   /// \return The value of a row of the store; empty if there is none.
   std::string row(const std::string& table, const std::string& key);
   /// \return The names of all backend servers, model workers first.
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -110,7 +110,7 @@
   std::map<std::string, clock::time_point> begins;
   for (const auto& each : this->fleet.logged_runs()) {
     auto& begin = begins[each.attempt];
-    begin = std::max(begin, each.begin);
+    begin = std::max(begin, each.at);
   }
   return begins;
 }
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -145,22 +145,28 @@
   return true;
 }
 
-void worker_standin::note_run(const std::string& attempt) {
-  ++this->runs[attempt];
+void worker_standin::note(const char* what, const std::string& attempt) const {
   // In the log it outlives this process.
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
   std::printf(
-      "ran %s %lld\n", attempt.c_str(),
+      "%s %s %lld %s\n", what, attempt.c_str(),
       static_cast<long long>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+          std::chrono::duration_cast<std::chrono::milliseconds>(now).count()),
+      this->service.c_str());
   std::fflush(stdout);
 }
 
+void worker_standin::note_run(const std::string& attempt) {
+  ++this->runs[attempt];
+  this->note("ran", attempt);
+}
+
 void worker_standin::run(const httplib::Request& request,
                          httplib::Response& response) {
   const std::string attempt = request.get_header_value("Boragehill-Attempt-Id");
   {
     const std::scoped_lock lock(this->mutex);
+    this->note("arrived", attempt);
     if (this->refuses(request, response)) return;
     this->note_run(attempt);
     ++this->running;
@@ -183,6 +189,7 @@
   const std::string attempt = request.get_header_value("Boragehill-Attempt-Id");
   {
     const std::scoped_lock lock(this->mutex);
+    this->note("arrived", attempt);
     if (this->refuses(request, response)) return;
     this->note_run(attempt);
   }
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -26,6 +26,8 @@
   ~worker_standin();
 
  private:
+  /// Writes a line that tells what happened to an attempt, and when.
+  void note(const char* what, const std::string& attempt) const;
   void note_run(const std::string& attempt);
   void run(const httplib::Request& request, httplib::Response& response);
   void stream(const httplib::Request& request, httplib::Response& response);
