--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -64,6 +64,7 @@
     row{event::caller_hung_up, "caller_hung_up", severity::info},
     row{event::bad_input, "bad_input", severity::info},
     row{event::silent_server_left, "silent_server_left", severity::warning},
+    row{event::retry_sent, "retry_sent", severity::info},
     row{event::profile_published, "profile_published", severity::info},
     row{event::profile_conflict, "profile_conflict", severity::warning},
     row{event::revision_applied, "revision_applied", severity::info},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -71,6 +71,7 @@
   caller_hung_up = 609,
   bad_input = 610,
   silent_server_left = 611,
+  retry_sent = 612,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -92,6 +92,7 @@
 void dispatcher::on_view(const wire::view_update& update) {
   this->planner_linked = true;
   this->routers = std::max(update.routers, 1);
+  this->metrics.set_budget_routers(this->routers);
   for (const auto& each : update.servers) {
     const auto found = this->servers.find(each.server);
     if (found == this->servers.end()) continue;
@@ -262,6 +263,9 @@
       server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
+  if (request->sends().was_attempted()) {
+    this->note_retry(*request, server, now);
+  }
   this->rate_limited.on_sent(server.entry.id, now);
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
@@ -271,6 +275,17 @@
   return true;
 }
 
+void dispatcher::note_retry(const exchange& request, const server_state& server,
+                            time_point now) {
+  this->metrics.on_retry_sent(request.service());
+  kernel::log_event(kernel::event::retry_sent,
+                    {{"request", request.fields().attempt},
+                     {"service", request.service()},
+                     {"server", server.entry.id},
+                     {"sends", request.sends().attempt_count()},
+                     {"waited_ms", ms_between(request.retry_granted(), now)}});
+}
+
 bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
   const auto now = time_point::clock::now();
   auto* server = this->find_server(*request, now);
@@ -388,14 +403,19 @@
 }
 
 bool dispatcher::take_repeat(const exchange& request) {
-  const bool granted = this->budget_of(request.service())
-                           .take_retry(time_point::clock::now(), this->routers);
+  const auto now = time_point::clock::now();
+  auto& budget = this->budget_of(request.service());
+  const double left = budget.retries_left(now, this->routers);
+  const bool granted = budget.take_retry(now, this->routers);
   kernel::log_event(kernel::event::retry,
                     {{"request", request.fields().attempt},
                      {"service", request.service()},
                      {"server", request.last_server()},
                      {"sends", request.sends().attempt_count()},
-                     {"granted", granted}});
+                     {"granted", granted},
+                     {"left", left},
+                     {"routers", this->routers},
+                     {"age_ms", ms_between(this->created, now)}});
   granted ? this->metrics.on_repeat() : this->metrics.on_repeat_denied();
   return granted;
 }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -228,6 +228,8 @@
   ///     others.
   void serve_line(waiting_line& line, bool late);
   decide::windowed_retry_budget& budget_of(const std::string& service);
+  void note_retry(const exchange& request, const server_state& server,
+                  time_point now);
 
   entry_settings settings;
   const fleet::request_codec& headers;
@@ -243,6 +245,7 @@
   bool servers_known = false;
   bool planner_linked = false;
   int routers = 4;
+  time_point created = time_point::clock::now();
   line_map lines;
   /// Since when a server with room is seen, by line.
   std::map<demand_key, time_point> room_seen;
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -36,6 +36,12 @@
                              "Sends that the retry budget forbade.")),
       bad_input(counter(this->registry, "boragehill_bad_input_total",
                         "Requests refused before they were routed.")),
+      retries_sent(prometheus::BuildCounter()
+                       .Name("boragehill_retries_sent_total")
+                       .Help("Retries that went to a server, by service.")
+                       .Register(this->registry)),
+      budget_routers(gauge(this->registry, "boragehill_budget_routers",
+                           "Routers that share the retry budget.")),
       ended(prometheus::BuildCounter()
                 .Name("boragehill_results_total")
                 .Help("Requests by how they ended.")
@@ -67,6 +73,10 @@
   this->ended.Add({{"result", std::string(name_of(code))}}).Increment();
 }
 
+void entry_metrics::on_retry_sent(const std::string& service) {
+  this->retries_sent.Add({{"service", service}}).Increment();
+}
+
 void entry_metrics::on_first_byte(milliseconds time, bool generation) {
   this->first_byte
       .Add({{"kind", generation ? "generation" : "plain"}}, time_buckets)
--- a/src/serve/entry_metrics.hpp
+++ b/src/serve/entry_metrics.hpp
@@ -29,6 +29,10 @@
   void on_first_byte(milliseconds time, bool generation);
   /// Counts the time that a request waited for a server.
   void on_waited(milliseconds time);
+  /// Counts a retry that was sent to a server of the service.
+  void on_retry_sent(const std::string& service);
+  /// Sets the number of routers that share the retry budget.
+  void set_budget_routers(double value) { this->budget_routers.Set(value); }
   void on_repeat() { this->repeats.Increment(); }
   void on_repeat_denied() { this->repeats_denied.Increment(); }
   void on_bad_input() { this->bad_input.Increment(); }
@@ -49,6 +53,8 @@
   prometheus::Counter& repeats;
   prometheus::Counter& repeats_denied;
   prometheus::Counter& bad_input;
+  prometheus::Family<prometheus::Counter>& retries_sent;
+  prometheus::Gauge& budget_routers;
   prometheus::Family<prometheus::Counter>& ended;
   prometheus::Family<prometheus::Histogram>& first_byte;
   prometheus::Histogram& waited;
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -338,7 +338,7 @@
   this->kept_body = std::exchange(this->small_body, {});
   this->record.on_possible_run();
   this->leave_server();
-  this->host.place(this->shared_from_this());
+  this->retry();
   return true;
 }
 
@@ -382,13 +382,18 @@
   const bool can_go_on = !this->head_passed || this->way->resumable;
   if (in_time && can_go_on && this->record.may_attempt() &&
       this->host.take_repeat(*this)) {
-    return this->host.place(this->shared_from_this());
+    return this->retry();
   }
   if (this->head_passed) return this->break_off(why);
   this->refuse(result_code::outcome_unknown, why,
                std::max(come_back, this->host.rest_left(*this)));
 }
 
+void exchange::retry() {
+  this->granted = time_point::clock::now();
+  this->host.place(this->shared_from_this());
+}
+
 bool exchange::may_move() const {
   const bool can_go_on = !this->head_passed || this->way->resumable;
   return can_go_on && !this->done && this->record.may_reassign() &&
@@ -397,7 +402,7 @@
 
 void exchange::move_from_silent() {
   this->leave_running();
-  this->host.place(this->shared_from_this());
+  this->retry();
 }
 
 void exchange::give_up(const char* reason) {
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -101,6 +101,8 @@
   bool unanswered() const { return this->unread; }
   /// \return When it was first sent to a server, if it was.
   std::optional<time_point> first_sent() const { return this->offered; }
+  /// \return When its last retry was granted.
+  time_point retry_granted() const { return this->granted; }
   /// \return When it was sent to the server that has it.
   time_point last_sent() const { return this->sent; }
 
@@ -110,6 +112,8 @@
   void choose_service();
   void on_limit();
   void again(const char* why);
+  /// Looks for a server for a retry that was granted.
+  void retry();
   /// Sends a request that may be repeated to another server, after this one
   /// answered with a failure of its own; keeps that answer.
   /// \return False if the failure is the answer.
@@ -155,6 +159,7 @@
   http::event_splitter events;
   std::optional<time_point> first_byte;
   std::optional<time_point> offered;
+  time_point granted;
   time_point sent;
   time_point last_piece;
   milliseconds widest_gap{0};
