--- a/src/decide/attempt_history.cpp
+++ b/src/decide/attempt_history.cpp
@@ -19,11 +19,17 @@
 
 void attempt_history::on_attempt(const std::string& server) {
   ++this->attempts_made;
+  ++this->possible_arrivals;
   this->is_in_flight = true;
   this->tried_servers.insert(server);
   this->last_server = server;
 }
 
+void attempt_history::on_unsent() {
+  this->is_in_flight = false;
+  --this->possible_arrivals;
+}
+
 void attempt_history::on_not_run(bool may_try_again) {
   this->is_in_flight = false;
   if (may_try_again) this->tried_servers.erase(this->last_server);
--- a/src/decide/attempt_history.hpp
+++ b/src/decide/attempt_history.hpp
@@ -22,6 +22,8 @@
 
   /// Records that the request is sent to a server.
   void on_attempt(const std::string& server);
+  /// Records that the last server was not reached.
+  void on_unsent();
   /// Records proof that the last server did not run the request.
   /// \param may_try_again True if it may be sent there again: this router's
   ///     view of the server was wrong, or the server gave a retry-after period.
@@ -42,6 +44,9 @@
     return this->possible_runs == 0 && !this->is_in_flight;
   }
   bool was_attempted() const { return this->attempts_made > 0; }
+  /// \return True if a server may have received the request, so that another
+  ///     attempt adds to the load of the service.
+  bool may_have_arrived() const { return this->possible_arrivals > 0; }
   int attempt_count() const { return this->attempts_made; }
   /// \return True if the request was sent to that server, which did not
   ///     complete it and must not be chosen again.
@@ -65,6 +70,7 @@
   bool resumable;
   int max_runs;
   int attempts_made = 0;
+  int possible_arrivals = 0;
   int possible_runs = 0;
   bool is_in_flight = false;
   std::set<std::string> tried_servers;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -263,7 +263,7 @@
       server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
-  if (request->sends().was_attempted()) {
+  if (request->sends().may_have_arrived()) {
     this->note_retry(*request, server, now);
   }
   this->rate_limited.on_sent(server.entry.id, now);
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -193,7 +193,7 @@
 
 void exchange::on_unsent() {
   this->connection.reset();
-  this->record.on_not_run(false);
+  this->record.on_unsent();
   this->host.on_server_failed(*this, false);
   this->leave_server();
   this->again("server not reached");
@@ -381,7 +381,7 @@
   const bool in_time = time_point::clock::now() < this->limit;
   const bool can_go_on = !this->head_passed || this->way->resumable;
   if (in_time && can_go_on && this->record.may_attempt() &&
-      this->host.take_repeat(*this)) {
+      this->may_use_budget()) {
     return this->retry();
   }
   if (this->head_passed) return this->break_off(why);
@@ -389,6 +389,10 @@
                std::max(come_back, this->host.rest_left(*this)));
 }
 
+bool exchange::may_use_budget() {
+  return !this->record.may_have_arrived() || this->host.take_repeat(*this);
+}
+
 void exchange::retry() {
   this->granted = time_point::clock::now();
   this->host.place(this->shared_from_this());
--- a/test/decide-test/attempt_history_test.cpp
+++ b/test/decide-test/attempt_history_test.cpp
@@ -117,5 +117,21 @@
   EXPECT_EQ(attempts, 6);
 }
 
+// Guards against a retry budget that is used up by servers that are down.
+TEST(attempt_history_test, counts_as_arrived_only_what_was_sent) {
+  attempt_history order(repeat_rule::once, false, 1);
+  order.on_attempt("a");
+  order.on_unsent();
+  EXPECT_FALSE(order.may_have_arrived());
+  EXPECT_TRUE(order.may_attempt());
+  EXPECT_TRUE(order.has_tried("a"));
+  order.on_attempt("b");
+  order.on_not_run(false);
+  EXPECT_TRUE(order.may_have_arrived());
+  order.on_attempt("c");
+  order.on_unsent();
+  EXPECT_TRUE(order.may_have_arrived());
+}
+
 }  // namespace
 }  // namespace boragehill::decide
