--- a/src/decide/windowed_retry_budget.cpp
+++ b/src/decide/windowed_retry_budget.cpp
@@ -17,18 +17,20 @@
   this->requests.push_back(now);
 }
 
-bool windowed_retry_budget::take_retry(time_point now, int routers) {
+bool windowed_retry_budget::take_retry(time_point now,
+                                       std::optional<int> routers) {
   if (this->retries_left(now, routers) < 1) return false;
   this->retries.push_back(now);
   return true;
 }
 
-double windowed_retry_budget::retries_left(time_point now, int routers) {
+double windowed_retry_budget::retries_left(time_point now,
+                                           std::optional<int> routers) {
   this->drop_expired(now);
   const double proportional = this->settings.retries_per_request *
                               static_cast<double>(this->requests.size());
   const double constant =
-      this->settings.constant_retries / std::max(routers, 1);
+      routers ? this->settings.constant_retries / std::max(*routers, 1) : 0;
   return used_fraction * (proportional + constant) -
          static_cast<double>(this->retries.size());
 }
--- a/src/decide/windowed_retry_budget.hpp
+++ b/src/decide/windowed_retry_budget.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_DECIDE_WINDOWED_RETRY_BUDGET_HPP
 
 #include <deque>
+#include <optional>
 
 #include <boragehill/time_point.hpp>
 
@@ -30,12 +31,13 @@
   void on_request(time_point now);
 
   /// Takes one retry, an attempt after a request's first.
-  /// \param routers The number of routers that share the bound.
+  /// \param routers The number of routers that share the bound. As long as it
+  ///     isn't known, nothing is used of the constant part.
   /// \return False if the share is exhausted: the request must not be retried.
-  bool take_retry(time_point now, int routers);
+  bool take_retry(time_point now, std::optional<int> routers);
 
   /// \return The number of retries that could be taken now.
-  double retries_left(time_point now, int routers);
+  double retries_left(time_point now, std::optional<int> routers);
 
  private:
   void drop_expired(time_point now);
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -18,6 +18,8 @@
 /// Part of a server's connections that the routers share among them.
 constexpr double connection_share = 0.9;
 constexpr std::size_t fewest_connections = 4;
+/// Until a planner has told how many there are.
+constexpr int first_router_guess = 4;
 /// A model that was just added is known here after a second or two.
 constexpr milliseconds next_catalog{1500};
 
@@ -31,7 +33,8 @@
       headers(codec),
       metrics(metrics),
       pool(context),
-      context(context) {}
+      context(context),
+      routers(settings.budget.window) {}
 
 void dispatcher::set_catalog(std::shared_ptr<const fleet::catalog> news) {
   this->known_catalog = std::move(news);
@@ -41,6 +44,9 @@
                     {{"revision", this->known_catalog->version},
                      {"routes", this->known_catalog->routes.size()},
                      {"services", this->known_catalog->services.size()}});
+  for (const auto& each : this->known_catalog->services) {
+    this->budget_of(each.name);
+  }
   this->serve_waiting();
 }
 
@@ -91,8 +97,6 @@
 
 void dispatcher::on_view(const wire::view_update& update) {
   this->planner_linked = true;
-  this->routers = std::max(update.routers, 1);
-  this->metrics.set_budget_routers(this->routers);
   for (const auto& each : update.servers) {
     const auto found = this->servers.find(each.server);
     if (found == this->servers.end()) continue;
@@ -101,6 +105,7 @@
   }
   this->expected.clear();
   const auto now = time_point::clock::now();
+  this->routers.on_told(std::max(update.routers, 1), now);
   for (const auto& each : update.expected) {
     this->expected[each.model] = now + each.ready_in;
   }
@@ -131,6 +136,7 @@
 }
 
 void dispatcher::on_planner_lost() {
+  this->routers.on_planner_lost(time_point::clock::now());
   this->planner_linked = false;
   this->grant_round = 0;
   this->expected.clear();
@@ -249,11 +255,12 @@
                       request.sends().was_interrupted_by(id)});
     states.push_back(&state);
   }
+  const int routers = this->assumed_routers(now);
   const int most_unread =
-      this->settings.unread.router_limit(request.is_late(now), this->routers);
+      this->settings.unread.router_limit(request.is_late(now), routers);
   const auto chosen = decide::choose_server(
       candidates, this->settings.queue_share, most_unread,
-      kernel::random_bits(), decide::view_error_of(this->routers));
+      kernel::random_bits(), decide::view_error_of(routers));
   return chosen ? states[*chosen] : nullptr;
 }
 
@@ -300,8 +307,8 @@
                           ? this->known_catalog->find_service(service)
                           : nullptr;
   if (!found || found->max_connections <= 0) return fewest_connections;
-  const double share =
-      found->max_connections * connection_share / this->routers;
+  const double share = found->max_connections * connection_share /
+                       this->assumed_routers(time_point::clock::now());
   return std::max(static_cast<std::size_t>(share), fewest_connections);
 }
 
@@ -405,8 +412,9 @@
 bool dispatcher::take_repeat(const exchange& request) {
   const auto now = time_point::clock::now();
   auto& budget = this->budget_of(request.service());
-  const double left = budget.retries_left(now, this->routers);
-  const bool granted = budget.take_retry(now, this->routers);
+  const auto sharing = this->routers.value(now);
+  const double left = budget.retries_left(now, sharing);
+  const bool granted = budget.take_retry(now, sharing);
   kernel::log_event(kernel::event::retry,
                     {{"request", request.fields().attempt},
                      {"service", request.service()},
@@ -414,12 +422,16 @@
                      {"sends", request.sends().attempt_count()},
                      {"granted", granted},
                      {"left", left},
-                     {"routers", this->routers},
+                     {"routers", sharing.value_or(0)},
                      {"age_ms", ms_between(this->created, now)}});
   granted ? this->metrics.on_repeat() : this->metrics.on_repeat_denied();
   return granted;
 }
 
+int dispatcher::assumed_routers(time_point now) const {
+  return this->routers.last_known(now).value_or(first_router_guess);
+}
+
 decide::windowed_retry_budget& dispatcher::budget_of(
     const std::string& service) {
   return this->budgets.try_emplace(service, this->settings.budget)
@@ -431,6 +443,12 @@
   this->drop_unlisted();
   this->metrics.set_connections(static_cast<double>(this->pool.open()));
   this->metrics.set_waiting(static_cast<double>(this->waiting()));
+  const auto now = time_point::clock::now();
+  const auto sharing = this->routers.value(now);
+  this->metrics.set_budget_routers(sharing.value_or(0));
+  for (auto& [service, budget] : this->budgets) {
+    this->metrics.set_retries_left(service, budget.retries_left(now, sharing));
+  }
 }
 
 std::size_t dispatcher::waiting() const {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -23,6 +23,7 @@
 #include "decide/rate_limited_servers.hpp"
 #include "decide/response_time_estimate.hpp"
 #include "decide/retry_after_servers.hpp"
+#include "decide/router_count.hpp"
 #include "decide/shutdown_gate.hpp"
 #include "decide/slot_grant.hpp"
 #include "decide/windowed_retry_budget.hpp"
@@ -228,6 +229,8 @@
   ///     others.
   void serve_line(waiting_line& line, bool late);
   decide::windowed_retry_budget& budget_of(const std::string& service);
+  /// \return The number of routers, for parts that are no promise.
+  int assumed_routers(time_point now) const;
   void note_retry(const exchange& request, const server_state& server,
                   time_point now);
 
@@ -244,7 +247,7 @@
   time_point silence_watched;
   bool servers_known = false;
   bool planner_linked = false;
-  int routers = 4;
+  decide::router_count routers;
   time_point created = time_point::clock::now();
   line_map lines;
   /// Since when a server with room is seen, by line.
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -98,7 +98,7 @@
 bool dispatcher::is_movable(const exchange& request, time_point now) {
   if (!request.may_move() || !this->may_start(request, now)) return false;
   auto& budget = this->budget_of(request.service());
-  return budget.retries_left(now, this->routers) >= 1 &&
+  return budget.retries_left(now, this->routers.value(now)) >= 1 &&
          this->find_server(request, now);
 }
 
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -95,7 +95,10 @@
       [this](const Json::Value& message) {
         this->requests.on_view(wire::decode_view_update(message));
       },
-      [this] { this->requests.on_planner_lost(); },
+      [this] {
+        this->last_report.reset();
+        this->requests.on_planner_lost();
+      },
       [this](std::int64_t term) { this->planner.lead(term); });
   this->requests.on_waiting([this] { this->on_waiting(); });
   this->follow_store();
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boragehill/result.hpp>
@@ -85,7 +86,8 @@
   std::map<const caller_session*, std::weak_ptr<caller_session>> sessions;
   /// Bytes of all request bodies that are read or being served.
   std::size_t body_bytes = 0;
-  decide::demand_report last_report;
+  /// What the planner that is linked was told last.
+  std::optional<decide::demand_report> last_report;
   bool needs_tokens = false;
   bool report_armed = false;
   std::atomic<bool> knows_fleet{false};
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -40,8 +40,13 @@
                        .Name("boragehill_retries_sent_total")
                        .Help("Retries that went to a server, by service.")
                        .Register(this->registry)),
-      budget_routers(gauge(this->registry, "boragehill_budget_routers",
-                           "Routers that share the retry budget.")),
+      budget_routers(
+          gauge(this->registry, "boragehill_budget_routers",
+                "Routers that share the retry budget; 0 if not known.")),
+      retries_left(prometheus::BuildGauge()
+                       .Name("boragehill_retries_left")
+                       .Help("Retries that the budget allows, by service.")
+                       .Register(this->registry)),
       ended(prometheus::BuildCounter()
                 .Name("boragehill_results_total")
                 .Help("Requests by how they ended.")
@@ -77,6 +82,10 @@
   this->retries_sent.Add({{"service", service}}).Increment();
 }
 
+void entry_metrics::set_retries_left(const std::string& service, double value) {
+  this->retries_left.Add({{"service", service}}).Set(value);
+}
+
 void entry_metrics::on_first_byte(milliseconds time, bool generation) {
   this->first_byte
       .Add({{"kind", generation ? "generation" : "plain"}}, time_buckets)
--- a/src/serve/entry_metrics.hpp
+++ b/src/serve/entry_metrics.hpp
@@ -31,8 +31,10 @@
   void on_waited(milliseconds time);
   /// Counts a retry that was sent to a server of the service.
   void on_retry_sent(const std::string& service);
-  /// Sets the number of routers that share the retry budget.
+  /// Sets the number of routers that share the retry budget, 0 if not known.
   void set_budget_routers(double value) { this->budget_routers.Set(value); }
+  /// Sets how many retries could be sent to a service now.
+  void set_retries_left(const std::string& service, double value);
   void on_repeat() { this->repeats.Increment(); }
   void on_repeat_denied() { this->repeats_denied.Increment(); }
   void on_bad_input() { this->bad_input.Increment(); }
@@ -55,6 +57,7 @@
   prometheus::Counter& bad_input;
   prometheus::Family<prometheus::Counter>& retries_sent;
   prometheus::Gauge& budget_routers;
+  prometheus::Family<prometheus::Gauge>& retries_left;
   prometheus::Family<prometheus::Counter>& ended;
   prometheus::Family<prometheus::Histogram>& first_byte;
   prometheus::Histogram& waited;
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -373,24 +373,25 @@
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
-    wire::view_update update{.term = this->term,
-                             .routers = static_cast<int>(this->demands.size()),
-                             .whole = !each.greeted};
+    const int count = static_cast<int>(this->demands.size());
+    wire::view_update update{
+        .term = this->term, .routers = count, .whole = !each.greeted};
     this->add_news(each, own, update);
     const auto expected = this->expected_at(each.router);
     const bool same = is_same_expectation(each.expected, expected);
     const bool same_convicted = each.convicted == this->convicted;
     const bool same_limits = each.rate_limits == limits;
+    const bool same_count = std::exchange(each.told_routers, count) == count;
     // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
     if (update.servers.empty() && update.tokens.empty() &&
         update.grants.empty() && each.greeted && same && same_convicted &&
-        same_limits) {
+        same_limits && same_count) {
       continue;
     }
-    if (!same_limits) {
+    if (!same_limits && same_count) {
       update.rate_limits = limits;
       each.rate_limits = limits;
     }
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -60,6 +60,7 @@
     std::map<std::string, time_point> expected;
     std::vector<std::string> convicted;
     std::map<std::string, decide::rate_limit> rate_limits;
+    int told_routers = 0;
     bool greeted = false;
   };
   struct agent_link {
--- a/test/adapter-test/planner_duty_test.cpp
+++ b/test/adapter-test/planner_duty_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 #include "kernel/event_loop.hpp"
 #include "wire/message_link.hpp"
@@ -18,21 +19,24 @@
 /// A router's link to a planner, with what came of it.
 class router_side {
  public:
-  explicit router_side(const endpoint& planner) : loop("router", 64) {
+  explicit router_side(const endpoint& planner, std::string id = "r-1")
+      : loop("router", 64), id(std::move(id)) {
     this->loop.start();
     this->loop.post([this, planner] {
       this->link = std::make_shared<wire::message_link>(this->loop.context());
       this->link->on_events(
           [this](const Json::Value& message) {
             const std::lock_guard<std::mutex> lock(this->guard);
-            this->last_term = wire::decode_view_update(message).term;
+            const auto update = wire::decode_view_update(message);
+            this->last_term = update.term;
+            this->last_count = update.routers;
           },
           [this] {
             const std::lock_guard<std::mutex> lock(this->guard);
             this->has_ended = true;
           });
       this->link->connect(planner);
-      this->link->send(wire::encode(wire::router_report{.router = "r-1"}));
+      this->link->send(wire::encode(wire::router_report{.router = this->id}));
     });
   }
   ~router_side() { this->loop.stop(); }
@@ -41,7 +45,7 @@
 
   void report() {
     this->loop.post([this] {
-      this->link->send(wire::encode(wire::router_report{.router = "r-1"}));
+      this->link->send(wire::encode(wire::router_report{.router = this->id}));
     });
   }
 
@@ -55,12 +59,20 @@
     return this->last_term;
   }
 
+  /// \return The number of routers that it was told last.
+  int count() {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    return this->last_count;
+  }
+
  private:
   kernel::event_loop loop;
+  std::string id;
   std::shared_ptr<wire::message_link> link;
   std::mutex guard;
   bool has_ended = false;
   std::int64_t last_term = 0;
+  int last_count = 0;
 };
 
 entry_settings planner_settings_of_test() {
@@ -112,5 +124,23 @@
   planner.stop();
 }
 
+// Guards against routers that go on with an old number when nothing else is
+// news to them.
+TEST(planner_duty_test, tells_each_router_when_their_number_changes) {
+  const auto settings = planner_settings_of_test();
+  planner_duty planner(settings);
+  ASSERT_FALSE(planner.start());
+  planner.lead(1);
+  router_side first(settings.link_address());
+  EXPECT_TRUE(becomes_true([&] { return first.count() == 1; }));
+  {
+    router_side second(settings.link_address(), "r-2");
+    EXPECT_TRUE(becomes_true([&] { return second.count() == 2; }));
+    EXPECT_TRUE(becomes_true([&] { return first.count() == 2; }));
+  }
+  EXPECT_TRUE(becomes_true([&] { return first.count() == 1; }));
+  planner.stop();
+}
+
 }  // namespace
 }  // namespace boragehill::serve
--- a/test/fleet-test/calm_day_test.cpp
+++ b/test/fleet-test/calm_day_test.cpp
@@ -292,6 +292,7 @@
                             std::to_string(count) + "}");
   };
   fail("plain-1", 1000);
+  ASSERT_TRUE(fleet.wait_for_retries(1, 13));
   for (int each = 0; each < 12; ++each) {
     const auto attempt = "lookup-" + std::to_string(each);
     const auto answer = fleet.call(1, attempt, {}, "/lookup/x");
--- a/test/fleet-test/resting_server_test.cpp
+++ b/test/fleet-test/resting_server_test.cpp
@@ -29,6 +29,7 @@
   // Long enough for all calls, also beside load.
   constexpr int rest_ms = 5000;
   shed(fleet, "plain-1", rest_ms);
+  ASSERT_TRUE(fleet.wait_for_retries(1, 1));
   for (int each = 0; each < 60; ++each) {
     const auto answer = fleet.call(1, "rest-" + std::to_string(each), {});
     ASSERT_TRUE(answer);
@@ -51,6 +52,7 @@
   small_fleet fleet(1, 1, 1, 1);
   ASSERT_TRUE(fleet.start());
   constexpr int rest_ms = 500;
+  ASSERT_TRUE(fleet.wait_for_retries(1, 1));
   shed(fleet, "plain-1", rest_ms);
   std::thread recovery([&fleet] {
     std::this_thread::sleep_for(milliseconds(rest_ms / 2));
--- a/test/fleet-test/retry_budget_test.cpp
+++ b/test/fleet-test/retry_budget_test.cpp
@@ -137,6 +137,13 @@
   this->expect_within_budget();
 }
 
+// Guards against routers that guess how many share the budget.
+TEST_F(retry_budget_test, is_shared_by_routers_without_requests_for_models) {
+  this->look_up_everywhere();
+  std::this_thread::sleep_for(milliseconds(4000));
+  this->expect_within_budget();
+}
+
 // Guards against a new planner that knows only some of the routers yet.
 TEST_F(retry_budget_test, is_kept_when_a_new_planner_knows_few_routers) {
   this->ask_everywhere();
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -269,16 +269,32 @@
   return answer && answer->status == 200;
 }
 
-std::int64_t small_fleet::catalog_version(int router) {
-  constexpr std::string_view name = "\nboragehill_catalog_version ";
+std::optional<double> small_fleet::metric(int router, const std::string& name) {
   httplib::Client client(this->address_of(numbered("router", router)),
                          this->port_base + metrics_port_offset);
   const auto answer = client.Get("/metrics");
-  if (!answer) return -1;
-  const auto found = answer->body.find(name);
-  if (found == std::string::npos) return -1;
+  if (!answer) return std::nullopt;
+  const std::string line = "\n" + name + " ";
+  const auto found = answer->body.find(line);
+  if (found == std::string::npos) return std::nullopt;
+  return std::strtod(answer->body.c_str() + found + line.size(), nullptr);
+}
+
+std::int64_t small_fleet::catalog_version(int router) {
   return static_cast<std::int64_t>(
-      std::strtod(answer->body.c_str() + found + name.size(), nullptr));
+      this->metric(router, "boragehill_catalog_version").value_or(-1));
+}
+
+bool small_fleet::wait_for_retries(int router, double count) {
+  constexpr milliseconds limit{10000};
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    const auto left =
+        this->metric(router, R"(boragehill_retries_left{service="sheets"})");
+    if (left.value_or(0) >= count) return true;
+    std::this_thread::sleep_for(poll);
+  }
+  return false;
 }
 
 bool small_fleet::wait_until_ready(int router, milliseconds limit) {
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -58,6 +58,10 @@
   /// \return The configuration that a router has in force; -1 if not told.
   std::int64_t catalog_version(int router);
 
+  /// Waits until a router may send so many retries to the plain service: one
+  /// that has just started may send none.
+  bool wait_for_retries(int router, double count);
+
   bool is_ready(int router);
   bool wait_until_ready(int router, std::chrono::milliseconds limit);
 
@@ -116,6 +120,8 @@
  private:
   /// \return The lines of all servers' logs that tell so of an attempt.
   std::vector<invariants::service_event> logged(const std::string& what) const;
+  /// \return A number among a router's metrics; nothing if it tells none.
+  std::optional<double> metric(int router, const std::string& name);
   /// \return The value of a row of the store; empty if there is none.
   std::string row(const std::string& table, const std::string& key);
   /// \return The names of all backend servers, model workers first.
