--- a/src/decide/windowed_retry_budget.hpp
+++ b/src/decide/windowed_retry_budget.hpp
@@ -10,19 +10,22 @@
 
 namespace boragehill::decide {
 
-/// Sliding-window retry budget: one router's share of the retries that a
-/// service may get in any window. Unlike `retry_token_bucket`, it bounds the
-/// retries of all routers together.
+/// Retry budget of one router: its part of the retries that a service may get
+/// in any window. Unlike `retry_token_bucket`, it bounds the retries of all
+/// routers together.
 ///
 /// Without a bound, a fault that fails every attempt multiplies the load when
-/// there is least capacity. Routers share the bound without communicating: the
-/// proportional part follows a router's own traffic, the constant part is
-/// divided by the number of routers, and only `used_fraction` of the sum is
-/// used, because the windows of the routers aren't aligned.
+/// there is least capacity. Routers share the bound without communicating:
+/// requests of a router and time earn it credits, and each retry takes one. A
+/// credit expires one window after it was earned, so the retries of a window
+/// rest on the credits of two, and half of the bound is earned in each. A
+/// process starts without credits, since it can't know what an earlier one of
+/// the same router has used.
 class windowed_retry_budget {
  public:
-  /// The fraction of the bound that is used.
-  static constexpr double used_fraction = 0.8;
+  /// The fraction of the bound that is used. The rest covers retries that
+  /// arrive later than others, and changes of the number of routers.
+  static constexpr double used_fraction = 0.9;
 
   explicit windowed_retry_budget(const windowed_retry_budget_settings& settings)
       : settings(settings) {}
@@ -33,18 +36,28 @@
   /// Takes one retry, an attempt after a request's first.
   /// \param routers The number of routers that share the bound. As long as it
   ///     isn't known, nothing is used of the constant part.
-  /// \return False if the share is exhausted: the request must not be retried.
+  /// \return False if no credit is left: the request must not be retried.
   bool take_retry(time_point now, std::optional<int> routers);
 
   /// \return The number of retries that could be taken now.
   double retries_left(time_point now, std::optional<int> routers);
 
  private:
+  /// The part of the bound that is earned in one window.
+  static constexpr double earned_fraction = used_fraction / 2;
+
   void drop_expired(time_point now);
+  void earn_by_time(time_point now, std::optional<int> routers);
+  /// \return The credits that one request earns.
+  double credit_per_request() const;
 
   windowed_retry_budget_settings settings;
+  /// Requests whose credits have not expired.
   std::deque<time_point> requests;
-  std::deque<time_point> retries;
+  double request_credits = 0;
+  double time_credits = 0;
+  /// Until when time has earned credits; nothing if it earns none.
+  std::optional<time_point> earned_until;
 };
 
 }  // namespace boragehill::decide
