--- a/src/decide/windowed_retry_budget.cpp
+++ b/src/decide/windowed_retry_budget.cpp
@@ -10,17 +10,32 @@
   this->request_credits += this->credit_per_request();
 }
 
-bool windowed_retry_budget::take_retry(time_point now,
-                                       std::optional<int> routers) {
+bool windowed_retry_budget::grant_retry(time_point now,
+                                        std::optional<int> routers) {
   if (this->retries_left(now, routers) < 1) return false;
+  ++this->granted;
+  return true;
+}
+
+bool windowed_retry_budget::may_send_retry(time_point now,
+                                           std::optional<int> routers) {
+  return this->credits(now, routers) >= 1;
+}
+
+void windowed_retry_budget::on_retry_sent() {
   const double of_requests = std::min(this->request_credits, 1.0);
   this->request_credits -= of_requests;
   this->time_credits -= 1 - of_requests;
-  return true;
+  --this->granted;
 }
 
 double windowed_retry_budget::retries_left(time_point now,
                                            std::optional<int> routers) {
+  return this->credits(now, routers) - this->granted;
+}
+
+double windowed_retry_budget::credits(time_point now,
+                                      std::optional<int> routers) {
   this->drop_expired(now);
   this->earn_by_time(now, routers);
   return this->request_credits + this->time_credits;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -266,13 +266,12 @@
 
 bool dispatcher::send(const std::shared_ptr<exchange>& request,
                       server_state& server, time_point now) {
+  if (!this->may_send_retry(*request, now)) return false;
   const auto connection = this->pool.take(
       server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
-  if (request->sends().may_have_arrived()) {
-    this->note_retry(*request, server, now);
-  }
+  if (request->holds_retry()) this->note_retry(*request, server, now);
   this->rate_limited.on_sent(server.entry.id, now);
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
@@ -282,8 +281,17 @@
   return true;
 }
 
+bool dispatcher::may_send_retry(const exchange& request, time_point now) {
+  if (!request.holds_retry()) return true;
+  const bool may_send = this->budget_of(request.service())
+                            .may_send_retry(now, this->routers.value(now));
+  if (!may_send) this->retry_waits = true;
+  return may_send;
+}
+
 void dispatcher::note_retry(const exchange& request, const server_state& server,
                             time_point now) {
+  this->budget_of(request.service()).on_retry_sent();
   this->metrics.on_retry_sent(request.service());
   kernel::log_event(kernel::event::retry_sent,
                     {{"request", request.fields().attempt},
@@ -414,7 +422,7 @@
   auto& budget = this->budget_of(request.service());
   const auto sharing = this->routers.value(now);
   const double left = budget.retries_left(now, sharing);
-  const bool granted = budget.take_retry(now, sharing);
+  const bool granted = budget.grant_retry(now, sharing);
   kernel::log_event(kernel::event::retry,
                     {{"request", request.fields().attempt},
                      {"service", request.service()},
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -231,6 +231,8 @@
   decide::windowed_retry_budget& budget_of(const std::string& service);
   /// \return The number of routers, for parts that are no promise.
   int assumed_routers(time_point now) const;
+  /// \return False if the request is a retry that has to wait for a credit.
+  bool may_send_retry(const exchange& request, time_point now);
   void note_retry(const exchange& request, const server_state& server,
                   time_point now);
 
@@ -271,6 +273,8 @@
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
   bool serving = false;
+  /// A retry found a server and no credit of the budget.
+  bool retry_waits = false;
 };
 
 }  // namespace boragehill::serve
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -13,6 +13,9 @@
 namespace boragehill::serve {
 
 void dispatcher::on_finished(const exchange& request) {
+  if (request.holds_retry()) {
+    this->budget_of(request.service()).on_retry_dropped();
+  }
   const auto& ended = request.result();
   this->metrics.on_ended(ended.code);
   if (ended.code == result_code::ok) {
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -76,6 +76,7 @@
   this->excuse_own_pause(now);
   // A server that is heard or has rested may serve those that wait.
   bool may_serve = this->resting.drop_expired(now);
+  may_serve = std::exchange(this->retry_waits, false) || may_serve;
   for (auto& [id, state] : this->servers) {
     const bool was_doubted = state.silence.is_suspected();
     this->judge_silence(state, now);
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -161,6 +161,7 @@
   this->at = server.id;
   this->last = server.id;
   this->unread = true;
+  this->retry_held = false;
   this->record.on_attempt(server.id);
   if (!this->offered) this->offered = now;
   this->sent = now;
@@ -395,6 +396,7 @@
 
 void exchange::retry() {
   this->granted = time_point::clock::now();
+  this->retry_held = this->record.may_have_arrived();
   this->host.place(this->shared_from_this());
 }
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -103,6 +103,8 @@
   std::optional<time_point> first_sent() const { return this->offered; }
   /// \return When its last retry was granted.
   time_point retry_granted() const { return this->granted; }
+  /// \return True while a retry that the budget granted waits for a server.
+  bool holds_retry() const { return this->retry_held; }
   /// \return When it was sent to the server that has it.
   time_point last_sent() const { return this->sent; }
 
@@ -171,6 +173,7 @@
   bool unread = false;
   /// Its answer isn't read, since the caller is slow.
   bool held_up = false;
+  bool retry_held = false;
   bool was_held_up = false;
   bool head_passed = false;
   bool not_run_answer = false;
