--- a/test/fleet-test/retry_budget_test.cpp
+++ b/test/fleet-test/retry_budget_test.cpp
@@ -106,10 +106,9 @@
   /// Checks all that was sent and arrived against the fleet's own settings.
   void expect_within_budget() {
     this->callers.stop();
-    const invariants::retry_bound bound{
-        .per_request = 0.2, .constant = 54, .window = milliseconds(10000)};
     for (const auto& each : invariants::worst_retry_windows(
-             this->callers.lookups(), this->fleet.logged_arrivals(), bound)) {
+             this->callers.lookups(), this->fleet.logged_arrivals(),
+             small_fleet::retry_bound)) {
       RecordProperty("retries_at_" + each.service,
                      std::to_string(each.retries));
       RecordProperty("allowed_at_" + each.service,
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -30,6 +30,10 @@
 /// so on.
 class small_fleet {
  public:
+  /// What the routers' settings allow of retries.
+  static constexpr invariants::retry_bound retry_bound{
+      .per_request = 0.2, .constant = 54, .window = std::chrono::seconds(10)};
+
   /// \param empty_workers That many of the workers, the last ones, start with
   ///     nothing loaded and no copies.
   /// \param behind_proxies The processes of ours reach the store and the
--- a/test/soak/call_record.hpp
+++ b/test/soak/call_record.hpp
@@ -9,6 +9,7 @@
 /// What a caller saw of one request.
 struct call_record {
   std::string attempt;
+  std::string service;
   int router = 0;
   std::chrono::steady_clock::time_point begin;
   std::chrono::steady_clock::time_point end;
@@ -19,6 +20,8 @@
   bool own_answer = false;
   /// The caller hung up before the answer.
   bool left = false;
+  /// Servers may run it twice.
+  bool repeatable = false;
   /// The router was reached.
   bool connected = true;
 
--- a/test/soak/checks.cpp
+++ b/test/soak/checks.cpp
@@ -74,7 +74,7 @@
     const auto found = runs.find(call.attempt);
     const int count = found == runs.end() ? 0 : found->second;
     constexpr int ok_status = 200;
-    if (count > 1) say("ran more than once");
+    if (count > (call.repeatable ? 2 : 1)) say("ran too often");
     if (promises_not_run(call.status) && count > 0)
       say("ran, refused as not run");
     if (call.status == ok_status && !call.own_answer) say("not its own answer");
@@ -110,4 +110,23 @@
   return broken;
 }
 
+std::vector<std::string> retries_beyond_budget(
+    const std::vector<call_record>& calls,
+    const std::vector<invariants::service_event>& arrivals,
+    const invariants::retry_bound& bound) {
+  std::vector<invariants::service_event> requests;
+  for (const auto& call : calls) {
+    requests.push_back({call.service, call.attempt, call.begin});
+  }
+  std::vector<std::string> broken;
+  for (const auto& each :
+       invariants::worst_retry_windows(requests, arrivals, bound)) {
+    if (each.excess() <= 0) continue;
+    broken.push_back(each.service + ": " + std::to_string(each.retries) +
+                     " retries in a window that allows " +
+                     std::to_string(each.allowed));
+  }
+  return broken;
+}
+
 }  // namespace boragehill::soak
--- a/test/soak/checks.hpp
+++ b/test/soak/checks.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "invariants/retries_within_budget.hpp"
 #include "soak/call_record.hpp"
 #include "soak/fault_span.hpp"
 
@@ -13,7 +14,8 @@
 
 /// Checks the promises of our pages against what callers and servers saw.
 ///
-/// - No request runs twice: here all run at most once.
+/// - No request runs more often than its route allows: once, or twice if it is
+///   repeatable.
 /// - A refusal that says "not run" is true.
 /// - Each whole answer is the request's own.
 /// - Each request is answered, refused or cut off by its deadline, but at a
@@ -38,6 +40,16 @@
     const std::map<std::string, std::chrono::steady_clock::time_point>& begins,
     const std::vector<fault_span>& faults);
 
+/// Checks that the retries that reach a service stay within the budget in any
+/// window, over all lives of all routers. Nothing excuses them.
+///
+/// \param arrivals What reached servers, by their own account.
+/// \return A line for each broken promise.
+std::vector<std::string> retries_beyond_budget(
+    const std::vector<call_record>& calls,
+    const std::vector<invariants::service_event>& arrivals,
+    const invariants::retry_bound& bound);
+
 }  // namespace boragehill::soak
 
 #endif  // BORAGEHILL_SOAK_CHECKS_HPP
--- a/test/soak/fleet_size.hpp
+++ b/test/soak/fleet_size.hpp
@@ -15,6 +15,9 @@
   /// How many of the kinds of fault are drawn, from the first on; a recorded
   /// seed keeps those that there were.
   int kinds = fault_kinds;
+  /// All runs at plain servers fail until the faults are over, unless one of
+  /// them clears it.
+  bool failing_runs = false;
 
   bool operator==(const fleet_size&) const = default;
 };
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -21,6 +21,7 @@
 ABSL_FLAG(int, models, 5, "models");
 ABSL_FLAG(int, kinds, boragehill::soak::fault_kinds,
           "kinds of fault to draw from");
+ABSL_FLAG(bool, failing_runs, false, "whether all runs at plain servers fail");
 ABSL_FLAG(std::string, seeds_file, "",
           "a file of runs to play before the others");
 // NOLINTEND(readability-identifier-naming)
@@ -44,7 +45,8 @@
     std::istringstream fields(line);
     wanted_run run;
     fields >> run.seed >> run.seconds >> run.size.routers >> run.size.workers >>
-        run.size.plains >> run.size.models >> run.size.kinds;
+        run.size.plains >> run.size.models >> run.size.kinds >>
+        run.size.failing_runs;
     if (fields) runs.push_back(run);
   }
   return runs;
@@ -60,9 +62,10 @@
   std::printf(
       "again: BORAGEHILL=... BORAGEHILL_STANDIN=... BORAGEHILL_DEPLOY=... "
       "boragehill_soak --seed=%llu --seconds=%d --routers=%d --workers=%d "
-      "--plains=%d --models=%d --kinds=%d\n",
+      "--plains=%d --models=%d --kinds=%d --failing_runs=%d\n",
       static_cast<unsigned long long>(wanted.seed), wanted.seconds,
-      size.routers, size.workers, size.plains, size.models, size.kinds);
+      size.routers, size.workers, size.plains, size.models, size.kinds,
+      static_cast<int>(size.failing_runs));
   return false;
 }
 
@@ -76,7 +79,8 @@
                         .workers = absl::GetFlag(FLAGS_workers),
                         .plains = absl::GetFlag(FLAGS_plains),
                         .models = absl::GetFlag(FLAGS_models),
-                        .kinds = absl::GetFlag(FLAGS_kinds)};
+                        .kinds = absl::GetFlag(FLAGS_kinds),
+                        .failing_runs = absl::GetFlag(FLAGS_failing_runs)};
   int passed = 0;
   int failed = 0;
   for (int each = 0; each < absl::GetFlag(FLAGS_count); ++each) {
--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -34,6 +34,7 @@
   /// Empty for the plain service.
   std::string model;
   bool impatient = false;
+  bool repeatable = false;
 };
 
 call_record send(httplib::Client& client, const wanted_call& wanted) {
@@ -43,10 +44,15 @@
       {"Boragehill-Deadline-Ms", std::to_string(deadline.count())}};
   const bool streams = !wanted.model.empty();
   if (streams) headers.emplace("Boragehill-Model", wanted.model);
-  call_record seen{.attempt = wanted.attempt, .deadline = deadline};
+  call_record seen{.attempt = wanted.attempt,
+                   .service = streams ? "assist" : "sheets",
+                   .deadline = deadline,
+                   .repeatable = wanted.repeatable};
+  const char* path = streams             ? "/stream/x"
+                     : wanted.repeatable ? "/lookup/x"
+                                         : "/plain/x";
   seen.begin = steady_clock::now();
-  const auto answer = client.Post(streams ? "/stream/x" : "/plain/x", headers,
-                                  wanted.attempt, "text/plain");
+  const auto answer = client.Post(path, headers, wanted.attempt, "text/plain");
   seen.end = steady_clock::now();
   if (!answer) {
     seen.connected = answer.error() != httplib::Error::Connection;
@@ -73,11 +79,17 @@
   this->stop();
 }
 
-void soak_callers::start(int patient, int impatient) {
-  for (int each = 0; each < patient + impatient; ++each) {
-    this->threads.emplace_back(
-        [this, each, patient] { this->run(each, each >= patient); });
-  }
+void soak_callers::start(int patient, int impatient, int lookups) {
+  const auto add = [this](int count, caller_kind kind) {
+    for (int each = 0; each < count; ++each) {
+      const auto number = static_cast<int>(this->threads.size());
+      this->threads.emplace_back(
+          [this, number, kind] { this->run(number, kind); });
+    }
+  };
+  add(patient, caller_kind::patient);
+  add(impatient, caller_kind::impatient);
+  add(lookups, caller_kind::lookup);
 }
 
 void soak_callers::stop() {
@@ -86,7 +98,8 @@
   this->threads.clear();
 }
 
-void soak_callers::run(int number, bool impatient) {
+void soak_callers::run(int number, caller_kind kind) {
+  const bool impatient = kind == caller_kind::impatient;
   std::mt19937_64 source(this->seed * 1000 + static_cast<unsigned>(number));
   std::vector<std::unique_ptr<httplib::Client>> clients;
   for (const auto& each : this->routers) {
@@ -99,10 +112,11 @@
   }
   for (int count = 0; !this->over; ++count) {
     const auto router = source() % clients.size();
-    const bool streams = source() % 2 == 0;
+    const bool streams = kind != caller_kind::lookup && source() % 2 == 0;
     wanted_call wanted{
         .attempt = std::to_string(number) + "-" + std::to_string(count),
-        .impatient = impatient};
+        .impatient = impatient,
+        .repeatable = kind == caller_kind::lookup};
     if (streams) {
       wanted.model = "model-" + std::to_string(1 + source() % this->models);
     }
--- a/test/soak/soak_callers.hpp
+++ b/test/soak/soak_callers.hpp
@@ -26,7 +26,8 @@
   soak_callers& operator=(const soak_callers&) = delete;
 
   /// \param impatient Further callers, which hang up after a short silence.
-  void start(int patient, int impatient);
+  /// \param lookups Further callers, whose requests may be run twice.
+  void start(int patient, int impatient, int lookups);
   /// Ends after each caller's current request.
   void stop();
 
@@ -34,7 +35,9 @@
   const std::vector<call_record>& seen() const { return this->records; }
 
  private:
-  void run(int number, bool impatient);
+  enum class caller_kind { patient, impatient, lookup };
+
+  void run(int number, caller_kind kind);
 
   std::vector<endpoint> routers;
   int models;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds tick{20};
 constexpr int callers = 8;
 constexpr int impatient_callers = 4;
+constexpr int lookup_callers = 4;
 /// Everything is back after the last fault within this.
 constexpr milliseconds recovery_limit{15000};
 /// A confirmed configuration is in force on all routers within this.
@@ -72,7 +73,8 @@
     routers.push_back(this->fleet.caller_address(each));
   }
   soak_callers traffic(routers, this->size.models, this->seed);
-  traffic.start(callers, impatient_callers);
+  if (this->size.failing_runs) this->fail_plain_runs();
+  traffic.start(callers, impatient_callers, lookup_callers);
   this->play_faults(clock::now());
   this->lift_all();
   const auto lost = this->recover();
@@ -87,6 +89,11 @@
        runs_in_vain(traffic.seen(), this->run_begins(), this->spans)) {
     this->found.push_back(each);
   }
+  for (const auto& each :
+       retries_beyond_budget(traffic.seen(), this->fleet.logged_arrivals(),
+                             fleet_test::small_fleet::retry_bound)) {
+    this->found.push_back(each);
+  }
   this->found.insert(this->found.end(), lost.begin(), lost.end());
   if (!this->fleet.orders_were_sound()) {
     this->found.emplace_back("a worker was ordered beyond its memory");
@@ -115,6 +122,13 @@
   return begins;
 }
 
+void soak_run::fail_plain_runs() {
+  for (int each = 1; each <= this->size.plains; ++each) {
+    this->fleet.fault(numbered("plain", each),
+                      R"({"kind":"fail_runs","count":1000000})");
+  }
+}
+
 void soak_run::play_faults(clock::time_point begin) {
   for (const auto& step : draw_faults(this->seed, this->length, this->size)) {
     while (clock::now() < begin + step.at) {
@@ -293,6 +307,9 @@
 void soak_run::lift_all() {
   this->end_faults(clock::time_point::max());
   for (auto& [name, proxy] : this->proxies) proxy->set(link_fault::none);
+  for (int each = 1; each <= this->size.plains; ++each) {
+    this->fleet.fault(numbered("plain", each), R"({"kind":"none"})");
+  }
   for (int each = 1; each <= this->size.routers; ++each) {
     this->fleet[numbered("router", each)].signal(SIGCONT);
   }
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -39,6 +39,8 @@
   bool start();
   /// \return When each attempt began to run last.
   std::map<std::string, clock::time_point> run_begins() const;
+  /// Lets all plain servers fail their runs, so that lookups want retries.
+  void fail_plain_runs();
   void play_faults(clock::time_point begin);
   void begin_fault(const fault_step& step);
   /// The store's link turns thin while large configurations follow each other.
--- a/test/soak_checks-test/checks_test.cpp
+++ b/test/soak_checks-test/checks_test.cpp
@@ -119,5 +119,41 @@
   EXPECT_GT(one.size(), 20U);
 }
 
+TEST(checks_test, retries_are_summed_by_service_over_all_routers) {
+  const invariants::retry_bound bound{
+      .per_request = 0.2, .constant = 3, .window = milliseconds(10000)};
+  std::vector<call_record> calls;
+  std::vector<invariants::service_event> arrivals;
+  for (int each = 0; each < 10; ++each) {
+    auto call = answered();
+    call.attempt = std::to_string(each);
+    call.service = "sheets";
+    call.router = 1 + each % 2;
+    calls.push_back(call);
+    arrivals.push_back({"sheets", call.attempt, call.begin});
+  }
+  // Ten requests allow two more.
+  for (int each = 0; each < 5; ++each) {
+    arrivals.push_back(
+        {"sheets", std::to_string(each), start + milliseconds(1900 * each)});
+  }
+  EXPECT_EQ(retries_beyond_budget(calls, arrivals, bound).size(), 0U);
+  auto other = arrivals;
+  other.push_back({"assist", "x", start});
+  other.push_back({"assist", "x", start});
+  EXPECT_EQ(retries_beyond_budget(calls, other, bound).size(), 0U);
+  arrivals.push_back({"sheets", "5", start + milliseconds(9000)});
+  EXPECT_EQ(retries_beyond_budget(calls, arrivals, bound).size(), 1U);
+  arrivals.back().at = start + milliseconds(10500);
+  EXPECT_EQ(retries_beyond_budget(calls, arrivals, bound).size(), 0U);
+}
+
+TEST(checks_test, only_a_repeatable_request_may_run_twice) {
+  auto lookup = answered();
+  lookup.repeatable = true;
+  EXPECT_EQ(broken(lookup, 2), 0U);
+  EXPECT_EQ(broken(lookup, 3), 1U);
+}
+
 }  // namespace
 }  // namespace boragehill::soak
