--- a/src/decide/stall_detector.cpp
+++ b/src/decide/stall_detector.cpp
@@ -1,6 +1,7 @@
 #include "decide/stall_detector.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragehill::decide {
 
@@ -47,7 +48,9 @@
   this->probe_in_flight = false;
   this->next_probe = now + probe_interval;
   this->probe_failed = !responded && this->suspected_since;
-  if (!responded || !this->suspected_since) return false;
+  if (!responded) return false;
+  const bool was_interrupted = std::exchange(this->interrupted, false);
+  if (!this->suspected_since) return was_interrupted;
   ++this->probes_without_progress;
   this->trusted_until = now + grace_period;
   this->clear_suspicion();
--- a/src/decide/stall_detector.hpp
+++ b/src/decide/stall_detector.hpp
@@ -38,17 +38,28 @@
     return this->is_suspected() && this->probe_failed;
   }
 
+  /// A response broke off. The server may be gone, though its address may
+  /// accept connections for a moment longer.
+  void on_interrupted(time_point now) {
+    this->interrupted = true;
+    this->next_probe = now;
+  }
+
+  /// \return True if a response broke off and no probe has succeeded since.
+  bool is_interrupted() const { return this->interrupted; }
+
   /// \return True if a probe should be sent now.
   bool is_probe_due(time_point now) const {
-    return this->is_suspected() && !this->probe_in_flight &&
-           now >= this->next_probe;
+    return (this->is_suspected() || this->interrupted) &&
+           !this->probe_in_flight && now >= this->next_probe;
   }
 
   void on_probe_sent() { this->probe_in_flight = true; }
 
   /// Records the result of a probe.
   /// \param responded True for a response with any status; false for a timeout.
-  /// \return True if this cleared a suspicion.
+  /// \return True if this cleared a suspicion, or showed that a server is alive
+  ///     whose response broke off.
   bool on_probe_ended(bool responded, time_point now);
 
   /// Excludes a pause of the router itself: data that the server sent meanwhile
@@ -70,6 +81,7 @@
 
   response_progress progress;
   std::optional<time_point> suspected_since;
+  bool interrupted = false;
   bool probe_in_flight = false;
   /// The last probe during the current suspicion failed.
   bool probe_failed = false;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -200,10 +200,17 @@
 
 bool dispatcher::is_available(const server_state& server,
                               const exchange& request, time_point now) const {
-  return this->suits(server, request) && !server.silence.is_suspected() &&
+  return this->suits(server, request) && !may_be_gone(server, request) &&
+         !server.silence.is_suspected() &&
          !this->resting.until(server.entry.id, now);
 }
 
+bool dispatcher::may_be_gone(const server_state& server,
+                             const exchange& request) {
+  return server.silence.is_interrupted() &&
+         request.sends().was_interrupted_by(server.entry.id);
+}
+
 bool dispatcher::suits(const server_state& server,
                        const exchange& request) const {
   return !request.sends().has_tried(server.entry.id) &&
@@ -283,10 +290,8 @@
 
 bool dispatcher::may_send_retry(const exchange& request, time_point now) {
   if (!request.holds_retry()) return true;
-  const bool may_send = this->budget_of(request.service())
-                            .may_send_retry(now, this->routers.value(now));
-  if (!may_send) this->retry_waits = true;
-  return may_send;
+  return this->budget_of(request.service())
+      .may_send_retry(now, this->routers.value(now));
 }
 
 void dispatcher::note_retry(const exchange& request, const server_state& server,
@@ -355,6 +360,10 @@
     this->reachability.on_failure(request.server(), time_point::clock::now());
     return;
   }
+  const auto found = this->servers.find(request.server());
+  if (found != this->servers.end()) {
+    found->second.silence.on_interrupted(time_point::clock::now());
+  }
   this->crashes.on_interrupted(request.fingerprint(), time_point::clock::now());
   kernel::log_event(kernel::event::striked,
                     {{"request", request.fields().attempt},
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -176,6 +176,9 @@
   /// \return The same, also for a server that has rejected the request.
   bool holds_what_it_needs(const server_state& server,
                            const exchange& request) const;
+  /// \return True if the server broke the request off and has not shown since
+  ///     that it is alive: another run there may be lost as well.
+  static bool may_be_gone(const server_state& server, const exchange& request);
   /// \return True if a waiting request may take a slot that the planner
   /// granted.
   bool can_use_grant(const server_state& server, const exchange& request,
@@ -214,6 +217,8 @@
   std::size_t most_connections(const std::string& service) const;
   void drop_line(line_map::iterator line);
   void wait_in_line(const std::shared_ptr<exchange>& request);
+  /// \return True if a granted retry waits for a server or for a credit.
+  bool retry_waits() const;
   void serve_waiting();
   /// Sends waiting requests to the servers that the planner granted slots of.
   void use_grants(const std::vector<decide::slot_grant>& grants);
@@ -273,8 +278,6 @@
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
   bool serving = false;
-  /// A retry found a server and no credit of the budget.
-  bool retry_waits = false;
 };
 
 }  // namespace boragehill::serve
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -31,9 +31,23 @@
                                      return more_urgent(*request, *each);
                                    });
   line.insert(behind, request);
+  const auto now = time_point::clock::now();
+  for (auto& [id, state] : this->servers) {
+    if (may_be_gone(state, *request)) this->judge_silence(state, now);
+  }
   if (this->waits) this->waits();
 }
 
+bool dispatcher::retry_waits() const {
+  return std::any_of(
+      this->lines.begin(), this->lines.end(), [](const auto& line) {
+        return std::any_of(line.second.begin(), line.second.end(),
+                           [](const std::shared_ptr<exchange>& each) {
+                             return each->holds_retry();
+                           });
+      });
+}
+
 void dispatcher::withdraw(const exchange& request) {
   const auto found = this->lines.find(key_of(request));
   if (found == this->lines.end()) return;
@@ -129,7 +143,7 @@
   // A server that was full when it rejected the request has a free slot now; it
   // may be the only one with the model.
   return this->holds_what_it_needs(server, request) &&
-         !server.silence.is_suspected() &&
+         !may_be_gone(server, request) && !server.silence.is_suspected() &&
          !this->reachability.suspect(server.entry.id, now) &&
          !this->resting.until(server.entry.id, now) &&
          this->rate_limited.may_send(server.entry.id, now) &&
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -76,7 +76,8 @@
   this->excuse_own_pause(now);
   // A server that is heard or has rested may serve those that wait.
   bool may_serve = this->resting.drop_expired(now);
-  may_serve = std::exchange(this->retry_waits, false) || may_serve;
+  // A credit of the retry budget may have been earned.
+  may_serve = this->retry_waits() || may_serve;
   for (auto& [id, state] : this->servers) {
     const bool was_doubted = state.silence.is_suspected();
     this->judge_silence(state, now);
@@ -144,6 +145,8 @@
                       {{"server", server.entry.id}, {"by", "answer"}});
   }
   if (!server.silence.is_probe_due(now)) return;
+  // Only those whose answers broke off want to know whether it is alive.
+  if (!server.silence.is_suspected() && !this->retry_waits()) return;
   if (this->resting.claim_probe(server.entry.id, now)) this->ask(server);
 }
 
--- a/test/decide-test/stall_detector_test.cpp
+++ b/test/decide-test/stall_detector_test.cpp
@@ -244,5 +244,26 @@
   EXPECT_LT(used_ms, total_ms / 5);
 }
 
+// Guards against a stream that is sent again to a server that was just killed.
+TEST(stall_detector_test, probes_a_server_whose_response_broke_off) {
+  const time_point now{std::chrono::seconds(100)};
+  stall_detector detector;
+  detector.on_interrupted(now);
+  EXPECT_TRUE(detector.is_interrupted());
+  EXPECT_FALSE(detector.is_suspected());
+  EXPECT_TRUE(detector.is_probe_due(now));
+  detector.on_probe_sent();
+  EXPECT_FALSE(detector.is_probe_due(now));
+  EXPECT_FALSE(detector.on_probe_ended(false, now));
+  EXPECT_TRUE(detector.is_interrupted());
+  EXPECT_FALSE(detector.is_probe_due(now));
+  const auto later = now + milliseconds(200);
+  EXPECT_TRUE(detector.is_probe_due(later));
+  detector.on_probe_sent();
+  EXPECT_TRUE(detector.on_probe_ended(true, later));
+  EXPECT_FALSE(detector.is_interrupted());
+  EXPECT_FALSE(detector.is_probe_due(later + milliseconds(1000)));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
