--- a/src/decide/residency_preload.cpp
+++ b/src/decide/residency_preload.cpp
@@ -95,14 +95,15 @@
                                             time_point now) {
   // Usually no worker has free memory, and the copies need not be collected.
   const auto workers = this->workers_with_free_memory(service, now);
-  if (workers.empty()) return;
+  // A model that nobody is known to hold may stand at a worker that has not
+  // reported yet.
+  if (workers.empty() || this->is_awaiting_first_reports(service, now)) return;
   this->collect_local_copies();
   for (const auto* worker : workers) {
     const auto chosen = this->choose_preload(*worker, service, now);
     if (!chosen) continue;
     const bool may_start =
-        !chosen->from_store || (this->may_preload_from_store() &&
-                                !this->is_awaiting_first_reports(service, now));
+        !chosen->from_store || this->may_preload_from_store();
     if (may_start) this->start_load(*chosen, "stock", now);
   }
 }
--- a/test/decide-test/residency_planner_test.cpp
+++ b/test/decide-test/residency_planner_test.cpp
@@ -365,6 +365,22 @@
   EXPECT_EQ(fleet.workers_with_target("m0"), std::set<std::string>{"w1"});
 }
 
+// Guards against a second replica of a model whose worker reports last.
+TEST(residency_planner_test, a_new_planner_waits_for_reports_before_preloads) {
+  simulated_fleet fleet(2, 8);
+  fleet.add_models("w1", {"m0"});
+  fleet.set_disk_copies("w0", {"m0"});
+  fleet.planner.start(fleet.now);
+  fleet.planner.on_report("w0", fleet.reports["w0"], fleet.now);
+  fleet.send_demand({{.service = "assist", .model = "m0", .arrivals = 3}});
+  fleet.step();
+  EXPECT_TRUE(fleet.workers_with_target("m0").empty());
+  fleet.now += milliseconds(80);
+  fleet.planner.on_report("w1", fleet.reports["w1"], fleet.now);
+  fleet.step();
+  EXPECT_EQ(fleet.workers_with_target("m0"), std::set<std::string>{"w1"});
+}
+
 TEST(residency_planner_test, expects_no_ready_time_for_a_loaded_model) {
   // A busy model is scaled out. Callers that waited briefly for one of its
   // adapters were rejected as if no worker would have the model in time.
