--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -278,7 +278,7 @@
       server.entry.id, server.entry.address, request->at_most_once(),
       this->most_connections(request->service()));
   if (!connection) return false;
-  if (request->holds_retry()) this->note_retry(*request, server, now);
+  if (request->holds_retry()) this->account_retry(*request, server, now);
   this->rate_limited.on_sent(server.entry.id, now);
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
@@ -294,8 +294,8 @@
       .may_send_retry(now, this->routers.value(now));
 }
 
-void dispatcher::note_retry(const exchange& request, const server_state& server,
-                            time_point now) {
+void dispatcher::account_retry(const exchange& request,
+                               const server_state& server, time_point now) {
   this->budget_of(request.service()).on_retry_sent();
   this->metrics.on_retry_sent(request.service());
   kernel::log_event(kernel::event::retry_sent,
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -238,8 +238,9 @@
   int assumed_routers(time_point now) const;
   /// \return False if the request is a retry that has to wait for a credit.
   bool may_send_retry(const exchange& request, time_point now);
-  void note_retry(const exchange& request, const server_state& server,
-                  time_point now);
+  /// Takes the credit of a retry that is sent, and logs it.
+  void account_retry(const exchange& request, const server_state& server,
+                     time_point now);
 
   entry_settings settings;
   const fleet::request_codec& headers;
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -382,7 +382,7 @@
   const bool in_time = time_point::clock::now() < this->limit;
   const bool can_go_on = !this->head_passed || this->way->resumable;
   if (in_time && can_go_on && this->record.may_attempt() &&
-      this->may_use_budget()) {
+      this->obtain_retry()) {
     return this->retry();
   }
   if (this->head_passed) return this->break_off(why);
@@ -390,7 +390,7 @@
                std::max(come_back, this->host.rest_left(*this)));
 }
 
-bool exchange::may_use_budget() {
+bool exchange::obtain_retry() {
   return !this->record.may_have_arrived() || this->host.take_repeat(*this);
 }
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -114,9 +114,10 @@
   void choose_service();
   void on_limit();
   void again(const char* why);
-  /// \return False if the retry budget forbids another attempt. One that is the
-  ///     first to arrive anywhere takes nothing of it.
-  bool may_use_budget();
+  /// Has another attempt granted by the retry budget, unless it would be the
+  /// first to arrive anywhere.
+  /// \return False if the budget forbids it.
+  bool obtain_retry();
   /// Looks for a server for a retry that was granted.
   void retry();
   /// Sends a request that may be repeated to another server, after this one
