--- a/test/soak/checks.cpp
+++ b/test/soak/checks.cpp
@@ -115,6 +115,7 @@
     const std::vector<invariants::service_event>& arrivals,
     const invariants::retry_bound& bound) {
   std::vector<invariants::service_event> requests;
+  requests.reserve(calls.size());
   for (const auto& call : calls) {
     requests.push_back({call.service, call.attempt, call.begin});
   }
