--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -391,7 +391,7 @@
         same_limits && same_count) {
       continue;
     }
-    if (!same_limits && same_count) {
+    if (!same_limits) {
       update.rate_limits = limits;
       each.rate_limits = limits;
     }
--- a/test/adapter-test/planner_duty_test.cpp
+++ b/test/adapter-test/planner_duty_test.cpp
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <functional>
 #include <gtest/gtest.h>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -30,6 +32,7 @@
             const auto update = wire::decode_view_update(message);
             this->last_term = update.term;
             this->last_count = update.routers;
+            if (update.whole) this->first_limits = update.rate_limits;
           },
           [this] {
             const std::lock_guard<std::mutex> lock(this->guard);
@@ -59,6 +62,21 @@
     return this->last_term;
   }
 
+  /// Tells the planner that a server named a rate limit.
+  void announce_limit(const std::string& server, double per_second) {
+    this->loop.post([this, server, per_second] {
+      wire::router_report report{.router = this->id};
+      report.rate_limits.announcements.push_back({server, per_second});
+      this->link->send(wire::encode(report));
+    });
+  }
+
+  /// \return The rate limits in the first update; nothing if there were none.
+  std::optional<std::map<std::string, decide::rate_limit>> told_at_first() {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    return this->first_limits;
+  }
+
   /// \return The number of routers that it was told last.
   int count() {
     const std::lock_guard<std::mutex> lock(this->guard);
@@ -73,6 +91,7 @@
   bool has_ended = false;
   std::int64_t last_term = 0;
   int last_count = 0;
+  std::optional<std::map<std::string, decide::rate_limit>> first_limits;
 };
 
 entry_settings planner_settings_of_test() {
@@ -142,5 +161,23 @@
   planner.stop();
 }
 
+// Guards against rate limits that are held back while the number changes.
+TEST(planner_duty_test, tells_a_new_router_all_rate_limits_at_once) {
+  const auto settings = planner_settings_of_test();
+  planner_duty planner(settings);
+  ASSERT_FALSE(planner.start());
+  planner.lead(1);
+  router_side first(settings.link_address());
+  first.announce_limit("w-1", 2);
+  EXPECT_TRUE(becomes_true([&] { return first.count() == 1; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  router_side second(settings.link_address(), "r-2");
+  EXPECT_TRUE(becomes_true([&] { return second.count() == 2; }));
+  const auto told = second.told_at_first();
+  ASSERT_TRUE(told);
+  EXPECT_TRUE(told->contains("w-1"));
+  planner.stop();
+}
+
 }  // namespace
 }  // namespace boragehill::serve
