Show at will that requests are lost at a port that is being closed

The failure at will, without load: the kernel closes the descriptors of a killed process from the highest to the lowest, so the listening socket goes last. 200 idle connections between the two, or proxies that stop accepting and are closed 300 ms later, make the order certain.

Tests: the proxy of the soak can stop accepting, and closes its listening socket in child processes (they kept the port open); a stand-in can lose its status checks; small_fleet can leave the status check out of the configuration and waits for the retries of any service.

--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -185,7 +185,8 @@
 }
 
 void small_fleet::configure(std::int64_t version, const std::string& prefix,
-                            std::optional<int> models, std::size_t padding) {
+                            std::optional<int> models, std::size_t padding,
+                            bool status_check) {
   Json::Value config;
   if (padding > 0) config["padding"] = std::string(padding, 'x');
   config["version"] = Json::Int64(version);
@@ -225,7 +226,7 @@
   engine["adapterSlots"] = 2;
   engine["slots"] = 8;
   engine["loadsPerS"] = 10;
-  assist["healthPath"] = "/healthz";
+  if (status_check) assist["healthPath"] = "/healthz";
   for (int each = 1; each <= models.value_or(this->models); ++each) {
     Json::Value model;
     model["name"] = numbered("model", each);
@@ -285,12 +286,13 @@
       this->metric(router, "boragehill_catalog_version").value_or(-1));
 }
 
-bool small_fleet::wait_for_retries(int router, double count) {
+bool small_fleet::wait_for_retries(int router, double count,
+                                   const std::string& service) {
   constexpr milliseconds limit{10000};
   const auto end = std::chrono::steady_clock::now() + limit;
   while (std::chrono::steady_clock::now() < end) {
-    const auto left =
-        this->metric(router, R"(boragehill_retries_left{service="sheets"})");
+    const auto left = this->metric(
+        router, "boragehill_retries_left{service=\"" + service + "\"}");
     if (left.value_or(0) >= count) return true;
     std::this_thread::sleep_for(poll);
   }
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -55,16 +55,18 @@
   /// \param prefix Of the route to the plain service.
   /// \param models How many models it has, from model-1 on; all if not told.
   /// \param padding Bytes that it is larger than it need be.
+  /// \param status_check False if the model workers have no status check.
   void configure(std::int64_t version, const std::string& prefix,
                  std::optional<int> models = std::nullopt,
-                 std::size_t padding = 0);
+                 std::size_t padding = 0, bool status_check = true);
 
   /// \return The configuration that a router has in force; -1 if not told.
   std::int64_t catalog_version(int router);
 
-  /// Waits until a router may send so many retries to the plain service: one
-  /// that has just started may send none.
-  bool wait_for_retries(int router, double count);
+  /// Waits until a router may send so many retries to a service: one that has
+  /// just started may send none.
+  bool wait_for_retries(int router, double count,
+                        const std::string& service = "sheets");
 
   bool is_ready(int router);
   bool wait_until_ready(int router, std::chrono::milliseconds limit);
--- a/test/soak/fault_proxy.cpp
+++ b/test/soak/fault_proxy.cpp
@@ -1,5 +1,7 @@
 #include "soak/fault_proxy.hpp"
 
+#include <fcntl.h>
+#include <future>
 #include <utility>
 #include <vector>
 
@@ -26,6 +28,8 @@
 
 bool fault_proxy::start() {
   if (kernel::listen(this->acceptor, this->listen)) return false;
+  // A process of the fleet would keep the port open.
+  ::fcntl(this->acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
   this->accept();
   this->loop.start();
   return true;
@@ -35,6 +39,16 @@
   this->loop.post([this, fault] { this->apply(fault); });
 }
 
+void fault_proxy::stop_accepting() {
+  std::promise<void> done;
+  this->loop.post([this, &done] {
+    std::error_code ignored;
+    this->acceptor.cancel(ignored);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 void fault_proxy::apply(link_fault fault) {
   this->current = fault == link_fault::reset ? link_fault::none : fault;
   const std::vector<std::shared_ptr<proxied_link>> open(this->links.begin(),
--- a/test/soak/fault_proxy.hpp
+++ b/test/soak/fault_proxy.hpp
@@ -33,6 +33,11 @@
   /// those that are open and lets new ones pass.
   void set(link_fault fault);
 
+  /// Accepts no more connections. As with a process that is being killed, the
+  /// kernel takes new ones until the proxy is destroyed, and resets them then.
+  /// Returns when it is done.
+  void stop_accepting();
+
  private:
   void accept();
   void apply(link_fault fault);
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -50,6 +50,8 @@
     this->slow_events = std::chrono::milliseconds(fault.get("ms", 0).asInt64());
   } else if (kind == "lose_answers") {
     this->lost_answers = fault.get("count", 1).asUInt();
+  } else if (kind == "lose_checks") {
+    this->lost_checks = true;
   } else if (kind == "fail_runs") {
     this->failed_runs = fault.get("count", 1).asUInt();
   } else if (kind == "cut_stream") {
@@ -74,6 +76,7 @@
   this->slow_loads = std::chrono::milliseconds{0};
   this->slow_events = std::chrono::milliseconds{0};
   this->lost_answers = 0;
+  this->lost_checks = false;
   this->failed_runs = 0;
   this->cut_streams = 0;
   this->marker.clear();
@@ -147,6 +150,11 @@
   return take(this->lost_answers);
 }
 
+bool fault_switch::loses_checks() {
+  const std::scoped_lock lock(this->mutex);
+  return this->lost_checks;
+}
+
 bool fault_switch::take_failed_run() {
   const std::scoped_lock lock(this->mutex);
   return take(this->failed_runs);
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -60,6 +60,10 @@
   /// Uses up one of the answers that "lose_answers" loses.
   bool take_lost_answer();
 
+  /// \return True if each answer to a status check breaks off
+  ///     ("lose_checks").
+  bool loses_checks();
+
   /// Uses up one of the runs that "fail_runs" fails.
   bool take_failed_run();
 
@@ -84,6 +88,7 @@
   std::chrono::milliseconds slow_loads{0};
   std::chrono::milliseconds slow_events{0};
   std::uint32_t lost_answers = 0;
+  bool lost_checks = false;
   std::uint32_t failed_runs = 0;
   std::uint32_t cut_streams = 0;
   std::string marker;
--- a/test/standin/standin_server.cpp
+++ b/test/standin/standin_server.cpp
@@ -18,16 +18,6 @@
 /// Longer than any caller waits for an answer that was swallowed.
 constexpr std::chrono::seconds swallowed_for{12};
 
-/// Turns an answer into one that breaks off: its length is announced and its
-/// body never comes.
-void lose(httplib::Response& response) {
-  response = httplib::Response();
-  response.status = 200;
-  response.set_content_provider(
-      1, "application/json",
-      [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
-}
-
 /// Keeps a call without an answer on an open connection.
 void swallow(httplib::Response& response) {
   std::this_thread::sleep_for(swallowed_for);
@@ -122,6 +112,14 @@
   return this->switched;
 }
 
+void lose(httplib::Response& response) {
+  response = httplib::Response();
+  response.status = 200;
+  response.set_content_provider(
+      1, "application/json",
+      [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+}
+
 void reply(httplib::Response& response, int status, const Json::Value& body) {
   response.status = status;
   response.set_content(kernel::write_json(body), "application/json");
--- a/test/standin/standin_server.hpp
+++ b/test/standin/standin_server.hpp
@@ -53,6 +53,10 @@
   int port;
 };
 
+/// Turns an answer into one that breaks off: its length is announced and its
+/// body never comes.
+void lose(httplib::Response& response);
+
 /// Answers with a status and a JSON body.
 void reply(httplib::Response& response, int status, const Json::Value& body);
 
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -51,6 +51,7 @@
   server.on("GET", "/report",
             [this](const auto&, auto& response) { this->report(response); });
   server.on("GET", "/healthz", [this](const auto&, auto& response) {
+    if (this->faults.loses_checks()) return lose(response);
     response.set_header("Boragehill-Instance-Id", this->id);
     response.status = ok_status;
   });
