Ignore a probe that was sent before a response broke off

A server whose responses stall is probed. If it responds and is killed then, and the router reads the end of a stream before that response, the probe's success cleared what the end had just told: the stream went back to the killed server at once.

Change: the stall detector remembers that a response broke off while a probe was in flight. Such a probe still clears a suspicion of a stall, but not the interruption, and the next one is due at once.

Evidence: stall_detector_test.ignores_a_probe_sent_before_a_response_broke_ off fails without the change and passes with it; the other 17 tests of the detector pass, unchanged.

--- a/src/decide/stall_detector.cpp
+++ b/src/decide/stall_detector.cpp
@@ -46,10 +46,12 @@
 
 bool stall_detector::on_probe_ended(bool responded, time_point now) {
   this->probe_in_flight = false;
-  this->next_probe = now + probe_interval;
+  const bool outdated = std::exchange(this->probe_outdated, false);
+  this->next_probe = outdated ? now : now + probe_interval;
   this->probe_failed = !responded && this->suspected_since;
   if (!responded) return false;
-  const bool was_interrupted = std::exchange(this->interrupted, false);
+  const bool was_interrupted = this->interrupted && !outdated;
+  if (was_interrupted) this->interrupted = false;
   if (!this->suspected_since) return was_interrupted;
   ++this->probes_without_progress;
   this->trusted_until = now + grace_period;
--- a/src/decide/stall_detector.hpp
+++ b/src/decide/stall_detector.hpp
@@ -42,6 +42,7 @@
   /// accept connections for a moment longer.
   void on_interrupted(time_point now) {
     this->interrupted = true;
+    this->probe_outdated = this->probe_in_flight;
     this->next_probe = now;
   }
 
@@ -71,7 +72,10 @@
   }
 
   /// Drops a probe without a result, because its response may have been missed.
-  void on_probe_discarded() { this->probe_in_flight = false; }
+  void on_probe_discarded() {
+    this->probe_in_flight = false;
+    this->probe_outdated = false;
+  }
 
  private:
   void clear_suspicion() {
@@ -83,6 +87,8 @@
   std::optional<time_point> suspected_since;
   bool interrupted = false;
   bool probe_in_flight = false;
+  /// A response broke off after the probe in flight was sent.
+  bool probe_outdated = false;
   /// The last probe during the current suspicion failed.
   bool probe_failed = false;
   time_point next_probe;
--- a/test/decide-test/stall_detector_test.cpp
+++ b/test/decide-test/stall_detector_test.cpp
@@ -265,5 +265,26 @@
   EXPECT_FALSE(detector.is_probe_due(later + milliseconds(1000)));
 }
 
+// Guards against a broken stream that is sent again to a server that was killed
+// after it had responded to a probe.
+TEST(stall_detector_test, ignores_a_probe_sent_before_a_response_broke_off) {
+  simulated_server server;
+  server.start_streams(1);
+  server.receive_data(20, 30);
+  server.advance(1100);
+  ASSERT_EQ(server.update(), transition::suspected);
+  auto& detector = server.detector;
+  ASSERT_TRUE(detector.is_probe_due(server.now));
+  detector.on_probe_sent();
+  detector.on_interrupted(server.now);
+  EXPECT_TRUE(detector.on_probe_ended(true, server.now));
+  EXPECT_FALSE(detector.is_suspected());
+  EXPECT_TRUE(detector.is_interrupted());
+  EXPECT_TRUE(detector.is_probe_due(server.now));
+  detector.on_probe_sent();
+  EXPECT_TRUE(detector.on_probe_ended(true, server.now));
+  EXPECT_FALSE(detector.is_interrupted());
+}
+
 }  // namespace
 }  // namespace boragehill::decide
