Use an interrupted server again though its status check doesn't work

What callers saw: a resumable stream whose connection was reset at a living worker waited for a status check that never worked, until its time was over, and was cut off ("no worker has the model in time").

Cause: only a response to a probe ended the wait. A status check can fail for seconds at a server that works.

Change: an interruption ends in three ways. A probe that was sent afterwards is responded to. Or a connection is refused: the port is closed, so nothing can be lost there; that counts as a failed connection, so a retry isn't spent there for a while and the planner hears of it, as it did when the retry itself was refused. Or the time is over in which the port of a killed process is closed. Events 818 and 819 tell the beginning and the end.

The time: a kernel needs 4 ms at most for 200 descriptors, and a process that has to wait for a processor some tens of milliseconds; 500 ms leaves room for three probes.

--- a/src/decide/stall_detector.cpp
+++ b/src/decide/stall_detector.cpp
@@ -15,6 +15,10 @@
 /// A server that responds to probes but not to requests is probed at growing
 /// intervals, up to 200 ms * 2^4, so that it is in use for a tenth of the time.
 constexpr int max_doublings = 4;
+/// Upper bound of the time from the end of a killed process's connections to
+/// the end of its listening socket. A scheduler that is overloaded takes some
+/// tens of milliseconds.
+constexpr milliseconds max_port_closing_time{500};
 
 }  // namespace
 
@@ -44,14 +48,31 @@
   return this->suspected_since && now - *this->suspected_since >= probe_timeout;
 }
 
+bool stall_detector::on_interrupted(time_point now) {
+  this->next_probe = now;
+  this->probe_outdated = this->probe_in_flight;
+  return !std::exchange(this->interrupted_at, now);
+}
+
+bool stall_detector::expire_interruption(time_point now) {
+  const bool expired = this->interrupted_at &&
+                       now - *this->interrupted_at >= max_port_closing_time;
+  if (expired) this->interrupted_at.reset();
+  return expired;
+}
+
+bool stall_detector::on_connection_refused() {
+  return std::exchange(this->interrupted_at, std::nullopt).has_value();
+}
+
 bool stall_detector::on_probe_ended(bool responded, time_point now) {
   this->probe_in_flight = false;
   const bool outdated = std::exchange(this->probe_outdated, false);
   this->next_probe = outdated ? now : now + probe_interval;
   this->probe_failed = !responded && this->suspected_since;
   if (!responded) return false;
-  const bool was_interrupted = this->interrupted && !outdated;
-  if (was_interrupted) this->interrupted = false;
+  const bool was_interrupted = this->is_interrupted() && !outdated;
+  if (was_interrupted) this->interrupted_at.reset();
   if (!this->suspected_since) return was_interrupted;
   ++this->probes_without_progress;
   this->trusted_until = now + grace_period;
--- a/src/decide/stall_detector.hpp
+++ b/src/decide/stall_detector.hpp
@@ -10,7 +10,8 @@
 namespace boragehill::decide {
 
 /// Suspects a backend server whose responses have stalled, until it sends data
-/// again or responds to a probe.
+/// again or responds to a probe, and one whose response broke off, until it
+/// responds to a probe.
 ///
 /// A suspected server gets no new requests, so when it resumes it runs only the
 /// abandoned requests of the last tenths of a second before the suspicion. The
@@ -38,20 +39,29 @@
     return this->is_suspected() && this->probe_failed;
   }
 
-  /// A response broke off. The server may be gone, though its address may
-  /// accept connections for a moment longer.
-  void on_interrupted(time_point now) {
-    this->interrupted = true;
-    this->probe_outdated = this->probe_in_flight;
-    this->next_probe = now;
-  }
+  /// A response broke off. The server may be gone, though its port may accept
+  /// connections for a moment longer and reset them afterwards.
+  /// \return True if the server was not interrupted before.
+  bool on_interrupted(time_point now);
+
+  /// \return True if a response broke off, and the server has neither responded
+  ///     to a probe since, nor refused a connection, nor had the time to close
+  ///     its port. What is sent to it now may be lost.
+  bool is_interrupted() const { return this->interrupted_at.has_value(); }
+
+  /// Ends an interruption after the time in which the port of a process that
+  /// was killed is closed.
+  /// \return True if this ended one.
+  bool expire_interruption(time_point now);
 
-  /// \return True if a response broke off and no probe has succeeded since.
-  bool is_interrupted() const { return this->interrupted; }
+  /// The server refused a connection: its port is closed, and nothing that is
+  /// sent to it can be lost there.
+  /// \return True if this ended an interruption.
+  bool on_connection_refused();
 
   /// \return True if a probe should be sent now.
   bool is_probe_due(time_point now) const {
-    return (this->is_suspected() || this->interrupted) &&
+    return (this->is_suspected() || this->is_interrupted()) &&
            !this->probe_in_flight && now >= this->next_probe;
   }
 
@@ -85,7 +95,8 @@
 
   response_progress progress;
   std::optional<time_point> suspected_since;
-  bool interrupted = false;
+  /// When a response broke off last.
+  std::optional<time_point> interrupted_at;
   bool probe_in_flight = false;
   /// A response broke off after the probe in flight was sent.
   bool probe_outdated = false;
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -98,6 +98,8 @@
   server_rests = 815,
   server_rate_limited = 816,
   slots_granted = 817,
+  server_interrupted = 818,
+  interruption_ended = 819,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -200,15 +200,18 @@
 
 bool dispatcher::is_available(const server_state& server,
                               const exchange& request, time_point now) const {
-  return this->suits(server, request) && !may_be_gone(server, request) &&
+  return this->suits(server, request) &&
+         !this->may_be_gone(server, request, now) &&
          !server.silence.is_suspected() &&
          !this->resting.until(server.entry.id, now);
 }
 
 bool dispatcher::may_be_gone(const server_state& server,
-                             const exchange& request) {
-  return server.silence.is_interrupted() &&
-         request.sends().was_interrupted_by(server.entry.id);
+                             const exchange& request, time_point now) const {
+  if (!request.sends().was_interrupted_by(server.entry.id)) return false;
+  // A retry would take a credit of the budget in vain if the port is closed.
+  return server.silence.is_interrupted() ||
+         this->reachability.suspect(server.entry.id, now);
 }
 
 bool dispatcher::suits(const server_state& server,
@@ -360,10 +363,7 @@
     this->reachability.on_failure(request.server(), time_point::clock::now());
     return;
   }
-  const auto found = this->servers.find(request.server());
-  if (found != this->servers.end()) {
-    found->second.silence.on_interrupted(time_point::clock::now());
-  }
+  this->on_interrupted(request, time_point::clock::now());
   this->crashes.on_interrupted(request.fingerprint(), time_point::clock::now());
   kernel::log_event(kernel::event::striked,
                     {{"request", request.fields().attempt},
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -176,9 +176,10 @@
   /// \return The same, also for a server that has rejected the request.
   bool holds_what_it_needs(const server_state& server,
                            const exchange& request) const;
-  /// \return True if the server broke the request off and has not shown since
-  ///     that it is alive: another run there may be lost as well.
-  static bool may_be_gone(const server_state& server, const exchange& request);
+  /// \return True if the server broke the request off and its process may have
+  ///     ended, so that another run there would be lost or sent in vain.
+  bool may_be_gone(const server_state& server, const exchange& request,
+                   time_point now) const;
   /// \return True if a waiting request may take a slot that the planner
   /// granted.
   bool can_use_grant(const server_state& server, const exchange& request,
@@ -187,6 +188,10 @@
   bool takes_new(const server_state& server) const;
   decide::response_progress* pulse_of(const exchange& request);
   void judge_silence(server_state& server, time_point now);
+  /// The response to a request broke off at its server.
+  void on_interrupted(const exchange& request, time_point now);
+  /// \param by How it ended: the port is closed, or its time is over.
+  void log_interruption_ended(const server_state& server, const char* by);
   /// Judges the requests at servers that left a question unanswered.
   void judge_silent_waits(time_point now);
   void judge_silent_wait(const std::shared_ptr<exchange>& request,
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -33,7 +33,9 @@
   line.insert(behind, request);
   const auto now = time_point::clock::now();
   for (auto& [id, state] : this->servers) {
-    if (may_be_gone(state, *request)) this->judge_silence(state, now);
+    if (this->may_be_gone(state, *request, now)) {
+      this->judge_silence(state, now);
+    }
   }
   if (this->waits) this->waits();
 }
@@ -143,7 +145,8 @@
   // A server that was full when it rejected the request has a free slot now; it
   // may be the only one with the model.
   return this->holds_what_it_needs(server, request) &&
-         !may_be_gone(server, request) && !server.silence.is_suspected() &&
+         !this->may_be_gone(server, request, now) &&
+         !server.silence.is_suspected() &&
          !this->reachability.suspect(server.entry.id, now) &&
          !this->resting.until(server.entry.id, now) &&
          this->rate_limited.may_send(server.entry.id, now) &&
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -82,6 +82,9 @@
     const bool was_doubted = state.silence.is_suspected();
     this->judge_silence(state, now);
     may_serve = may_serve || (was_doubted && !state.silence.is_suspected());
+    if (!state.silence.expire_interruption(now)) continue;
+    this->log_interruption_ended(state, "time");
+    may_serve = true;
   }
   if (may_serve) this->serve_waiting();
   this->judge_silent_waits(now);
@@ -150,6 +153,21 @@
   if (this->resting.claim_probe(server.entry.id, now)) this->ask(server);
 }
 
+void dispatcher::on_interrupted(const exchange& request, time_point now) {
+  const auto found = this->servers.find(request.server());
+  if (found == this->servers.end()) return;
+  if (!found->second.silence.on_interrupted(now)) return;
+  kernel::log_event(
+      kernel::event::server_interrupted,
+      {{"server", request.server()}, {"request", request.fields().attempt}});
+}
+
+void dispatcher::log_interruption_ended(const server_state& server,
+                                        const char* by) {
+  kernel::log_event(kernel::event::interruption_ended,
+                    {{"server", server.entry.id}, {"by", by}});
+}
+
 void dispatcher::ask(server_state& server) {
   const auto* service =
       this->known_catalog
@@ -198,7 +216,8 @@
   const auto now = time_point::clock::now();
   this->excuse_own_pause(now);
   auto& silence = found->second.silence;
-  if (!answer && asked < silence.responses().waiting_since()) {
+  const bool doubtful = asked < silence.responses().waiting_since();
+  if (!answer && doubtful && !silence.is_interrupted()) {
     // The router stood still meanwhile, or the server was heard otherwise.
     silence.on_probe_discarded();
     return;
@@ -209,11 +228,19 @@
     kernel::log_event(kernel::event::server_unanswering,
                       {{"server", server}, {"error", answer.error()}});
   }
-  const bool ended = silence.on_probe_ended(answered, now);
-  if (!ended) return;
-  kernel::log_event(kernel::event::server_heard,
-                    {{"server", server}, {"by", "question"}});
-  this->serve_waiting();
+  const bool refused =
+      !answer && answer.error() == result_code::peer_unreachable;
+  const bool heard = silence.on_probe_ended(answered, now);
+  if (heard) {
+    kernel::log_event(kernel::event::server_heard,
+                      {{"server", server}, {"by", "question"}});
+  }
+  const bool released = refused && silence.on_connection_refused();
+  if (released) {
+    this->reachability.on_failure(server, now);
+    this->log_interruption_ended(found->second, "refused");
+  }
+  if (heard || released) this->serve_waiting();
 }
 
 }  // namespace boragehill::serve
--- a/test/decide-test/stall_detector_test.cpp
+++ b/test/decide-test/stall_detector_test.cpp
@@ -286,5 +286,35 @@
   EXPECT_FALSE(detector.is_interrupted());
 }
 
+// Guards against a server that is never used again since its status check
+// fails.
+TEST(stall_detector_test, ends_an_interruption_when_a_port_would_be_closed) {
+  time_point now{std::chrono::seconds(100)};
+  stall_detector detector;
+  EXPECT_TRUE(detector.on_interrupted(now));
+  now += milliseconds(400);
+  EXPECT_FALSE(detector.expire_interruption(now));
+  EXPECT_FALSE(detector.on_interrupted(now));
+  now += milliseconds(400);
+  EXPECT_FALSE(detector.expire_interruption(now));
+  EXPECT_TRUE(detector.is_interrupted());
+  now += milliseconds(100);
+  EXPECT_TRUE(detector.expire_interruption(now));
+  EXPECT_FALSE(detector.is_interrupted());
+  EXPECT_FALSE(detector.is_probe_due(now));
+}
+
+// Guards against requests that wait for a server whose port is closed.
+TEST(stall_detector_test, ends_an_interruption_when_a_connection_is_refused) {
+  const time_point now{std::chrono::seconds(100)};
+  stall_detector detector;
+  EXPECT_FALSE(detector.on_connection_refused());
+  detector.on_interrupted(now);
+  detector.on_probe_sent();
+  EXPECT_FALSE(detector.on_probe_ended(false, now));
+  EXPECT_TRUE(detector.on_connection_refused());
+  EXPECT_FALSE(detector.is_interrupted());
+}
+
 }  // namespace
 }  // namespace boragehill::decide
