Hold a broken stream back from a server without a status check, too

What callers saw: two resumable streams that broke off together at a killed worker were both cut off, where the service has no status check.

Cause: what can't be probed was taken for alive at once, and with that the interruption was forgotten. A stream that broke alone was saved by waiting for the next round of checks; the second one made the first be served in the same millisecond.

Change: where there is no status check, only a suspicion of a stall is cleared, as before. An interruption lasts until its time is over.

--- a/src/decide/stall_detector.hpp
+++ b/src/decide/stall_detector.hpp
@@ -73,6 +73,11 @@
   ///     whose response broke off.
   bool on_probe_ended(bool responded, time_point now);
 
+  /// Clears a suspicion of a server that can't be probed, so that a request
+  /// shows whether it responds.
+  /// \return True if the server was suspected.
+  bool on_probe_impossible(time_point now);
+
   /// Excludes a pause of the router itself: data that the server sent meanwhile
   /// may not have been read yet.
   /// \param pause_end End of the pause.
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -173,14 +173,14 @@
       this->known_catalog
           ? this->known_catalog->find_service(server.entry.service)
           : nullptr;
-  server.silence.on_probe_sent();
   if (!service || service->health_path.empty()) {
     // It can't be asked, so now and then a request shows.
-    server.silence.on_probe_ended(true, time_point::clock::now());
+    if (!server.silence.on_probe_impossible(time_point::clock::now())) return;
     kernel::log_event(kernel::event::server_heard,
                       {{"server", server.entry.id}, {"by", "no status check"}});
     return;
   }
+  server.silence.on_probe_sent();
   http::header_list headers;
   headers.add("Host", server.entry.address.to_string());
   headers.add("Connection", "close");
