Send nothing to a server whose response has just broken off

What callers saw: when a worker was killed, requests that waited behind its streams were answered 502 "outcome unknown" though none of them ever ran, and so was a new one that came in the same moment. Each reset took a retry of the budget or a request that may run only once, and counted as a crash against it.

Cause: the end of a response was news of one request only. The slot that it left was given to the line at once (on_broken, on_left, reuse_slot), at the server that had just died.

Change: an interrupted server gets no request until the interruption ends. It is probed whenever a request waits for what it holds. A retry of its own broken request isn't spent there while it refuses connections, as before.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -208,9 +208,9 @@
 
 bool dispatcher::may_be_gone(const server_state& server,
                              const exchange& request, time_point now) const {
-  if (!request.sends().was_interrupted_by(server.entry.id)) return false;
-  // A retry would take a credit of the budget in vain if the port is closed.
-  return server.silence.is_interrupted() ||
+  if (server.silence.is_interrupted()) return true;
+  // A retry there would take a credit of the budget in vain.
+  return request.sends().was_interrupted_by(server.entry.id) &&
          this->reachability.suspect(server.entry.id, now);
 }
 
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -176,10 +176,12 @@
   /// \return The same, also for a server that has rejected the request.
   bool holds_what_it_needs(const server_state& server,
                            const exchange& request) const;
-  /// \return True if the server broke the request off and its process may have
-  ///     ended, so that another run there would be lost or sent in vain.
+  /// \return True if the server's process may have ended, so that the request
+  ///     would be lost there or sent in vain.
   bool may_be_gone(const server_state& server, const exchange& request,
                    time_point now) const;
+  /// \return True if requests wait for what the server holds.
+  bool is_awaited(const server_state& server) const;
   /// \return True if a waiting request may take a slot that the planner
   /// granted.
   bool can_use_grant(const server_state& server, const exchange& request,
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -33,13 +33,19 @@
   line.insert(behind, request);
   const auto now = time_point::clock::now();
   for (auto& [id, state] : this->servers) {
-    if (this->may_be_gone(state, *request, now)) {
-      this->judge_silence(state, now);
-    }
+    if (state.silence.is_interrupted()) this->judge_silence(state, now);
   }
   if (this->waits) this->waits();
 }
 
+bool dispatcher::is_awaited(const server_state& server) const {
+  return std::any_of(
+      this->lines.begin(), this->lines.end(), [&](const auto& line) {
+        return !line.second.empty() &&
+               this->holds_what_it_needs(server, *line.second.front());
+      });
+}
+
 bool dispatcher::retry_waits() const {
   return std::any_of(
       this->lines.begin(), this->lines.end(), [](const auto& line) {
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -148,8 +148,7 @@
                       {{"server", server.entry.id}, {"by", "answer"}});
   }
   if (!server.silence.is_probe_due(now)) return;
-  // Only those whose answers broke off want to know whether it is alive.
-  if (!server.silence.is_suspected() && !this->retry_waits()) return;
+  if (!server.silence.is_suspected() && !this->is_awaited(server)) return;
   if (this->resting.claim_probe(server.entry.id, now)) this->ask(server);
 }
 
--- a/test/fleet-test/broken_stream_test.cpp
+++ b/test/fleet-test/broken_stream_test.cpp
@@ -166,6 +166,35 @@
   expect_whole_stream(other.get(), "other");
 }
 
+// Guards against slots of a server that was just killed that are given to
+// waiting requests, which are lost there.
+TEST(broken_stream_test, gives_no_slot_of_a_killed_server_to_waiting_requests) {
+  proxied_fleet fleet(2);
+  ASSERT_NO_FATAL_FAILURE(fleet.start());
+  // Else the model is at a second worker before the first is killed.
+  (*fleet).fault("worker-2", R"({"kind":"slow_loads","ms":1500})");
+  std::map<std::string, std::future<httplib::Result>> requests;
+  constexpr int slots = 8;
+  constexpr int more = 12;
+  for (int each = 1; each <= slots + more; ++each) {
+    const auto attempt = numbered("request", each);
+    requests[attempt] = fleet.send(attempt, run_once);
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  std::this_thread::sleep_for(some_events);
+  fleet.kill("worker-1");
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.close_port("worker-1");
+  int lost = 0;
+  for (auto& [attempt, request] : requests) {
+    const auto answer = request.get();
+    if (answer && answer->status != 502) continue;
+    ++lost;
+    EXPECT_EQ((*fleet).all_runs()[attempt], 1) << attempt;
+  }
+  EXPECT_GE(lost, slots);
+}
+
 // Guards against a second run on a server that was just killed and can't be
 // probed.
 TEST(broken_stream_test, goes_on_elsewhere_if_there_is_no_status_check) {
