Read all ends of responses before anything is sent on

What callers saw: where several servers ended at once, a request that broke off at one of them was sent to the next, whose end lay unread in the router's sockets: the second of its two runs was lost there, and it was answered 502.

Cause: a retry was placed while the loop still held other ends that could be read already.

Change: after the end of a response nothing is sent before the loop has handled all that was readable; requests wait in their lines for that, some microseconds.

Evidence: broken_stream_test.goes_on_at_none_of_several_servers_that_end_ together (the router is stopped while two of three servers are killed, so that it reads both ends in one turn) failed 3 of 3 before and passed 3 of 3 with the change.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -310,6 +310,7 @@
 }
 
 bool dispatcher::try_send(const std::shared_ptr<exchange>& request) {
+  if (this->sending_paused) return false;
   const auto now = time_point::clock::now();
   auto* server = this->find_server(*request, now);
   // One that may not start is refused, or ends with its caller's close or with
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -192,6 +192,9 @@
   void judge_silence(server_state& server, time_point now);
   /// The response to a request broke off at its server.
   void on_interrupted(const exchange& request, time_point now);
+  /// Sends nothing before the loop has handled all that could be read by now:
+  /// servers that end together would be tried one after the other.
+  void pause_sending();
   /// \param by How it ended: the port is closed, or its time is over.
   void log_interruption_ended(const server_state& server, const char* by);
   /// Judges the requests at servers that left a question unanswered.
@@ -286,6 +289,7 @@
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
   bool serving = false;
+  bool sending_paused = false;
 };
 
 }  // namespace boragehill::serve
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -72,7 +72,7 @@
 
 void dispatcher::serve_waiting() {
   // Sending may end a request at once, which comes back here.
-  if (this->serving) return;
+  if (this->serving || this->sending_paused) return;
   this->serving = true;
   std::vector<demand_key> keys;
   for (const auto& [key, line] : this->lines) keys.push_back(key);
@@ -161,7 +161,7 @@
 
 void dispatcher::use_grants(const std::vector<decide::slot_grant>& grants) {
   // Sending may end a request at once, which would serve the lines.
-  if (this->serving) return;
+  if (this->serving || this->sending_paused) return;
   this->serving = true;
   bool any_used = false;
   for (const auto& each : grants) any_used = this->use_grant(each) || any_used;
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -1,5 +1,6 @@
 // What the dispatcher does about servers that fall silent.
 
+#include <asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -155,12 +156,21 @@
 void dispatcher::on_interrupted(const exchange& request, time_point now) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
+  this->pause_sending();
   if (!found->second.silence.on_interrupted(now)) return;
   kernel::log_event(
       kernel::event::server_interrupted,
       {{"server", request.server()}, {"request", request.fields().attempt}});
 }
 
+void dispatcher::pause_sending() {
+  if (std::exchange(this->sending_paused, true)) return;
+  asio::post(this->context, [this] {
+    this->sending_paused = false;
+    this->serve_waiting();
+  });
+}
+
 void dispatcher::log_interruption_ended(const server_state& server,
                                         const char* by) {
   kernel::log_event(kernel::event::interruption_ended,
--- a/test/fleet-test/broken_stream_test.cpp
+++ b/test/fleet-test/broken_stream_test.cpp
@@ -1,6 +1,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <gtest/gtest.h>
 #include <map>
@@ -59,14 +60,19 @@
 /// of a worker can be closed later than its connections.
 class proxied_fleet {
  public:
-  explicit proxied_fleet(int workers)
-      : workers(workers), fleet(1, workers, 1, workers, 0, true) {}
+  explicit proxied_fleet(int workers, int plains = 1)
+      : workers(workers),
+        plains(plains),
+        fleet(1, workers, plains, workers, 0, true) {}
 
   void start() {
-    std::vector<std::string> names{"store", "plain-1"};
+    std::vector<std::string> names{"store"};
     for (int each = 1; each <= this->workers; ++each) {
       names.push_back(numbered("worker", each));
     }
+    for (int each = 1; each <= this->plains; ++each) {
+      names.push_back(numbered("plain", each));
+    }
     for (const auto& each : names) {
       auto& proxy = this->proxies[each] = std::make_unique<soak::fault_proxy>(
           this->fleet.proxy_address(each), this->fleet.real_address(each));
@@ -79,13 +85,13 @@
     }
   }
 
-  /// Kills a worker, whose port takes connections until `close_port`.
-  void kill(const std::string& worker) {
-    this->proxies.at(worker)->stop_accepting();
-    this->fleet[worker].kill();
+  /// Kills a server, whose port takes connections until `close_port`.
+  void kill(const std::string& server) {
+    this->proxies.at(server)->stop_accepting();
+    this->fleet[server].kill();
   }
-  /// Resets the connections that the port of a killed worker has taken.
-  void close_port(const std::string& worker) { this->proxies.erase(worker); }
+  /// Resets the connections that the port of a killed server has taken.
+  void close_port(const std::string& server) { this->proxies.erase(server); }
   /// Resets all connections to a worker.
   void reset(const std::string& worker) {
     this->proxies.at(worker)->set(soak::link_fault::reset);
@@ -104,6 +110,7 @@
 
  private:
   int workers;
+  int plains;
   small_fleet fleet;
   std::map<std::string, std::unique_ptr<soak::fault_proxy>> proxies;
 };
@@ -195,6 +202,40 @@
   EXPECT_GE(lost, slots);
 }
 
+// Guards against a second run on a server whose end lies unread beside that of
+// the first.
+TEST(broken_stream_test, goes_on_at_none_of_several_servers_that_end_together) {
+  proxied_fleet fleet(1, 3);
+  ASSERT_NO_FATAL_FAILURE(fleet.start());
+  constexpr int lookups = 12;
+  ASSERT_TRUE((*fleet).wait_for_retries(1, lookups));
+  for (const char* plain : {"plain-1", "plain-2", "plain-3"}) {
+    (*fleet).fault(plain, R"({"kind":"slow","ms":600})");
+  }
+  std::map<std::string, std::future<httplib::Result>> requests;
+  for (int each = 1; each <= lookups; ++each) {
+    const auto attempt = numbered("lookup", each);
+    requests[attempt] = std::async(std::launch::async, [&fleet, attempt] {
+      return (*fleet).call(1, attempt, {}, "/lookup/" + attempt, deadline_ms);
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  auto& router = (*fleet)["router-1"];
+  router.signal(SIGSTOP);
+  fleet.kill("plain-1");
+  fleet.kill("plain-2");
+  std::this_thread::sleep_for(milliseconds(20));
+  router.signal(SIGCONT);
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet.close_port("plain-1");
+  fleet.close_port("plain-2");
+  for (auto& [attempt, request] : requests) {
+    const auto answer = request.get();
+    ASSERT_TRUE(answer) << attempt;
+    EXPECT_EQ(answer->status, 200) << attempt << ": " << answer->body;
+  }
+}
+
 // Guards against a second run on a server that was just killed and can't be
 // probed.
 TEST(broken_stream_test, goes_on_elsewhere_if_there_is_no_status_check) {
