--- a/src/decide/stall_detector.cpp
+++ b/src/decide/stall_detector.cpp
@@ -73,10 +73,10 @@
   if (!responded) return false;
   const bool was_interrupted = this->is_interrupted() && !outdated;
   if (was_interrupted) this->interrupted_at.reset();
-  return this->on_probe_impossible(now) || was_interrupted;
+  return this->end_suspicion(now) || was_interrupted;
 }
 
-bool stall_detector::on_probe_impossible(time_point now) {
+bool stall_detector::end_suspicion(time_point now) {
   if (!this->suspected_since) return false;
   ++this->probes_without_progress;
   this->trusted_until = now + grace_period;
--- a/src/decide/stall_detector.hpp
+++ b/src/decide/stall_detector.hpp
@@ -76,7 +76,7 @@
   /// Clears a suspicion of a server that can't be probed, so that a request
   /// shows whether it responds.
   /// \return True if the server was suspected.
-  bool on_probe_impossible(time_point now);
+  bool on_probe_impossible(time_point now) { return this->end_suspicion(now); }
 
   /// Excludes a pause of the router itself: data that the server sent meanwhile
   /// may not have been read yet.
@@ -93,6 +93,10 @@
   }
 
  private:
+  /// Ends a suspicion without new data from the server.
+  /// \return True if there was one.
+  bool end_suspicion(time_point now);
+
   void clear_suspicion() {
     this->suspected_since.reset();
     this->probe_failed = false;
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -225,8 +225,8 @@
   const auto now = time_point::clock::now();
   this->excuse_own_pause(now);
   auto& silence = found->second.silence;
-  const bool doubtful = asked < silence.responses().waiting_since();
-  if (!answer && doubtful && !silence.is_interrupted()) {
+  if (!answer && !silence.is_interrupted() &&
+      asked < silence.responses().waiting_since()) {
     // The router stood still meanwhile, or the server was heard otherwise.
     silence.on_probe_discarded();
     return;
--- a/test/fleet-test/broken_stream_test.cpp
+++ b/test/fleet-test/broken_stream_test.cpp
@@ -256,6 +256,27 @@
   expect_whole_stream(second.get(), "second");
 }
 
+// Guards against one crash that counts once for each of several requests that
+// are alike, which are then refused for crashing servers.
+TEST(broken_stream_test, goes_on_where_requests_that_are_alike_break_together) {
+  proxied_fleet fleet(2);
+  ASSERT_NO_FATAL_FAILURE(fleet.start());
+  const auto alike = resumable + "alike";
+  std::map<std::string, std::future<httplib::Result>> streams;
+  for (const char* attempt : {"one", "two", "three", "four"}) {
+    streams[attempt] = std::async(std::launch::async, [&fleet, attempt, alike] {
+      return (*fleet).call(1, attempt, "model-1", alike, deadline_ms);
+    });
+  }
+  std::this_thread::sleep_for(some_events);
+  fleet.kill("worker-1");
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.close_port("worker-1");
+  for (auto& [attempt, stream] : streams) {
+    expect_whole_stream(stream.get(), attempt);
+  }
+}
+
 // Guards against streams that wait for a status check that never works, though
 // their server is alive.
 TEST(broken_stream_test, goes_on_where_only_the_status_check_fails) {
