Probe an interrupted server once all ends of responses have been read

Where several responses of a living server were reset together, the probe was sent with the first end and was outdated by the second: its success proved nothing and the next one was sent by chance, at the next event or at the watch that comes round ten times a second.

Change: no probe while ends lie unread, and an outdated probe is repeated at once.

--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -149,7 +149,9 @@
                       {{"server", server.entry.id}, {"by", "answer"}});
   }
   if (!server.silence.is_probe_due(now)) return;
-  if (!server.silence.is_suspected() && !this->is_awaited(server)) return;
+  // While ends of responses lie unread, a probe would be outdated at once.
+  const bool useful = this->is_awaited(server) && !this->sending_paused;
+  if (!server.silence.is_suspected() && !useful) return;
   if (this->resting.claim_probe(server.entry.id, now)) this->ask(server);
 }
 
@@ -249,7 +251,9 @@
     this->reachability.on_failure(server, now);
     this->log_interruption_ended(found->second, "refused");
   }
-  if (heard || released) this->serve_waiting();
+  if (heard || released) return this->serve_waiting();
+  // An outdated probe is repeated at once.
+  this->judge_silence(found->second, now);
 }
 
 }  // namespace boragehill::serve
