Share the slow end of a server among the tests of broken streams

Four tests repeated the three steps of a server whose port is closed late, two the whole course of two streams; and one waited for a configuration without a limit. Assertions, times and order are the same; the wait is bounded now and ends in an assertion of its own.

--- a/test/fleet-test/broken_stream_test.cpp
+++ b/test/fleet-test/broken_stream_test.cpp
@@ -22,6 +22,7 @@
 /// Of a stream with eight events.
 constexpr auto event_gap = R"({"kind":"slow_events","ms":150})";
 constexpr milliseconds some_events{500};
+constexpr milliseconds port_open_for{300};
 /// That the streams of a test need.
 constexpr double retries = 4;
 const std::string resumable = "/stream/r/";
@@ -92,6 +93,12 @@
   }
   /// Resets the connections that the port of a killed server has taken.
   void close_port(const std::string& server) { this->proxies.erase(server); }
+  /// Kills a server whose port is closed late.
+  void kill_slowly(const std::string& server) {
+    this->kill(server);
+    std::this_thread::sleep_for(port_open_for);
+    this->close_port(server);
+  }
   /// Resets all connections to a worker.
   void reset(const std::string& worker) {
     this->proxies.at(worker)->set(soak::link_fault::reset);
@@ -115,6 +122,16 @@
   std::map<std::string, std::unique_ptr<soak::fault_proxy>> proxies;
 };
 
+/// Kills the only worker that holds the model of two open streams.
+void expect_streams_to_outlive_worker_1(proxied_fleet& fleet) {
+  auto first = fleet.send("first", resumable);
+  auto second = fleet.send("second", resumable);
+  std::this_thread::sleep_for(some_events);
+  fleet.kill_slowly("worker-1");
+  expect_whole_stream(first.get(), "first");
+  expect_whole_stream(second.get(), "second");
+}
+
 // Guards against a second run that is spent on a server that was just killed:
 // its listening socket is closed after those of its streams.
 TEST(broken_stream_test, goes_on_when_the_port_is_closed_after_the_stream) {
@@ -147,14 +164,7 @@
 TEST(broken_stream_test, goes_on_while_the_port_of_a_killed_server_accepts) {
   proxied_fleet fleet(2);
   ASSERT_NO_FATAL_FAILURE(fleet.start());
-  auto first = fleet.send("first", resumable);
-  auto second = fleet.send("second", resumable);
-  std::this_thread::sleep_for(some_events);
-  fleet.kill("worker-1");
-  std::this_thread::sleep_for(milliseconds(300));
-  fleet.close_port("worker-1");
-  expect_whole_stream(first.get(), "first");
-  expect_whole_stream(second.get(), "second");
+  expect_streams_to_outlive_worker_1(fleet);
 }
 
 // Guards against requests that are lost at a server where others' responses
@@ -167,7 +177,7 @@
   fleet.kill("worker-1");
   std::this_thread::sleep_for(milliseconds(20));
   auto other = fleet.send("other", run_once);
-  std::this_thread::sleep_for(milliseconds(300));
+  std::this_thread::sleep_for(port_open_for);
   fleet.close_port("worker-1");
   expect_whole_stream(stream.get(), "breaks");
   expect_whole_stream(other.get(), "other");
@@ -189,9 +199,7 @@
     std::this_thread::sleep_for(milliseconds(5));
   }
   std::this_thread::sleep_for(some_events);
-  fleet.kill("worker-1");
-  std::this_thread::sleep_for(milliseconds(300));
-  fleet.close_port("worker-1");
+  fleet.kill_slowly("worker-1");
   int lost = 0;
   for (auto& [attempt, request] : requests) {
     const auto answer = request.get();
@@ -243,17 +251,11 @@
   ASSERT_NO_FATAL_FAILURE(fleet.start());
   constexpr bool status_check = false;
   (*fleet).configure(2, "/plain/", std::nullopt, 0, status_check);
-  while ((*fleet).catalog_version(1) < 2) {
+  for (int tries = 0; tries < 250 && (*fleet).catalog_version(1) < 2; ++tries) {
     std::this_thread::sleep_for(milliseconds(20));
   }
-  auto first = fleet.send("first", resumable);
-  auto second = fleet.send("second", resumable);
-  std::this_thread::sleep_for(some_events);
-  fleet.kill("worker-1");
-  std::this_thread::sleep_for(milliseconds(300));
-  fleet.close_port("worker-1");
-  expect_whole_stream(first.get(), "first");
-  expect_whole_stream(second.get(), "second");
+  ASSERT_EQ((*fleet).catalog_version(1), 2);
+  expect_streams_to_outlive_worker_1(fleet);
 }
 
 // Guards against one crash that counts once for each of several requests that
@@ -269,9 +271,7 @@
     });
   }
   std::this_thread::sleep_for(some_events);
-  fleet.kill("worker-1");
-  std::this_thread::sleep_for(milliseconds(300));
-  fleet.close_port("worker-1");
+  fleet.kill_slowly("worker-1");
   for (auto& [attempt, stream] : streams) {
     expect_whole_stream(stream.get(), attempt);
   }
