--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -20,24 +20,15 @@
 
 namespace {
 
-constexpr int ok_status = 200;
-constexpr int first_failure_status = 300;
 constexpr int bad_request_status = 400;
 constexpr int not_found_status = 404;
 constexpr int bad_gateway_status = 502;
 constexpr int unavailable_status = 503;
 constexpr int gateway_timeout_status = 504;
-constexpr int first_server_failure = 500;
 
-/// Answers up to this length are passed on in one piece once they are whole, so
-/// that a broken one can still be answered otherwise. Longer ones and streams
-/// are passed on as they come.
-constexpr std::uint64_t small_answer = 16384;
 /// A caller that is refused because servers did not take its request comes
 /// back after this; by then the view of the fleet is corrected.
 constexpr milliseconds come_back{600};
-/// After a shorter rest a server would only turn the same request away again.
-constexpr milliseconds rest_to_wait_for{100};
 /// A worker that stops at the limit by itself says so within this; its answer
 /// is better than ours.
 constexpr milliseconds limit_slack{60};
@@ -200,184 +191,6 @@
   this->again("server not reached");
 }
 
-bool exchange::on_head(const http::message_head& head) {
-  const auto answer = this->host.codec().read_answer(head.status, head.headers);
-  this->host.on_answer_head(*this, answer);
-  const bool ours =
-      answer.attempt.empty() || answer.attempt == this->asked.attempt;
-  if (!ours) return false;
-  this->answer_began();
-  if (answer.not_run) {
-    this->not_run_answer = true;
-    this->misdirected = answer.misdirected;
-    this->asked_rest = answer.rest && *answer.rest >= rest_to_wait_for;
-    this->replaced = !answer.server.empty() &&
-                     !this->host.codec().is_server(answer.server, this->at);
-    return true;
-  }
-  const bool success =
-      head.status >= ok_status && head.status < first_failure_status;
-  if (success && !answer.stamped) {
-    this->connection->abort();
-    this->on_broken();
-    return true;
-  }
-  if (this->head_passed) {
-    // A stream that goes on keeps the head of its first server.
-    if (success) return true;
-    this->connection->abort();
-    this->on_broken();
-    return true;
-  }
-  const bool small =
-      head.content_length && *head.content_length <= small_answer;
-  if (small) {
-    this->small_head = head;
-  } else {
-    this->pass_head(head);
-  }
-  return true;
-}
-
-void exchange::pass_head(const http::message_head& head) {
-  const auto caller = this->session.lock();
-  if (!caller) return;
-  http::header_list headers;
-  for (const auto& each : head.headers.all()) {
-    const bool dropped = http::is_hop_by_hop(each.name) ||
-                         http::same_name(each.name, "Content-Length") ||
-                         head.headers.has_token("Connection", each.name);
-    if (!dropped) headers.add(each.name, each.value);
-  }
-  this->head_passed = true;
-  if (!this->first_byte) this->first_byte = time_point::clock::now();
-  this->ended.status = head.status;
-  // A resumable stream may end otherwise than its first server said.
-  const bool known_length = head.content_length && !this->way->resumable;
-  caller->begin_answer(head.status, std::move(headers),
-                       known_length ? head.content_length : std::nullopt);
-}
-
-void exchange::on_body(const std::string& bytes) {
-  if (this->not_run_answer || this->done) return;
-  this->note_piece();
-  if (this->small_head) {
-    this->small_body += bytes;
-    return;
-  }
-  this->pass(this->way->resumable ? this->events.feed(bytes) : bytes);
-}
-
-void exchange::answer_began() {
-  if (!this->unread) return;
-  this->unread = false;
-  this->host.on_answering(*this);
-}
-
-void exchange::note_piece() {
-  this->host.on_heard(*this);
-  const auto now = time_point::clock::now();
-  if (this->last_piece != time_point()) {
-    this->widest_gap = std::max(
-        this->widest_gap,
-        std::chrono::duration_cast<milliseconds>(now - this->last_piece));
-  }
-  this->last_piece = now;
-}
-
-void exchange::pass(const std::string& bytes) {
-  const auto caller = this->session.lock();
-  if (!caller || bytes.empty()) return;
-  caller->send_body(bytes);
-  if (!caller->congested() || !this->connection || this->held_up) return;
-  this->connection->pause();
-  this->held_up = true;
-  this->was_held_up = true;
-  this->host.on_held_up(*this);
-}
-
-void exchange::on_caller_ready() {
-  if (this->connection) this->connection->resume();
-  this->go_on_reading();
-}
-
-void exchange::go_on_reading() {
-  if (!this->held_up) return;
-  this->held_up = false;
-  this->host.on_resumed(*this);
-}
-
-void exchange::on_end() {
-  this->connection.reset();
-  if (this->done) return;
-  if (this->not_run_answer) {
-    // A server that rests may get it again afterwards.
-    this->record.on_not_run(this->misdirected || this->asked_rest);
-    if (this->replaced) {
-      this->host.on_server_replaced(*this);
-    } else if (this->misdirected) {
-      this->host.on_model_missing(*this);
-    }
-    this->leave_server();
-    return this->again("server did not run it");
-  }
-  if (this->repeat_failure()) return;
-  this->leave_server();
-  if (this->small_head) return this->pass_small_answer();
-  if (this->way->resumable) this->pass(this->events.incomplete());
-  this->end_answer();
-}
-
-bool exchange::repeat_failure() {
-  if (!this->small_head || this->small_head->status < first_server_failure) {
-    return false;
-  }
-  const bool in_time = time_point::clock::now() < this->limit;
-  if (!in_time || !this->record.may_retry_failure()) return false;
-  if (!this->host.take_repeat(*this)) return false;
-  this->kept_head = std::exchange(this->small_head, std::nullopt);
-  this->kept_body = std::exchange(this->small_body, {});
-  this->record.on_possible_run();
-  this->leave_server();
-  this->retry();
-  return true;
-}
-
-bool exchange::pass_kept_failure() {
-  if (!this->kept_head || this->head_passed || this->done) return false;
-  this->small_head = std::exchange(this->kept_head, std::nullopt);
-  this->small_body = std::exchange(this->kept_body, {});
-  this->pass_small_answer();
-  return true;
-}
-
-void exchange::pass_small_answer() {
-  const auto head = std::exchange(this->small_head, std::nullopt);
-  this->pass_head(*head);
-  this->pass(this->small_body);
-  this->end_answer();
-}
-
-void exchange::end_answer() {
-  const auto caller = this->session.lock();
-  this->finish(
-      {.code = result_code::ok,
-       .status = this->ended.status,
-       .reason = this->resumed ? "answered after a break" : "answered"});
-  if (caller) caller->end_answer();
-}
-
-void exchange::on_broken() {
-  this->connection.reset();
-  if (this->done) return;
-  this->small_head.reset();
-  this->small_body.clear();
-  this->record.on_possible_run();
-  this->host.on_server_failed(*this, true);
-  this->leave_server();
-  this->again("answer broke off");
-}
-
 void exchange::again(const char* why) {
   const bool in_time = time_point::clock::now() < this->limit;
   const bool can_go_on = !this->head_passed || this->way->resumable;
