Log how a server's response ended, in events and frame

The log couldn't tell the hypotheses about broken streams apart: 602 said neither whether a response had a length or chunks nor whether it stopped inside an event, and 604 says "answer broke off" of every end. Both, and the other final lines (601, 603, 608, 609), have unframed, events and inside_event now. For that every event stream is read event by event, also where it can't be resumed; what is passed on is as before, but for a response of a resumable route that names another type than an event stream: it isn't read as one, nor continued at another server.

event_splitter reads lines: an event also ends at an empty line whose end differs from the line's before, and comments or empty lines begin none.

--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -1,44 +1,76 @@
 #include "http/event_splitter.hpp"
 
 #include <absl/strings/ascii.h>
-#include <algorithm>
 
 namespace boragehill::http {
 
 namespace {
 
 constexpr std::string_view id_field = "id:";
+constexpr char comment_mark = ':';
 
-/// The end of the last complete event: behind its empty line.
-std::size_t last_boundary(std::string_view text) {
-  const auto plain = text.rfind("\n\n");
-  const auto with_returns = text.rfind("\r\n\r\n");
-  std::size_t end = 0;
-  if (plain != std::string_view::npos) end = plain + 2;
-  if (with_returns != std::string_view::npos) {
-    end = std::max(end, with_returns + 4);
+/// Takes the first line off a text.
+/// \return The line without its end; the rest of the text if it has no end.
+std::string_view take_line(std::string_view& text) {
+  const auto end = text.find('\n');
+  auto line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
+bool is_field(std::string_view line) {
+  return !line.empty() && line.front() != comment_mark;
+}
+
+bool has_field(std::string_view text) {
+  while (!text.empty()) {
+    if (is_field(take_line(text))) return true;
+  }
+  return false;
+}
+
+/// \return The size of the first event with its empty line; 0 if that line
+///     hasn't come.
+std::size_t first_event_size(std::string_view text) {
+  auto left = text;
+  while (left.find('\n') != std::string_view::npos) {
+    if (take_line(left).empty()) return text.size() - left.size();
   }
-  return end;
+  return 0;
 }
 
 }  // namespace
 
 std::string event_splitter::feed(std::string_view bytes) {
   this->rest += bytes;
-  const auto end = last_boundary(this->rest);
+  std::size_t end = 0;
+  while (true) {
+    const auto left = std::string_view(this->rest).substr(end);
+    const auto size = first_event_size(left);
+    if (size == 0) break;
+    this->note_event(left.substr(0, size));
+    end += size;
+  }
   std::string events = this->rest.substr(0, end);
   this->rest.erase(0, end);
-  this->note_ids(events);
   return events;
 }
 
-void event_splitter::note_ids(std::string_view events) {
-  std::size_t begin = 0;
-  while (begin < events.size()) {
-    auto end = events.find('\n', begin);
-    if (end == std::string_view::npos) end = events.size();
-    auto line = events.substr(begin, end - begin);
-    begin = end + 1;
+void event_splitter::restart() {
+  this->rest.clear();
+  this->count = 0;
+}
+
+bool event_splitter::inside_event() const {
+  return has_field(this->rest);
+}
+
+void event_splitter::note_event(std::string_view event) {
+  if (!has_field(event)) return;
+  ++this->count;
+  while (!event.empty()) {
+    auto line = take_line(event);
     if (!line.starts_with(id_field)) continue;
     line.remove_prefix(id_field.size());
     const auto bare = absl::StripAsciiWhitespace({line.data(), line.size()});
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_HTTP_EVENT_SPLITTER_HPP
 #define BORAGEHILL_HTTP_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,19 +17,27 @@
   std::string feed(std::string_view bytes);
 
   /// Forgets the incomplete event, as the stream goes on elsewhere.
-  void restart() { this->rest.clear(); }
+  void restart();
 
   /// \return What came behind the last complete event.
   const std::string& incomplete() const { return this->rest; }
 
+  /// \return True if an event has begun whose end hasn't come. Comments and
+  ///     empty lines begin none.
+  bool inside_event() const;
+
+  /// \return The number of complete events since the last `restart`.
+  std::size_t event_count() const { return this->count; }
+
   /// \return The id of the last complete event, if any had one.
   const std::optional<std::string>& last_id() const { return this->id; }
 
  private:
-  void note_ids(std::string_view events);
+  void note_event(std::string_view event);
 
   std::string rest;
   std::optional<std::string> id;
+  std::size_t count = 0;
 };
 
 }  // namespace boragehill::http
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -49,6 +49,15 @@
   return absl::EqualsIgnoreCase(absl_view(left), absl_view(right));
 }
 
+bool is_event_stream(const header_list& headers) {
+  constexpr std::string_view event_stream = "text/event-stream";
+  const auto* type = headers.find("Content-Type");
+  if (!type) return false;
+  const auto named = std::string_view(*type).substr(0, type->find(';'));
+  const auto bare = absl::StripAsciiWhitespace(absl_view(named));
+  return same_name({bare.data(), bare.size()}, event_stream);
+}
+
 bool is_hop_by_hop(std::string_view name) {
   return std::any_of(
       hop_by_hop.begin(), hop_by_hop.end(),
--- a/src/http/header_list.hpp
+++ b/src/http/header_list.hpp
@@ -33,6 +33,9 @@
 /// \return True if both are the same text but for case.
 bool same_name(std::string_view left, std::string_view right);
 
+/// \return True if the headers say that the body is an event stream.
+bool is_event_stream(const header_list& headers);
+
 /// \return True for headers that concern one connection only.
 bool is_hop_by_hop(std::string_view name);
 
--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -20,6 +20,9 @@
   /// The body's length if the head gives it.
   std::optional<std::uint64_t> content_length;
   bool chunked = false;
+  /// Answers only: neither a length nor chunks say where the body ends, so it
+  /// ends with its connection.
+  bool unframed = false;
   /// False for HTTP/1.0, which knows no chunks.
   bool http11 = true;
   /// The connection may carry another message after this one.
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -83,7 +83,7 @@
 
 bool message_parser::finish() {
   if (this->message_done || this->broken || !this->head_done) return false;
-  if (!this->until_close) return false;
+  if (!this->current.unframed) return false;
   this->message_done = true;
   return true;
 }
@@ -105,7 +105,6 @@
   this->oversized = false;
   this->bodiless = false;
   this->any_byte = false;
-  this->until_close = false;
 }
 
 std::string message_parser::take_body() {
@@ -127,7 +126,7 @@
       this->current.content_length = std::stoull(*length);
     }
   }
-  this->until_close = this->has_open_end();
+  this->current.unframed = this->has_open_end();
   this->current.http11 = this->raw.http_minor > 0;
   this->current.keep_alive = http_should_keep_alive(&this->raw) != 0;
 }
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -49,7 +49,7 @@
   /// \return True once a byte of the current message was read.
   bool begun() const { return this->any_byte; }
   /// \return True if only the connection's end completes the message.
-  bool ends_with_connection() const { return this->until_close; }
+  bool ends_with_connection() const { return this->current.unframed; }
 
   const message_head& head() const { return this->current; }
 
@@ -80,7 +80,6 @@
   bool oversized = false;
   bool bodiless = false;
   bool any_byte = false;
-  bool until_close = false;
 
   void flush_header();
 };
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -355,11 +355,15 @@
 
 void dispatcher::on_server_failed(const exchange& request, bool reached) {
   this->health.on_failure(request.server(), time_point::clock::now());
+  const auto response = request.response_end();
   kernel::log_event(
       kernel::event::attempt_refused,
       {{"request", request.fields().attempt},
        {"server", request.server()},
-       {"reason", reached ? "answer broke off" : "connection failed"}});
+       {"reason", reached ? "answer broke off" : "connection failed"},
+       {"unframed", response.unframed},
+       {"events", response.events},
+       {"inside_event", response.inside_event}});
   if (!reached) {
     this->reachability.on_failure(request.server(), time_point::clock::now());
     return;
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -39,6 +39,7 @@
     this->metrics.on_waited(
         milliseconds(ms_between(received, *request.first_sent())));
   }
+  const auto response = request.response_end();
   const auto which =
       ended.code == result_code::ok            ? kernel::event::request_answered
       : ended.code == result_code::caller_gone ? kernel::event::caller_hung_up
@@ -58,6 +59,9 @@
        {"reason", ended.reason},
        {"server", request.last_server()},
        {"sends", request.sends().attempt_count()},
+       {"unframed", response.unframed},
+       {"events", response.events},
+       {"inside_event", response.inside_event},
        {"waited_ms", request.first_sent()
                          ? ms_between(received, *request.first_sent())
                          : ms_between(received, now)},
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -160,6 +160,8 @@
   this->misdirected = false;
   this->asked_rest = false;
   this->replaced = false;
+  this->unframed = false;
+  this->events.restart();
   this->small_head.reset();
   this->small_body.clear();
   const auto left = std::chrono::floor<milliseconds>(this->limit - now);
@@ -168,7 +170,6 @@
                             .priority = priority_for(*this->way)};
   if (this->head_passed) {
     this->resumed = true;
-    this->events.restart();
     fields.last_event = this->events.last_id();
   }
   auto headers = this->host.codec().forwarded(this->what.head.headers, fields);
@@ -193,8 +194,7 @@
 
 void exchange::again(const char* why) {
   const bool in_time = time_point::clock::now() < this->limit;
-  const bool can_go_on = !this->head_passed || this->way->resumable;
-  if (in_time && can_go_on && this->record.may_attempt() &&
+  if (in_time && this->can_go_on() && this->record.may_attempt() &&
       this->obtain_retry()) {
     return this->retry();
   }
@@ -203,6 +203,10 @@
                std::max(come_back, this->host.rest_left(*this)));
 }
 
+bool exchange::can_go_on() const {
+  return !this->head_passed || (this->way->resumable && this->is_event_stream);
+}
+
 bool exchange::obtain_retry() {
   return !this->record.may_have_arrived() || this->host.take_repeat(*this);
 }
@@ -214,8 +218,7 @@
 }
 
 bool exchange::may_move() const {
-  const bool can_go_on = !this->head_passed || this->way->resumable;
-  return can_go_on && !this->done && this->record.may_reassign() &&
+  return this->can_go_on() && !this->done && this->record.may_reassign() &&
          time_point::clock::now() < this->limit;
 }
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -11,6 +11,7 @@
 #include <boragehill/time_point.hpp>
 
 #include "decide/attempt_history.hpp"
+#include "decide/response_end.hpp"
 #include "fleet/request_fields.hpp"
 #include "fleet/route.hpp"
 #include "http/event_splitter.hpp"
@@ -82,6 +83,8 @@
   const std::string& last_server() const { return this->last; }
   const decide::attempt_history& sends() const { return this->record; }
   const exchange_result& result() const { return this->ended; }
+  /// \return What is known of the end of the last server's response.
+  decide::response_end response_end() const;
   /// \return When its final answer is due at the latest.
   time_point due() const { return this->limit; }
   /// \return True if it must run at most once.
@@ -114,6 +117,8 @@
   void choose_service();
   void on_limit();
   void again(const char* why);
+  /// \return True if another server may give the answer or the rest of it.
+  bool can_go_on() const;
   /// Has another attempt granted by the retry budget, unless it would be the
   /// first to arrive anywhere.
   /// \return False if the budget forbids it.
@@ -174,6 +179,10 @@
   bool unread = false;
   /// Its answer isn't read, since the caller is slow.
   bool held_up = false;
+  /// The last server's response is.
+  bool unframed = false;
+  /// What is passed on to the caller is one.
+  bool is_event_stream = false;
   bool retry_held = false;
   bool was_held_up = false;
   bool head_passed = false;
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -25,6 +25,18 @@
 /// After a shorter rest a server would only turn the same request away again.
 constexpr milliseconds rest_to_wait_for{100};
 
+bool is_success(const http::message_head& head) {
+  return head.status >= ok_status && head.status < first_failure_status;
+}
+
+/// A success of a stream route is an event stream unless it names another type.
+bool holds_events(const http::message_head& head, const fleet::route& route) {
+  if (!is_success(head)) return false;
+  const bool untyped = !head.headers.find("Content-Type");
+  return http::is_event_stream(head.headers) ||
+         (untyped && route.rule == fleet::repeat_rule::stream);
+}
+
 }  // namespace
 
 bool exchange::on_head(const http::message_head& head) {
@@ -42,8 +54,8 @@
                      !this->host.codec().is_server(answer.server, this->at);
     return true;
   }
-  const bool success =
-      head.status >= ok_status && head.status < first_failure_status;
+  const bool success = is_success(head);
+  this->unframed = head.unframed;
   if (success && !answer.stamped) {
     this->connection->abort();
     this->on_broken();
@@ -56,6 +68,7 @@
     this->on_broken();
     return true;
   }
+  this->is_event_stream = holds_events(head, *this->way);
   const bool small =
       head.content_length && *head.content_length <= small_answer;
   if (small) {
@@ -92,7 +105,16 @@
     this->small_body += bytes;
     return;
   }
-  this->pass(this->way->resumable ? this->events.feed(bytes) : bytes);
+  if (!this->is_event_stream) return this->pass(bytes);
+  const auto complete = this->events.feed(bytes);
+  this->pass(this->way->resumable ? complete : bytes);
+}
+
+decide::response_end exchange::response_end() const {
+  return {.unframed = this->unframed,
+          .is_event_stream = this->is_event_stream,
+          .events = this->events.event_count(),
+          .inside_event = this->events.inside_event()};
 }
 
 void exchange::answer_began() {
--- a/test/http-test/event_splitter_test.cpp
+++ b/test/http-test/event_splitter_test.cpp
@@ -31,5 +31,38 @@
   EXPECT_EQ(events.last_id(), "7");
 }
 
+TEST(event_splitter_test, knows_an_end_whose_lines_end_differently) {
+  event_splitter events;
+  EXPECT_EQ(events.feed("data: a\n\r\nid: 2\r\n"), "data: a\n\r\n");
+  EXPECT_EQ(events.feed("\n"), "id: 2\r\n\n");
+  EXPECT_EQ(events.event_count(), 2U);
+  EXPECT_EQ(events.incomplete(), "");
+}
+
+TEST(event_splitter_test, is_inside_an_event_from_its_first_field_on) {
+  event_splitter events;
+  EXPECT_FALSE(events.inside_event());
+  for (const char* begun :
+       {"d", "data: a\n", "id: 1\r\ndata: a\r\n", ":c\nd"}) {
+    events.restart();
+    events.feed(begun);
+    EXPECT_TRUE(events.inside_event()) << begun;
+  }
+  for (const char* none : {"", "\n", "\r", ": comment", ": comment\n",
+                           "data: a\n\n", "data: a\n\n: comment"}) {
+    events.restart();
+    events.feed(none);
+    EXPECT_FALSE(events.inside_event()) << none;
+  }
+}
+
+TEST(event_splitter_test, counts_the_events_since_a_restart) {
+  event_splitter events;
+  events.feed("data: a\n\n: comment\n\n\ndata: b\n\ndata: c\n");
+  EXPECT_EQ(events.event_count(), 2U);
+  events.restart();
+  EXPECT_EQ(events.event_count(), 0U);
+}
+
 }  // namespace
 }  // namespace boragehill::http
--- a/test/http-test/header_list_test.cpp
+++ b/test/http-test/header_list_test.cpp
@@ -19,6 +19,21 @@
   EXPECT_FALSE(is_hop_by_hop("Host"));
 }
 
+TEST(header_list_test, knows_an_event_stream_by_its_type) {
+  for (const char* type : {"text/event-stream", "Text/Event-Stream",
+                           " text/event-stream ; charset=utf-8"}) {
+    header_list headers;
+    headers.add("content-type", type);
+    EXPECT_TRUE(is_event_stream(headers)) << type;
+  }
+  for (const char* type : {"", "text/plain", "text/event-streams"}) {
+    header_list headers;
+    headers.add("content-type", type);
+    EXPECT_FALSE(is_event_stream(headers)) << type;
+  }
+  EXPECT_FALSE(is_event_stream({}));
+}
+
 TEST(header_list_test, writes_heads_and_chunks) {
   header_list headers;
   headers.add("A", "b");
