Show that a stream without a frame that breaks off passes for complete

The stand-in of a worker can send streams that have neither a length nor chunks ("unframed"), end inside an event ("cut_stream") or before the first ("empty_streams").

--- a/test/fleet-test/broken_stream_test.cpp
+++ b/test/fleet-test/broken_stream_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fleet-test/small_fleet.hpp"
+#include "fleet-test/whole_stream.hpp"
 #include "soak/fault_proxy.hpp"
 
 namespace boragehill::fleet_test {
@@ -28,19 +29,6 @@
 const std::string resumable = "/stream/r/";
 const std::string run_once = "/stream/";
 
-/// Expects all events of a stream, once each and in order.
-void expect_whole_stream(const httplib::Result& answer,
-                         const std::string& attempt) {
-  ASSERT_TRUE(answer) << attempt << ": " << httplib::to_string(answer.error());
-  EXPECT_EQ(answer->status, 200) << attempt << ": " << answer->body;
-  constexpr int events = 8;
-  std::string whole;
-  for (int each = 1; each <= events; ++each) {
-    whole += "id: " + std::to_string(each) + "\ndata: " + attempt + "\n\n";
-  }
-  EXPECT_EQ(answer->body, whole) << attempt;
-}
-
 /// Connections to a server that carry no request.
 class idle_connections {
  public:
--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -56,6 +56,10 @@
     this->failed_runs = fault.get("count", 1).asUInt();
   } else if (kind == "cut_stream") {
     this->cut_streams = fault.get("count", 1).asUInt();
+  } else if (kind == "unframed") {
+    this->unframed = true;
+  } else if (kind == "empty_streams") {
+    this->empty_streams = true;
   } else if (kind == "crash_on") {
     this->marker = fault.get("marker", "").asString();
   } else {
@@ -79,6 +83,8 @@
   this->lost_checks = false;
   this->failed_runs = 0;
   this->cut_streams = 0;
+  this->unframed = false;
+  this->empty_streams = false;
   this->marker.clear();
 }
 
@@ -160,6 +166,16 @@
   return take(this->failed_runs);
 }
 
+bool fault_switch::unframes() {
+  const std::scoped_lock lock(this->mutex);
+  return this->unframed;
+}
+
+bool fault_switch::empties_streams() {
+  const std::scoped_lock lock(this->mutex);
+  return this->empty_streams;
+}
+
 bool fault_switch::take_cut_stream() {
   const std::scoped_lock lock(this->mutex);
   return take(this->cut_streams);
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -67,6 +67,13 @@
   /// Uses up one of the runs that "fail_runs" fails.
   bool take_failed_run();
 
+  /// \return True if streams have neither a length nor chunks and end with
+  ///     their connection ("unframed").
+  bool unframes();
+
+  /// \return True if streams end without an event ("empty_streams").
+  bool empties_streams();
+
   /// Uses up one of the streams that "cut_stream" cuts.
   bool take_cut_stream();
 
@@ -91,6 +98,8 @@
   bool lost_checks = false;
   std::uint32_t failed_runs = 0;
   std::uint32_t cut_streams = 0;
+  bool unframed = false;
+  bool empty_streams = false;
   std::string marker;
 };
 
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -29,6 +29,42 @@
   return {text.substr(0, slash), text.substr(slash + 1)};
 }
 
+/// Writes the events of a stream.
+class event_writer {
+ public:
+  /// \param last The id of the last event that the caller has.
+  /// \param most How many events are written at most.
+  /// \param cut Half of one more follows.
+  event_writer(std::string attempt, int last, int most, bool cut,
+               std::chrono::milliseconds gap)
+      : attempt(std::move(attempt)),
+        made(last),
+        left(most),
+        cut(cut),
+        gap(gap) {}
+
+  /// Writes one event.
+  /// \return False if the stream is over.
+  bool write(httplib::DataSink& sink) {
+    const bool over = this->left == 0;
+    if (this->made == events_of_a_stream || (over && !this->cut)) return false;
+    ++this->made;
+    --this->left;
+    std::string event = "id: " + std::to_string(this->made) +
+                        "\ndata: " + this->attempt + "\n\n";
+    if (over) event.resize(event.size() / 2);
+    std::this_thread::sleep_for(this->gap);
+    return sink.write(event.data(), event.size()) && !over;
+  }
+
+ private:
+  std::string attempt;
+  int made;
+  int left;
+  bool cut;
+  std::chrono::milliseconds gap;
+};
+
 }  // namespace
 
 worker_standin::worker_standin(const standin_settings& settings,
@@ -202,18 +238,24 @@
   if (!absl::SimpleAtoi(request.get_header_value("Last-Event-Id"), &last)) {
     last = 0;
   }
+  constexpr int events_before_cut = 3;
+  const bool empty = this->faults.empties_streams();
+  const bool cut = !empty && this->faults.take_cut_stream();
+  const int most = empty ? 0 : cut ? events_before_cut : events_of_a_stream;
+  event_writer writer(attempt, last, most, cut, gap);
+  const std::string type = "text/event-stream";
+  if (this->faults.unframes()) {
+    // The library closes the connection of a provider that fails.
+    response.set_content_provider(
+        type, [writer](std::size_t, httplib::DataSink& sink) mutable {
+          return writer.write(sink);
+        });
+    return;
+  }
   response.set_chunked_content_provider(
-      "text/event-stream", [gap, attempt, made = last](
-                               std::size_t, httplib::DataSink& sink) mutable {
-        if (made == events_of_a_stream) {
-          sink.done();
-          return true;
-        }
-        ++made;
-        const std::string event =
-            "id: " + std::to_string(made) + "\ndata: " + attempt + "\n\n";
-        std::this_thread::sleep_for(gap);
-        return sink.write(event.data(), event.size());
+      type, [writer](std::size_t, httplib::DataSink& sink) mutable {
+        if (!writer.write(sink)) sink.done();
+        return true;
       });
 }
 
