Take no stream that ends inside an event for complete

Callers saw: a stream that its server had broken off came framed as complete, with the half of its last event, and a resumable one wasn't resumed.

Cause: whether a response is complete was read off its frame alone. A response without a length or chunks ends with its connection, and a process that dies ends its connections in the same way; and a frame that is complete says nothing of the events in it.

Change: the end of an event stream is judged by its events as well (decide::is_complete). One that ends inside an event counts as broken off, whatever its frame: it goes on at another server where it may be resumed, else its caller's response is broken off without its last chunk. What has come of an event is held back until the event is complete, on all event streams, so that a response with a length doesn't look complete either; for the same reason an event stream isn't kept until it is whole as other small responses are, which also held its first event back.

--- a/src/decide/response_end.hpp
+++ b/src/decide/response_end.hpp
@@ -19,6 +19,10 @@
   bool operator==(const response_end&) const = default;
 };
 
+/// \return True if a response that ended in order is complete. An event stream
+///     that ends inside an event isn't, whatever its frame says.
+bool is_complete(const response_end& end);
+
 }  // namespace boragehill::decide
 
 #endif  // BORAGEHILL_DECIDE_RESPONSE_END_HPP
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -69,8 +69,8 @@
     return true;
   }
   this->is_event_stream = holds_events(head, *this->way);
-  const bool small =
-      head.content_length && *head.content_length <= small_answer;
+  const bool small = !this->is_event_stream && head.content_length &&
+                     *head.content_length <= small_answer;
   if (small) {
     this->small_head = head;
   } else {
@@ -105,9 +105,7 @@
     this->small_body += bytes;
     return;
   }
-  if (!this->is_event_stream) return this->pass(bytes);
-  const auto complete = this->events.feed(bytes);
-  this->pass(this->way->resumable ? complete : bytes);
+  this->pass(this->is_event_stream ? this->events.feed(bytes) : bytes);
 }
 
 decide::response_end exchange::response_end() const {
@@ -171,9 +169,10 @@
     return this->again("server did not run it");
   }
   if (this->repeat_failure()) return;
+  if (!decide::is_complete(this->response_end())) return this->on_broken();
   this->leave_server();
   if (this->small_head) return this->pass_small_answer();
-  if (this->way->resumable) this->pass(this->events.incomplete());
+  if (this->is_event_stream) this->pass(this->events.incomplete());
   this->end_answer();
 }
 
--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -1,8 +1,12 @@
+#include <chrono>
 #include <gtest/gtest.h>
 #include <string>
+#include <thread>
 
 #include "fleet-test/small_fleet.hpp"
 #include "fleet-test/whole_stream.hpp"
+#include "http/head_text.hpp"
+#include "platform-test/scripted_server.hpp"
 
 namespace boragehill::fleet_test {
 namespace {
@@ -12,6 +16,26 @@
 const std::string resumable = "/stream/r/x";
 const std::string run_once = "/stream/x";
 
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Boragehill-Response-Stamp: s\r\n";
+const std::string two_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::string unfinished = two_events + "id: 3\nda";
+
+std::string without_frame(const std::string& body) {
+  return stream_head + "\r\n" + body;
+}
+
+std::string with_length(const std::string& body) {
+  return stream_head + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::string in_chunks(const std::string& body) {
+  return stream_head + "Transfer-Encoding: chunked\r\n\r\n" +
+         http::chunk(body) + http::chunk({});
+}
+
 /// A fleet with one model worker.
 class stream_end_test : public testing::Test {
  protected:
@@ -37,6 +61,12 @@
   expect_whole_stream(this->call(resumable), "asks");
 }
 
+// Guards against the same where the frame is complete.
+TEST_F(stream_end_test, resumes_a_framed_stream_that_ends_inside_an_event) {
+  this->fleet.fault("worker-1", cut_next);
+  expect_whole_stream(this->call(resumable), "asks");
+}
+
 TEST_F(stream_end_test, passes_on_a_complete_unframed_stream_once) {
   this->fleet.fault("worker-1", no_frame);
   for (const auto& path : {run_once, resumable}) {
@@ -45,5 +75,61 @@
   EXPECT_EQ(this->fleet.runs_of("asks"), 2);
 }
 
+/// A server that sends certain bytes and closes the connection, and what a
+/// caller gets of them.
+class scripted_stream_test : public testing::Test {
+ protected:
+  scripted_stream_test() : fleet(1, 0, 1, 1) {}
+
+  void SetUp() override { ASSERT_TRUE(this->fleet.start()); }
+
+  httplib::Result call(const std::string& bytes) {
+    test::scripted_server server(
+        {.bytes = bytes, .then = test::after_bytes::cut});
+    this->fleet.write_entry("i-scripted",
+                            R"({"service":"assist","zone":"zone-1","slots":8,)"
+                            R"("state":"ready","seq":0,"models":[],"addr":")" +
+                                server.address().to_string() + R"("})");
+    for (int tries = 0; tries < 250; ++tries) {
+      auto answer = this->fleet.call(1, "asks", {}, run_once);
+      // The router doesn't know the server's address yet.
+      if (server.requests().empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        continue;
+      }
+      return answer;
+    }
+    ADD_FAILURE() << "never sent: " << bytes;
+    return this->fleet.call(1, "asks", {}, run_once);
+  }
+
+  small_fleet fleet;
+};
+
+// Guards against a broken stream that reaches its caller as complete, whatever
+// its frame.
+TEST_F(scripted_stream_test, breaks_off_what_ends_inside_an_event) {
+  for (const auto& bytes : {without_frame(unfinished), with_length(unfinished),
+                            in_chunks(unfinished)}) {
+    const auto answer = this->call(bytes);
+    EXPECT_FALSE(answer) << bytes << "\nbrought\n" << answer->body;
+  }
+}
+
+TEST_F(scripted_stream_test, passes_on_complete_streams) {
+  for (const std::string& body : {two_events, two_events + ": comment"}) {
+    for (const auto& bytes :
+         {without_frame(body), with_length(body), in_chunks(body)}) {
+      const auto answer = this->call(bytes);
+      ASSERT_TRUE(answer) << bytes;
+      EXPECT_EQ(answer->status, 200) << bytes;
+      EXPECT_EQ(answer->body, body) << bytes;
+    }
+  }
+  const auto answer = this->call(in_chunks({}));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body, "");
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
