Take no stream without a frame and without events for complete

A server that is lost after the head of a stream and before its first event ends the connection in order; with neither a length nor chunks the caller got a complete, empty stream. Nothing is unfinished then, so the look at events misses it.

Change: an event stream without a frame is complete only if an event of it has come. One whose chunks or length say that it is empty is complete as before.

--- a/src/decide/response_end.cpp
+++ b/src/decide/response_end.cpp
@@ -3,7 +3,9 @@
 namespace boragehill::decide {
 
 bool is_complete(const response_end& end) {
-  return !end.is_event_stream || !end.inside_event;
+  if (!end.is_event_stream) return true;
+  if (end.inside_event) return false;
+  return !end.unframed || end.events > 0;
 }
 
 }  // namespace boragehill::decide
--- a/src/decide/response_end.hpp
+++ b/src/decide/response_end.hpp
@@ -20,7 +20,9 @@
 };
 
 /// \return True if a response that ended in order is complete. An event stream
-///     that ends inside an event isn't, whatever its frame says.
+///     that ends inside an event isn't, whatever its frame says, and neither is
+///     one without a frame that ends before its first event: nothing tells it
+///     from one whose server was lost.
 bool is_complete(const response_end& end);
 
 }  // namespace boragehill::decide
--- a/test/decide-test/response_end_test.cpp
+++ b/test/decide-test/response_end_test.cpp
@@ -23,6 +23,11 @@
   }
 }
 
+TEST(response_end_test, only_a_frame_completes_an_event_stream_without_events) {
+  EXPECT_TRUE(is_complete({.is_event_stream = true}));
+  EXPECT_FALSE(is_complete({.unframed = true, .is_event_stream = true}));
+}
+
 TEST(response_end_test, other_responses_are_complete_as_their_frame_says) {
   EXPECT_TRUE(is_complete({}));
   EXPECT_TRUE(is_complete({.unframed = true}));
--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -116,6 +116,13 @@
   }
 }
 
+// Guards against a stream that ends with its connection before its first event
+// and reaches its caller as complete.
+TEST_F(scripted_stream_test, breaks_off_an_unframed_stream_without_events) {
+  const auto answer = this->call(without_frame({}));
+  EXPECT_FALSE(answer);
+}
+
 TEST_F(scripted_stream_test, passes_on_complete_streams) {
   for (const std::string& body : {two_events, two_events + ": comment"}) {
     for (const auto& bytes :
