Take an answer to a call that ends with its connection

The calls for status checks, reports and orders took each end of the connection for a response that was cut off; so a server whose status check has neither a length nor chunks counted as unresponsive, and an order that it had accepted as lost.

Change: an orderly end completes such a response, as in server_connection. One that ends inside its head, its length or its chunks is cut off as before. What reads a body of JSON finds by itself if a part of it is missing.

Evidence: call_connection_test.takes_an_answer_that_ends_with_its_connection failed before and passes; takes_no_answer_that_ends_inside_its_frame passed before and after.

--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -106,7 +106,7 @@
                                  if (mine != self->generation || !self->receive)
                                    return;
                                  if (failed) {
-                                   return self->fail(call_failure::cut_off);
+                                   return self->on_read_failed(failed);
                                  }
                                  self->on_read(size);
                                });
@@ -128,6 +128,19 @@
   const bool too_long = used < size;
   if (too_long) this->why_failed = call_failure::too_long;
   if (too_long || !this->parser.head().keep_alive) this->drop_socket();
+  this->complete();
+}
+
+void call_connection::on_read_failed(std::error_code error) {
+  const bool in_order = error == asio::error::eof;
+  if (!in_order || !this->parser.finish()) {
+    return this->fail(call_failure::cut_off);
+  }
+  this->drop_socket();
+  this->complete();
+}
+
+void call_connection::complete() {
   this->finish(whole_answer{this->parser.head(), std::move(this->body)});
 }
 
--- a/src/http/call_connection.hpp
+++ b/src/http/call_connection.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <utility>
 
 #include <boragehill/endpoint.hpp>
@@ -75,6 +76,8 @@
   void write();
   void read();
   void on_read(std::size_t size);
+  void on_read_failed(std::error_code error);
+  void complete();
   void wait_for_deadline();
   void on_deadline();
   time_point deadline() const;
--- /dev/null
+++ b/test/http-test/call_connection_test.cpp
@@ -0,0 +1,54 @@
+#include "http/call_connection.hpp"
+
+#include <asio/io_context.hpp>
+#include <gtest/gtest.h>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boragehill/result_code.hpp>
+
+#include "platform-test/scripted_server.hpp"
+
+namespace boragehill::http {
+namespace {
+
+constexpr milliseconds limit{1000};
+
+/// \return What a call gets from a server that sends these bytes and closes.
+result<whole_answer> answer_of(const std::string& bytes) {
+  test::scripted_server server(
+      {.bytes = bytes, .then = test::after_bytes::cut});
+  asio::io_context context;
+  const auto call =
+      std::make_shared<call_connection>(context, server.address());
+  std::optional<result<whole_answer>> got;
+  call->call("GET /x HTTP/1.1\r\n\r\n", limit,
+             [&got](const result<whole_answer>& answer) { got = answer; });
+  context.run();
+  return *got;
+}
+
+// Guards against status checks of a living server that count as unanswered
+// since their responses end with the connection.
+TEST(call_connection_test, takes_an_answer_that_ends_with_its_connection) {
+  const auto answer = answer_of("HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody");
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer.value().head.status, 200);
+  EXPECT_EQ(answer.value().body, "body");
+}
+
+TEST(call_connection_test, takes_no_answer_that_ends_inside_its_frame) {
+  for (const char* bytes :
+       {"HTTP/1.1 200 OK\r\nA: b",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9"
+        "\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf"}) {
+    const auto answer = answer_of(bytes);
+    ASSERT_FALSE(answer) << bytes;
+    EXPECT_EQ(answer.error(), result_code::platform_answer_lost) << bytes;
+  }
+}
+
+}  // namespace
+}  // namespace boragehill::http
