--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -22,6 +22,9 @@
 /// that a broken one can still be answered otherwise. Longer ones and streams
 /// are passed on as they come.
 constexpr std::uint64_t small_answer = 16384;
+/// An event is held back until it is complete. A stream with a longer one is
+/// broken off, so that a server can't fill this process's memory.
+constexpr std::size_t longest_event = 1U << 20U;
 /// After a shorter rest a server would only turn the same request away again.
 constexpr milliseconds rest_to_wait_for{100};
 
@@ -105,7 +108,11 @@
     this->small_body += bytes;
     return;
   }
-  this->pass(this->is_event_stream ? this->events.feed(bytes) : bytes);
+  if (!this->is_event_stream) return this->pass(bytes);
+  this->pass(this->events.feed(bytes));
+  if (this->events.incomplete().size() <= longest_event) return;
+  this->connection->abort();
+  this->on_broken();
 }
 
 decide::response_end exchange::response_end() const {
--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -83,9 +83,9 @@
 
   void SetUp() override { ASSERT_TRUE(this->fleet.start()); }
 
-  httplib::Result call(const std::string& bytes) {
-    test::scripted_server server(
-        {.bytes = bytes, .then = test::after_bytes::cut});
+  httplib::Result call(const std::string& bytes,
+                       test::after_bytes then = test::after_bytes::cut) {
+    test::scripted_server server({.bytes = bytes, .then = then});
     this->fleet.write_entry("i-scripted",
                             R"({"service":"assist","zone":"zone-1","slots":8,)"
                             R"("state":"ready","seq":0,"models":[],"addr":")" +
@@ -123,6 +123,18 @@
   EXPECT_FALSE(answer);
 }
 
+// Guards against an event without an end that fills the router's memory.
+TEST_F(scripted_stream_test, breaks_off_an_event_that_is_too_long) {
+  constexpr std::size_t too_long = (1U << 20U) + 1;
+  const auto begin = std::chrono::steady_clock::now();
+  const auto answer =
+      this->call(without_frame("data: " + std::string(too_long, 'x')),
+                 test::after_bytes::keep_open);
+  EXPECT_FALSE(answer);
+  // The router's own limit is the deadline of the request.
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(3));
+}
+
 TEST_F(scripted_stream_test, passes_on_complete_streams) {
   for (const std::string& body : {two_events, two_events + ": comment"}) {
     for (const auto& bytes :
