Know the end of an event whose lines end with CR

Since events are held back until they are complete, a stream whose lines end with CR alone would come to its caller at no time and then count as broken: the standard of event streams allows CR LF, LF and CR. Found by a question of the reading by others, opened after cause and reproduction stood.

Change: event_splitter knows all three, wherever a read splits them.

Evidence: event_splitter_test.knows_each_end_of_line_wherever_it_is_split (every split of one text) failed before for CR and passes; http_test 20 passed.

--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -9,13 +9,19 @@
 constexpr std::string_view id_field = "id:";
 constexpr char comment_mark = ':';
 
+/// A line ends with CR LF, LF or CR.
+constexpr std::string_view line_end_letters = "\r\n";
+
 /// Takes the first line off a text.
 /// \return The line without its end; the rest of the text if it has no end.
 std::string_view take_line(std::string_view& text) {
-  const auto end = text.find('\n');
-  auto line = text.substr(0, end);
-  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-  if (line.ends_with('\r')) line.remove_suffix(1);
+  const auto line = text.substr(0, text.find_first_of(line_end_letters));
+  text.remove_prefix(line.size());
+  if (text.starts_with(line_end_letters)) {
+    text.remove_prefix(line_end_letters.size());
+  } else if (!text.empty()) {
+    text.remove_prefix(1);
+  }
   return line;
 }
 
@@ -34,7 +40,7 @@
 ///     hasn't come.
 std::size_t first_event_size(std::string_view text) {
   auto left = text;
-  while (left.find('\n') != std::string_view::npos) {
+  while (left.find_first_of(line_end_letters) != std::string_view::npos) {
     if (take_line(left).empty()) return text.size() - left.size();
   }
   return 0;
--- a/test/http-test/event_splitter_test.cpp
+++ b/test/http-test/event_splitter_test.cpp
@@ -39,6 +39,23 @@
   EXPECT_EQ(events.incomplete(), "");
 }
 
+TEST(event_splitter_test, knows_each_end_of_line_wherever_it_is_split) {
+  const std::string one = "id: 1";
+  const std::string two = "data: a";
+  for (const std::string end : {"\r\n", "\n", "\r"}) {
+    const std::string text = one + end + two + end + end + "id: 2" + end;
+    for (std::size_t split = 0; split <= text.size(); ++split) {
+      event_splitter events;
+      auto seen = events.feed(std::string_view(text).substr(0, split));
+      seen += events.feed(std::string_view(text).substr(split));
+      EXPECT_EQ(events.event_count(), 1U) << split;
+      EXPECT_EQ(events.last_id(), "1") << split;
+      EXPECT_TRUE(events.inside_event()) << split;
+      EXPECT_EQ(seen + events.incomplete(), text) << split;
+    }
+  }
+}
+
 TEST(event_splitter_test, is_inside_an_event_from_its_first_field_on) {
   event_splitter events;
   EXPECT_FALSE(events.inside_event());
