Show a caller of HTTP/1.0 where its response broke off

Such a caller knows no chunks, yet a response without a length came in chunks: it read their sizes as part of the body, and their missing end told it nothing.

Change: its response ends with its connection, and one that breaks off is reset, since an orderly close would complete it.

--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -141,6 +141,7 @@
   kernel::switch_off(this->timer);
   const auto& head = this->parser.head();
   this->head_request = head.method == "HEAD";
+  this->http11 = head.http11;
   this->keep_alive = head.keep_alive;
   std::error_code ignored;
   const auto peer = this->socket.remote_endpoint(ignored);
@@ -174,13 +175,11 @@
 void caller_session::begin_answer(int status, http::header_list headers,
                                   std::optional<std::uint64_t> length) {
   if (this->closed) return;
-  this->chunked = !length;
-  if (this->host.closing()) this->keep_alive = false;
-  if (length) {
-    headers.add("Content-Length", std::to_string(*length));
-  } else {
-    headers.add("Transfer-Encoding", "chunked");
-  }
+  this->chunked = !length && this->http11;
+  this->unframed = !length && !this->http11;
+  if (this->host.closing() || this->unframed) this->keep_alive = false;
+  if (length) headers.add("Content-Length", std::to_string(*length));
+  if (this->chunked) headers.add("Transfer-Encoding", "chunked");
   if (!this->keep_alive) headers.add("Connection", "close");
   this->queue(http::answer_head(status, headers));
 }
@@ -201,6 +200,11 @@
 
 void caller_session::break_off() {
   this->current.reset();
+  if (this->unframed) {
+    // An orderly close would complete the answer.
+    std::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   this->close();
 }
 
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -100,6 +100,10 @@
   bool writing = false;
   bool head_request = false;
   bool chunked = false;
+  /// The caller's request was of HTTP/1.1, which knows chunks.
+  bool http11 = true;
+  /// The answer ends with its connection.
+  bool unframed = false;
   bool keep_alive = true;
   bool lingering = false;
   bool closed = false;
--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -1,7 +1,11 @@
+#include <array>
+#include <cerrno>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 #include "fleet-test/small_fleet.hpp"
 #include "fleet-test/whole_stream.hpp"
@@ -75,6 +79,48 @@
   EXPECT_EQ(this->fleet.runs_of("asks"), 2);
 }
 
+/// What a caller of HTTP/1.0 got, to which an answer without a length ends with
+/// the connection.
+struct plain_bytes {
+  std::string bytes;
+  bool reset = false;
+};
+
+plain_bytes call_by_http10(small_fleet& fleet) {
+  const std::string request =
+      "POST " + run_once +
+      " HTTP/1.0\r\nHost: valves.example\r\n"
+      "Boragehill-Attempt-Id: asks\r\nBoragehill-Model: model-1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const int socket = fleet.connect(1);
+  ::send(socket, request.data(), request.size(), MSG_NOSIGNAL);
+  plain_bytes got;
+  std::array<char, 4096> buffer{};
+  ssize_t size = 1;
+  while (size > 0) {
+    size = ::recv(socket, buffer.data(), buffer.size(), 0);
+    if (size > 0) got.bytes.append(buffer.data(), static_cast<size_t>(size));
+  }
+  got.reset = size < 0 && errno == ECONNRESET;
+  ::close(socket);
+  return got;
+}
+
+TEST_F(stream_end_test, sends_a_caller_of_http_1_0_no_chunks) {
+  const auto got = call_by_http10(this->fleet);
+  EXPECT_FALSE(got.reset);
+  const auto body = got.bytes.substr(got.bytes.find("\r\n\r\n") + 4);
+  EXPECT_TRUE(body.starts_with("id: 1\ndata: asks\n\n")) << got.bytes;
+  EXPECT_TRUE(body.ends_with("id: 8\ndata: asks\n\n")) << got.bytes;
+  EXPECT_EQ(got.bytes.find("chunked"), std::string::npos) << got.bytes;
+}
+
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0.
+TEST_F(stream_end_test, resets_a_broken_stream_of_a_caller_of_http_1_0) {
+  this->fleet.fault("worker-1", cut_next);
+  EXPECT_TRUE(call_by_http10(this->fleet).reset);
+}
+
 /// A server that sends certain bytes and closes the connection, and what a
 /// caller gets of them.
 class scripted_stream_test : public testing::Test {
