Let the soak's workers end streams inside an event

New fault: a worker ends its streams inside the fourth event, with a frame that is complete; callers must see them broken off. Streams without a frame stay out of the soak: it kills workers between two events, and nothing tells such an end from a complete one.

--- a/test/soak/checks.cpp
+++ b/test/soak/checks.cpp
@@ -46,6 +46,7 @@
   return fault.kind == fault_kind::worker_replace ||
          fault.kind == fault_kind::worker_pause ||
          fault.kind == fault_kind::worker_restart ||
+         fault.kind == fault_kind::worker_cuts ||
          fault.kind == fault_kind::plain_replace ||
          fault.kind == fault_kind::worker_link;
 }
--- a/test/soak/fault_kind.hpp
+++ b/test/soak/fault_kind.hpp
@@ -27,10 +27,11 @@
   plain_leaves,
   plain_rests,
   store_thin,
-  plain_limited
+  plain_limited,
+  worker_cuts
 };
 
-constexpr int fault_kinds = 23;
+constexpr int fault_kinds = 24;
 
 /// \return The kind's name, for the log.
 const char* name_of(fault_kind kind);
--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -16,7 +16,7 @@
     "plain_replace",  "store_link",    "worker_link",   "store_down",
     "store_slow",     "store_lost",    "configuration", "store_silent",
     "worker_restart", "foreign_entry", "worker_pause",  "plain_leaves",
-    "plain_rests",    "store_thin",    "plain_limited"};
+    "plain_rests",    "store_thin",    "plain_limited", "worker_cuts"};
 constexpr std::array links{link_fault::delay, link_fault::reset,
                            link_fault::cut_requests, link_fault::cut_answers,
                            link_fault::silence};
@@ -55,6 +55,7 @@
     case fault_kind::worker_replace:
     case fault_kind::worker_restart:
     case fault_kind::worker_pause:
+    case fault_kind::worker_cuts:
       return size.workers;
     case fault_kind::worker_link:
       return size.workers + size.plains;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -147,6 +147,7 @@
     case fault_kind::agent_pause:
       return numbered("agent", step.target);
     case fault_kind::worker_pause:
+    case fault_kind::worker_cuts:
       return numbered("worker", step.target);
     case fault_kind::plain_leaves:
     case fault_kind::plain_rests:
@@ -194,6 +195,9 @@
     case fault_kind::plain_limited:
       return this->fleet.fault(this->process_of(step),
                                R"({"kind":"limited","per_s":"2"})");
+    case fault_kind::worker_cuts:
+      return this->fleet.fault(this->process_of(step),
+                               R"({"kind":"cut_stream","count":1000000})");
     case fault_kind::store_thin:
       return this->begin_thin_link();
     case fault_kind::worker_replace:
@@ -277,6 +281,7 @@
       return this->fleet.fault("store", R"({"kind":"none"})");
     case fault_kind::plain_rests:
     case fault_kind::plain_limited:
+    case fault_kind::worker_cuts:
       return this->fleet.fault(this->process_of(fault.step),
                                R"({"kind":"none"})");
     case fault_kind::plain_leaves:
