Read the shared parts of a prompt, and log those of a request at a crash

A list that can't be read is none. At most 32 parts of 64 characters are kept, so that callers can't fill memory. Nothing is decided by them yet.

Evidence: header_codec_test.reads_the_shared_parts_of_a_prompt and .reads_no_more_parts_than_prompts_have.

--- a/src/fleet/request_fields.hpp
+++ b/src/fleet/request_fields.hpp
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boragehill/time_point.hpp>
 
@@ -20,6 +21,9 @@
   int prompt_tokens = 0;
   /// The most that it may generate.
   int output_tokens = 0;
+  /// The parts of the prompt that other requests may share, in their order; the
+  /// last one, which is the request's own, isn't among them.
+  std::vector<std::string> prompt_parts;
   /// The caller's estimate of what it generates, if it gives one.
   std::optional<int> output_hint;
 
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "serve/dispatcher.hpp"
 
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <utility>
 
@@ -370,10 +371,12 @@
   }
   this->on_interrupted(request, time_point::clock::now());
   this->crashes.on_interrupted(request.fingerprint(), time_point::clock::now());
-  kernel::log_event(kernel::event::striked,
-                    {{"request", request.fields().attempt},
-                     {"server", request.server()},
-                     {"fingerprint", request.fingerprint()}});
+  kernel::log_event(
+      kernel::event::striked,
+      {{"request", request.fields().attempt},
+       {"server", request.server()},
+       {"fingerprint", request.fingerprint()},
+       {"parts", absl::StrJoin(request.fields().prompt_parts, ",")}});
 }
 
 void dispatcher::on_server_replaced(const exchange& request) {
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -1,4 +1,7 @@
 #include <gtest/gtest.h>
+#include <map>
+#include <string>
+#include <vector>
 
 #include <boragehill/result_code.hpp>
 
@@ -35,6 +38,32 @@
                                           .output_tokens = 80}));
 }
 
+TEST(header_codec_test, reads_the_shared_parts_of_a_prompt) {
+  const std::map<std::string, std::vector<std::string>> cases{
+      {"5c1e07a2:800,91BD3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+      {" 5c1e07a2:800 , e4402b7d", {"5c1e07a2"}},
+      {"e4402b7d:250", {}},
+      {"", {}},
+      {"5c1e07a2:800,,e4402b7d:250", {}},
+      {std::string(100, 'a') + ":1,e4402b7d:250", {}}};
+  for (const auto& [text, parts] : cases) {
+    const auto read =
+        codec()->read_request(headers({{"Boragehill-Prompt-Prefix", text}}));
+    ASSERT_TRUE(read) << text;
+    EXPECT_EQ(read.value().prompt_parts, parts) << text;
+  }
+}
+
+// Guards against a caller that fills memory with parts.
+TEST(header_codec_test, reads_no_more_parts_than_prompts_have) {
+  std::string text;
+  for (int each = 0; each < 500; ++each) text += std::to_string(each) + ":1,";
+  const auto read = codec()->read_request(
+      headers({{"Boragehill-Prompt-Prefix", text + "own:1"}}));
+  ASSERT_TRUE(read);
+  EXPECT_LE(read.value().prompt_parts.size(), 32U);
+}
+
 TEST(header_codec_test, refuses_values_that_make_no_sense) {
   for (const auto& [name, value] : std::vector<http::header>{
            {"Boragehill-Deadline-Ms", "soon"},
