--- a/test/standin/fault_switch.cpp
+++ b/test/standin/fault_switch.cpp
@@ -60,6 +60,8 @@
     this->unframed = true;
   } else if (kind == "empty_streams") {
     this->empty_streams = true;
+  } else if (kind == "crash_on_part") {
+    this->crashing_part = fault.get("part", "").asString();
   } else if (kind == "crash_on") {
     this->marker = fault.get("marker", "").asString();
   } else {
@@ -86,6 +88,7 @@
   this->unframed = false;
   this->empty_streams = false;
   this->marker.clear();
+  this->crashing_part.clear();
 }
 
 void fault_switch::wait_while_frozen() {
@@ -126,6 +129,12 @@
   if (body.find(this->marker) != std::string::npos) std::_Exit(crash_status);
 }
 
+bool fault_switch::crashes_on(const std::string& prompt_parts) {
+  const std::scoped_lock lock(this->mutex);
+  return !this->crashing_part.empty() &&
+         prompt_parts.find(this->crashing_part) != std::string::npos;
+}
+
 bool fault_switch::is_down() {
   const std::scoped_lock lock(this->mutex);
   return this->down;
--- a/test/standin/fault_switch.hpp
+++ b/test/standin/fault_switch.hpp
@@ -29,6 +29,10 @@
   /// Ends the process at once if the body holds the marker of "crash_on".
   void crash_if_marked(const std::string& body);
 
+  /// \return True if the process ends as it begins to respond to a prompt with
+  ///     these parts, by "crash_on_part".
+  bool crashes_on(const std::string& prompt_parts);
+
   bool is_down();
 
   /// \return A number that grows whenever the stand-in falls silent: calls that
@@ -101,6 +105,7 @@
   bool unframed = false;
   bool empty_streams = false;
   std::string marker;
+  std::string crashing_part;
 };
 
 }  // namespace boragehill::standin
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <utility>
 
 #include "kernel/json_text.hpp"
@@ -22,6 +23,7 @@
 constexpr int failed_status = 500;
 constexpr int unavailable_status = 503;
 constexpr int events_of_a_stream = 8;
+constexpr int crash_status = 86;
 
 std::pair<std::string, std::string> split_model(const std::string& text) {
   const auto slash = text.find('/');
@@ -35,12 +37,14 @@
   /// \param last The id of the last event that the caller has.
   /// \param most How many events are written at most.
   /// \param cut Half of one more follows.
-  event_writer(std::string attempt, int last, int most, bool cut,
+  /// \param crashes The process ends in place of the first one.
+  event_writer(std::string attempt, int last, int most, bool cut, bool crashes,
                std::chrono::milliseconds gap)
       : attempt(std::move(attempt)),
         made(last),
         left(most),
         cut(cut),
+        crashes(crashes),
         gap(gap) {}
 
   /// Writes one event.
@@ -54,6 +58,7 @@
                         "\ndata: " + this->attempt + "\n\n";
     if (over) event.resize(event.size() / 2);
     std::this_thread::sleep_for(this->gap);
+    if (this->crashes) std::_Exit(crash_status);
     return sink.write(event.data(), event.size()) && !over;
   }
 
@@ -62,6 +67,7 @@
   int made;
   int left;
   bool cut;
+  bool crashes;
   std::chrono::milliseconds gap;
 };
 
@@ -242,7 +248,9 @@
   const bool empty = this->faults.empties_streams();
   const bool cut = !empty && this->faults.take_cut_stream();
   const int most = empty ? 0 : cut ? events_before_cut : events_of_a_stream;
-  event_writer writer(attempt, last, most, cut, gap);
+  const bool crashes = this->faults.crashes_on(
+      request.get_header_value("Boragehill-Prompt-Prefix"));
+  event_writer writer(attempt, last, most, cut, crashes, gap);
   const std::string type = "text/event-stream";
   if (this->faults.unframes()) {
     // The library closes the connection of a provider that fails.
