Count a server that ends once for a request, however many runs it broke off

Cause: a crash was counted for each run that it broke off. It is news of a server, and what is to be counted is servers that ended; the planner added up what routers reported and didn't know of which server.

Change: routers report what each server interrupted (decide/interruption_log, "crashes" in their reports), and a request is quarantined at three servers (lifetimes). "strikes" stays in the reports for planners of an earlier version.

--- a/src/decide/crash_counter.cpp
+++ b/src/decide/crash_counter.cpp
@@ -1,24 +1,28 @@
 #include "decide/crash_counter.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace boragehill::decide {
 
-bool crash_counter::on_crash(const std::string& fingerprint, time_point now) {
+bool crash_counter::on_crash(const std::string& fingerprint,
+                             const std::string& server, time_point now) {
   auto& known = this->entries[fingerprint];
-  if (now - known.recorded_at > retention) known.crash_count = 0;
-  ++known.crash_count;
+  if (now - known.recorded_at > retention) known = {};
   known.recorded_at = now;
-  const bool reaches_limit = known.crash_count == crash_limit;
+  bool reaches_limit = false;
+  if (!known.quarantined && known.servers.insert(server).second) {
+    reaches_limit = known.servers.size() == crash_limit;
+    known.quarantined = reaches_limit;
+  }
   this->evict_excess(now);
   return reaches_limit;
 }
 
 void crash_counter::quarantine(const std::string& fingerprint, time_point now) {
   auto& known = this->entries[fingerprint];
-  if (known.crash_count >= crash_limit) return;
-  known = {.crash_count = crash_limit, .recorded_at = now};
+  if (known.quarantined) return;
+  known = {.quarantined = true, .recorded_at = now};
   this->evict_excess(now);
 }
 
@@ -27,8 +31,7 @@
 }
 
 bool crash_counter::has_reached_limit(const entry& known, time_point now) {
-  return known.crash_count >= crash_limit &&
-         now - known.recorded_at <= retention;
+  return known.quarantined && now - known.recorded_at <= retention;
 }
 
 bool crash_counter::is_quarantined(const std::string& fingerprint,
@@ -56,8 +59,11 @@
     this->entries.erase(std::min_element(
         this->entries.begin(), this->entries.end(),
         [](const auto& left, const auto& right) {
-          return std::pair{left.second.crash_count, left.second.recorded_at} <
-                 std::pair{right.second.crash_count, right.second.recorded_at};
+          const auto rank = [](const entry& known) {
+            return std::tuple{known.quarantined, known.servers.size(),
+                              known.recorded_at};
+          };
+          return rank(left.second) < rank(right.second);
         }));
   }
 }
--- a/src/decide/crash_counter.hpp
+++ b/src/decide/crash_counter.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,15 +11,16 @@
 
 namespace boragehill::decide {
 
-/// Counts interrupted runs per request and quarantines a request that reaches
-/// `crash_limit`. A router counts its own runs, the planner those of all
-/// routers, see `crash_tracker`. Unlike `crash_attribution`, it doesn't know
-/// which requests were in flight together.
+/// Counts the servers that interrupted runs of a request, each once however
+/// many runs it interrupted, and quarantines a request that reaches
+/// `crash_limit`. A router counts what it saw itself, the planner what all
+/// routers saw, see `crash_tracker`. Unlike `crash_attribution`, it doesn't
+/// know which requests were in flight together.
 class crash_counter {
  public:
   /// Crashes after which a request is quarantined. A harmless request can be in
   /// flight at two if it is retried while a failure domain goes down.
-  static constexpr int crash_limit = 3;
+  static constexpr std::size_t crash_limit = 3;
   /// How long crashes and quarantines count. The fault may have been fixed
   /// since then, and one crash in ten minutes is tolerated.
   static constexpr milliseconds retention{600000};
@@ -28,9 +30,10 @@
   explicit crash_counter(std::size_t max_requests)
       : max_requests(max_requests) {}
 
-  /// Records that a run of the request was interrupted.
+  /// Records that a server interrupted a run of the request.
   /// \return True if the request is quarantined by this crash.
-  bool on_crash(const std::string& fingerprint, time_point now);
+  bool on_crash(const std::string& fingerprint, const std::string& server,
+                time_point now);
 
   /// Quarantines a request. An existing quarantine isn't renewed, so that it
   /// expires although each new planner reports it again.
@@ -46,7 +49,9 @@
 
  private:
   struct entry {
-    int crash_count = 0;
+    /// Those that interrupted it; no more are stored than quarantine it.
+    std::set<std::string> servers;
+    bool quarantined = false;
     time_point recorded_at;
   };
 
--- a/src/decide/crash_tracker.hpp
+++ b/src/decide/crash_tracker.hpp
@@ -16,9 +16,9 @@
 /// One router's view of requests that crash backend servers.
 ///
 /// Without it, a caller that keeps retrying such a request through any router
-/// takes down one server after the other. Each interrupted run counts as a
-/// crash; the planner adds up the crashes at all routers and reports which
-/// requests to refuse.
+/// takes down one server after the other. Each server that interrupted runs of
+/// it counts as a crash; the planner adds up the crashes at all routers and
+/// reports which requests to refuse.
 ///
 /// A harmless request is counted too if it was in flight at a crash or if its
 /// connection was cut. A recent complete response to the same request clears it
@@ -32,8 +32,11 @@
   /// Implicated or quarantined requests stored.
   static constexpr std::size_t max_implicated = 256;
 
-  /// Records a run that was interrupted before the end of its response.
-  void on_interrupted(const std::string& fingerprint, time_point now);
+  /// Records a run that a server interrupted before the end of its response.
+  /// \return False if the request is known to be harmless, so that this is no
+  ///     crash.
+  bool on_interrupted(const std::string& fingerprint, const std::string& server,
+                      time_point now);
 
   /// Records a run with a complete response.
   void on_completed(const std::string& fingerprint);
@@ -45,19 +48,15 @@
   /// \return True if the request must be refused.
   bool is_quarantined(const std::string& fingerprint, time_point now) const;
 
-  /// \return The fingerprints of the crashes since the last call, one entry per
-  ///   crash, to be sent to the planner.
-  std::vector<std::string> take_crash_reports();
-
-  /// Adds the crashes of all quarantined requests to the next report once more,
-  /// for a new planner, which has no counts.
-  void report_quarantined_again(time_point now);
+  /// \return The fingerprints of all quarantined requests, for a new planner.
+  std::vector<std::string> quarantined_requests(time_point now) const {
+    return this->crash_counts.quarantined_requests(now);
+  }
 
  private:
   crash_counter crash_counts{max_implicated};
   std::unordered_set<std::string> completed;
   std::deque<std::string> completed_by_age;
-  std::vector<std::string> unreported;
 };
 
 }  // namespace boragehill::decide
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "serve/dispatcher.hpp"
 
-#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <utility>
 
@@ -113,7 +112,8 @@
   // The first update on a link may be a new planner's, who knows of no crash.
   if (update.whole) {
     this->grant_round = 0;
-    this->crashes.report_quarantined_again(now);
+    this->interruptions.report_again();
+    this->tells_quarantined = true;
     this->rate_limited.announce_again(now);
   }
   if (update.rate_limits) {
@@ -354,31 +354,6 @@
   }
 }
 
-void dispatcher::on_server_failed(const exchange& request, bool reached) {
-  this->health.on_failure(request.server(), time_point::clock::now());
-  const auto response = request.response_end();
-  kernel::log_event(
-      kernel::event::attempt_refused,
-      {{"request", request.fields().attempt},
-       {"server", request.server()},
-       {"reason", reached ? "answer broke off" : "connection failed"},
-       {"unframed", response.unframed},
-       {"events", response.events},
-       {"inside_event", response.inside_event}});
-  if (!reached) {
-    this->reachability.on_failure(request.server(), time_point::clock::now());
-    return;
-  }
-  this->on_interrupted(request, time_point::clock::now());
-  this->crashes.on_interrupted(request.fingerprint(), time_point::clock::now());
-  kernel::log_event(
-      kernel::event::striked,
-      {{"request", request.fields().attempt},
-       {"server", request.server()},
-       {"fingerprint", request.fingerprint()},
-       {"parts", absl::StrJoin(request.fields().prompt_parts, ",")}});
-}
-
 void dispatcher::on_server_replaced(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include "decide/crash_tracker.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
+#include "decide/interruption_log.hpp"
 #include "decide/rate_limit_report.hpp"
 #include "decide/rate_limited_servers.hpp"
 #include "decide/response_time_estimate.hpp"
@@ -36,6 +37,7 @@
 #include "serve/server_health.hpp"
 #include "serve/server_pool.hpp"
 #include "serve/server_state.hpp"
+#include "wire/router_report.hpp"
 #include "wire/view_update.hpp"
 
 namespace boragehill::decide {
@@ -60,10 +62,8 @@
 
   /// \return The demand since the last call, and the requests out now.
   decide::demand_report take_report();
-  /// \return Requests whose runs broke off since the last call.
-  std::vector<std::string> take_strikes() {
-    return this->crashes.take_crash_reports();
-  }
+  /// Adds what is to be told of crashes since the last call.
+  void add_crashes(wire::router_report& report);
   /// \return What servers said of rate limits since the last call, and the
   ///     tokens that waiting requests need.
   decide::rate_limit_report take_rate_limit_report();
@@ -282,6 +282,9 @@
   std::map<std::string, decide::windowed_retry_budget> budgets;
   std::function<void()> waits;
   decide::crash_tracker crashes;
+  decide::interruption_log interruptions;
+  /// A new planner hears of what is quarantined with the next report.
+  bool tells_quarantined = false;
   decide::shutdown_gate gate;
   /// By service.
   std::map<std::string, decide::response_time_estimate> paces;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -213,7 +213,6 @@
   this->requests.judge_waiting();
   if (!this->finder->linked()) return;
   auto report = this->requests.take_report();
-  auto strikes = this->requests.take_strikes();
   auto limits = this->requests.take_rate_limit_report();
   // What is told of silence counts only while it is fresh.
   const bool same = report == this->last_report && report.demands.empty() &&
@@ -221,12 +220,15 @@
   // That no token is needed any more is told once.
   const bool needed_tokens =
       std::exchange(this->needs_tokens, !limits.needed.empty());
-  if (same && strikes.empty() && limits.empty() && !needed_tokens) return;
-  this->finder->send(
-      wire::encode(wire::router_report{.router = this->settings.id,
-                                       .demand = report,
-                                       .strikes = std::move(strikes),
-                                       .rate_limits = std::move(limits)}));
+  wire::router_report message{.router = this->settings.id,
+                              .demand = report,
+                              .rate_limits = std::move(limits)};
+  this->requests.add_crashes(message);
+  const bool nothing_else = message.interruptions.empty() &&
+                            message.quarantined.empty() &&
+                            message.rate_limits.empty() && !needed_tokens;
+  if (same && nothing_else) return;
+  this->finder->send(wire::encode(message));
   this->last_report = std::move(report);
 }
 
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -133,14 +133,24 @@
   this->demands[report.router] = std::move(report.demand);
   this->rate_limits.on_report(report.router, report.rate_limits,
                               time_point::clock::now());
-  for (const auto& each : report.strikes) {
-    if (!this->crashes.on_crash(each, time_point::clock::now())) continue;
-    this->convicted =
-        this->crashes.quarantined_requests(time_point::clock::now());
-  }
+  this->note_crashes(report);
   this->plan_soon();
 }
 
+void planner_duty::note_crashes(const wire::router_report& report) {
+  const auto now = time_point::clock::now();
+  for (const auto& each : report.interruptions) {
+    for (const auto& request : each.requests) {
+      this->crashes.on_crash(request, each.server, now);
+    }
+  }
+  for (const auto& each : report.quarantined) {
+    this->crashes.quarantine(each, now);
+  }
+  if (report.interruptions.empty() && report.quarantined.empty()) return;
+  this->convicted = this->crashes.quarantined_requests(now);
+}
+
 void planner_duty::on_router_gone(std::uint64_t number) {
   const auto found = this->routers.find(number);
   if (found == this->routers.end()) return;
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -20,6 +20,7 @@
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
 #include "wire/link_listener.hpp"
+#include "wire/router_report.hpp"
 #include "wire/view_update.hpp"
 #include "wire/worker_target.hpp"
 
@@ -71,6 +72,8 @@
   void on_router(const std::shared_ptr<wire::message_link>& link);
   void on_router_message(std::uint64_t number, const Json::Value& message);
   void on_router_gone(std::uint64_t number);
+  /// Counts the crashes that a router has seen.
+  void note_crashes(const wire::router_report& report);
   void link_agents();
   void connect_agent(const endpoint& address);
   void on_agent_message(const endpoint& address, const Json::Value& message);
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -162,6 +162,28 @@
   return announcements;
 }
 
+Json::Value encode_interruption(const decide::interruption& found) {
+  Json::Value value;
+  value["server"] = found.server;
+  value["age_ms"] = Json::Int64(found.age.count());
+  value["requests"] = encode_texts(found.requests);
+  for (const auto& [part, position] : found.parts) {
+    value["parts"][part] = position;
+  }
+  return value;
+}
+
+decide::interruption decode_interruption(const Json::Value& value) {
+  decide::interruption found{.server = value["server"].asString(),
+                             .age = milliseconds(value["age_ms"].asInt64()),
+                             .requests = kernel::texts_of(value["requests"])};
+  const auto& parts = value["parts"];
+  for (const auto& part : parts.getMemberNames()) {
+    found.parts.emplace(part, parts[part].asInt());
+  }
+  return found;
+}
+
 }  // namespace
 
 Json::Value encode(const view_update& update) {
@@ -294,8 +316,15 @@
   if (!report.demand.unreachable_servers.empty()) {
     message["unreachable"] = encode_texts(report.demand.unreachable_servers);
   }
-  if (!report.strikes.empty()) {
-    message["strikes"] = encode_texts(report.strikes);
+  for (const auto& each : report.interruptions) {
+    message["crashes"].append(encode_interruption(each));
+    // What planners of an earlier version read.
+    for (const auto& request : each.requests) {
+      message["strikes"].append(request);
+    }
+  }
+  if (!report.quarantined.empty()) {
+    message["quarantined"] = encode_texts(report.quarantined);
   }
   const auto& limits = report.rate_limits;
   if (!limits.announcements.empty()) {
@@ -316,7 +345,10 @@
   report.demand.unresponsive_servers = kernel::texts_of(message["silent"]);
   report.demand.unreachable_servers = kernel::texts_of(message["unreachable"]);
   report.demand.last_grant_round = message["grant_round"].asUInt64();
-  report.strikes = kernel::texts_of(message["strikes"]);
+  for (const auto& each : message["crashes"]) {
+    report.interruptions.push_back(decode_interruption(each));
+  }
+  report.quarantined = kernel::texts_of(message["quarantined"]);
   report.rate_limits = {
       .announcements = decode_announcements(message["rate_limits"]),
       .needed = decode_tokens(message["tokens"])};
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "decide/demand_report.hpp"
+#include "decide/interruption.hpp"
 #include "decide/rate_limit_report.hpp"
 
 namespace boragehill::wire {
@@ -13,8 +14,10 @@
 struct router_report {
   std::string router;
   decide::demand_report demand;
-  /// Requests whose runs broke off since the last report, one entry a run.
-  std::vector<std::string> strikes;
+  /// Responses that broke off since the last report, by server.
+  std::vector<decide::interruption> interruptions;
+  /// Requests that are quarantined; told to a new planner, which knows of none.
+  std::vector<std::string> quarantined;
   decide::rate_limit_report rate_limits;
 
   bool operator==(const router_report&) const = default;
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -55,7 +55,11 @@
                                 .requests = 5}},
                  .unreachable_servers = {"i-3"},
                  .last_grant_round = 11},
-      .strikes = {"0a1b", "0a1b"},
+      .interruptions = {{.server = "i-1",
+                         .age = milliseconds(40),
+                         .requests = {"0a1b", "2c3d"},
+                         .parts = {{"5c1e", 0}, {"91bd", 1}}}},
+      .quarantined = {"4e5f"},
       .rate_limits = {.announcements = {{"i-1", 1.5}, {"i-2", std::nullopt}},
                       .needed = {{"i-1", 4}}}};
   EXPECT_EQ(decode_router_report(encode(report)), report);
