Quarantine a part of prompts that crashes the servers which respond to it

Callers saw: requests with one part in their prompts, no two alike, crashed servers one after the other, 30 and more of them, and broke off the responses of all others there.

Class: a failure is counted for the one that showed it in place of what caused it.

Change: the planner finds the part from what was in flight at servers that ended (decide/prompt_part_crashes), and all routers refuse it at once, also what waits (decide/prompt_part_guard). Three things keep it from sound parts: an interrupted response counts only once its server is known to have ended; routers are asked for complete responses with a part before it is quarantined, and one clears it; and of the parts that all crashes share the one is blamed that never completed and that fewest requests share, which explains the crashes for the others. Without a planner a router goes by what it saw itself; a new planner hears of what routers saw and refuse. 613 and 614 say what is quarantined and cleared.

--- a/src/decide/interruption.hpp
+++ b/src/decide/interruption.hpp
@@ -22,6 +22,16 @@
   bool operator==(const interruption&) const = default;
 };
 
+/// \return One response that has just broken off.
+/// \param parts Of its request's prompt, in their order.
+inline interruption interruption_of(const std::string& server,
+                                    const std::vector<std::string>& parts) {
+  interruption found{.server = server};
+  int position = 0;
+  for (const auto& part : parts) found.parts.emplace(part, position++);
+  return found;
+}
+
 }  // namespace boragehill::decide
 
 #endif  // BORAGEHILL_DECIDE_INTERRUPTION_HPP
--- a/src/decide/interruption_log.cpp
+++ b/src/decide/interruption_log.cpp
@@ -24,10 +24,9 @@
       std::find(requests.begin(), requests.end(), request) != requests.end();
   if (!listed && !request.empty() && requests.size() < max_requests)
     requests.push_back(request);
-  int position = 0;
-  for (const auto& part : parts) {
+  for (const auto& each : interruption_of(server, parts).parts) {
     if (known.found.parts.size() >= max_parts) break;
-    known.found.parts.emplace(part, position++);
+    known.found.parts.insert(each);
   }
 }
 
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -72,6 +72,8 @@
   bad_input = 610,
   silent_server_left = 611,
   retry_sent = 612,
+  prompt_part_quarantined = 613,
+  prompt_part_cleared = 614,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -127,6 +127,7 @@
     this->crashes.on_quarantined(each, now);
     kernel::log_event(kernel::event::convicted, {{"fingerprint", each}});
   }
+  this->on_part_news(update, now);
   this->metrics.set_planner_term(static_cast<double>(update.term));
   if (update.grant_round > 0) {
     this->grant_round = update.grant_round;
@@ -139,6 +140,7 @@
 void dispatcher::on_planner_lost() {
   this->routers.on_planner_lost(time_point::clock::now());
   this->planner_linked = false;
+  this->prompt_parts.on_planner_lost();
   this->grant_round = 0;
   this->expected.clear();
   for (auto& [id, state] : this->servers) {
@@ -171,6 +173,10 @@
     return refusal{result_code::request_convicted,
                    "this request crashes servers", milliseconds(0)};
   }
+  if (this->prompt_parts.is_quarantined(request.fields().prompt_parts, now)) {
+    return refusal{result_code::request_convicted,
+                   "a part of its prompt crashes servers", milliseconds(0)};
+  }
   return std::nullopt;
 }
 
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
 #include "decide/interruption_log.hpp"
+#include "decide/prompt_part_guard.hpp"
 #include "decide/rate_limit_report.hpp"
 #include "decide/rate_limited_servers.hpp"
 #include "decide/response_time_estimate.hpp"
@@ -131,6 +132,13 @@
     milliseconds retry_after;
   };
 
+  /// Takes up what the planner says of parts of prompts that crash servers.
+  void on_part_news(const wire::view_update& update, time_point now);
+  /// Quarantines parts of prompts by own counts without a planner.
+  void judge_parts(time_point now);
+  void log_quarantined(const std::vector<std::string>& parts, const char* by);
+  /// Clears a request with a complete response, and the parts of its prompt.
+  void clear(const exchange& request);
   /// Forgets servers that are off the list once no request is there any more.
   void drop_unlisted();
   static demand_key key_of(const exchange& request);
@@ -283,6 +291,7 @@
   std::function<void()> waits;
   decide::crash_tracker crashes;
   decide::interruption_log interruptions;
+  decide::prompt_part_guard prompt_parts;
   /// A new planner hears of what is quarantined with the next report.
   bool tells_quarantined = false;
   decide::shutdown_gate gate;
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -18,9 +18,7 @@
   }
   const auto& ended = request.result();
   this->metrics.on_ended(ended.code);
-  if (ended.code == result_code::ok) {
-    this->crashes.on_completed(request.fingerprint());
-  }
+  if (ended.code == result_code::ok) this->clear(request);
   const auto now = time_point::clock::now();
   const bool one_run = request.sends().attempt_count() == 1;
   if (ended.code == result_code::ok && one_run && !request.slowed_by_caller()) {
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -224,8 +224,7 @@
                               .demand = report,
                               .rate_limits = std::move(limits)};
   this->requests.add_crashes(message);
-  const bool nothing_else = message.interruptions.empty() &&
-                            message.quarantined.empty() &&
+  const bool nothing_else = !message.tells_of_crashes() &&
                             message.rate_limits.empty() && !needed_tokens;
   if (same && nothing_else) return;
   this->finder->send(wire::encode(message));
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -91,6 +91,9 @@
 void planner_duty::set_servers(std::shared_ptr<const fleet::server_list> news) {
   this->loop.post([this, news = std::move(news)] {
     this->servers = *news;
+    std::erase_if(this->lost_workers, [this](const std::string& server) {
+      return !this->servers.servers.contains(server);
+    });
     this->rate_limits.keep_servers([this](const std::string& server) {
       return this->servers.servers.contains(server);
     });
@@ -137,20 +140,6 @@
   this->plan_soon();
 }
 
-void planner_duty::note_crashes(const wire::router_report& report) {
-  const auto now = time_point::clock::now();
-  for (const auto& each : report.interruptions) {
-    for (const auto& request : each.requests) {
-      this->crashes.on_crash(request, each.server, now);
-    }
-  }
-  for (const auto& each : report.quarantined) {
-    this->crashes.quarantine(each, now);
-  }
-  if (report.interruptions.empty() && report.quarantined.empty()) return;
-  this->convicted = this->crashes.quarantined_requests(now);
-}
-
 void planner_duty::on_router_gone(std::uint64_t number) {
   const auto found = this->routers.find(number);
   if (found == this->routers.end()) return;
@@ -232,8 +221,11 @@
   const bool same =
       this->servers.servers.at(server).may_have_sent(status.report);
   if (status.reachable && same) {
+    this->lost_workers.erase(server);
+    this->part_crashes.on_server_responded(server, now);
     this->planner.on_report(server, status.report, now);
   } else {
+    this->lost_workers.insert(server);
     this->planner.on_worker_unreachable(server);
   }
   this->plan_soon();
@@ -274,6 +266,7 @@
   for (const auto& move : this->planner.step(time_point::clock::now())) {
     this->log_move(move);
   }
+  this->judge_crashes(time_point::clock::now());
   this->tell_agents();
   this->tell_routers();
   this->arm(plan_interval);
@@ -392,13 +385,14 @@
     const bool same_convicted = each.convicted == this->convicted;
     const bool same_limits = each.rate_limits == limits;
     const bool same_count = std::exchange(each.told_routers, count) == count;
+    const bool same_parts = !this->add_parts(each, update, now);
     // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
     if (update.servers.empty() && update.tokens.empty() &&
         update.grants.empty() && each.greeted && same && same_convicted &&
-        same_limits && same_count) {
+        same_limits && same_count && same_parts) {
       continue;
     }
     if (!same_limits) {
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -14,6 +14,7 @@
 
 #include "decide/crash_counter.hpp"
 #include "decide/fleet_view.hpp"
+#include "decide/prompt_part_crashes.hpp"
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "decide/slot_allocator.hpp"
@@ -60,6 +61,8 @@
     std::vector<told_worker> told;
     std::map<std::string, time_point> expected;
     std::vector<std::string> convicted;
+    std::vector<std::string> quarantined_parts;
+    std::map<std::string, time_point> suspected_parts;
     std::map<std::string, decide::rate_limit> rate_limits;
     int told_routers = 0;
     bool greeted = false;
@@ -74,6 +77,14 @@
   void on_router_gone(std::uint64_t number);
   /// Counts the crashes that a router has seen.
   void note_crashes(const wire::router_report& report);
+  /// Finds out which servers with interruptions have ended, and quarantines the
+  /// parts of prompts that ended them.
+  void judge_crashes(time_point now);
+  bool has_ended(const std::string& server) const;
+  /// Adds what changed of quarantined and suspected parts.
+  /// \return True if anything did.
+  bool add_parts(router_link& router, wire::view_update& update,
+                 time_point now) const;
   void link_agents();
   void connect_agent(const endpoint& address);
   void on_agent_message(const endpoint& address, const Json::Value& message);
@@ -110,6 +121,9 @@
   decide::crash_counter crashes{most_struck};
   /// Requests that no router should run, as last summed up.
   std::vector<std::string> convicted;
+  decide::prompt_part_crashes part_crashes;
+  /// Workers that their agents don't reach, or of another lifetime.
+  std::set<std::string> lost_workers;
   decide::rate_limit_allocator rate_limits;
   decide::slot_allocator slots;
   decide::fleet_view view;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -162,6 +162,20 @@
   return announcements;
 }
 
+Json::Value encode_ages(const std::map<std::string, milliseconds>& ages) {
+  Json::Value list(Json::objectValue);
+  for (const auto& [name, age] : ages) list[name] = Json::Int64(age.count());
+  return list;
+}
+
+std::map<std::string, milliseconds> decode_ages(const Json::Value& list) {
+  std::map<std::string, milliseconds> ages;
+  for (const auto& name : list.getMemberNames()) {
+    ages.emplace(name, list[name].asInt64());
+  }
+  return ages;
+}
+
 Json::Value encode_interruption(const decide::interruption& found) {
   Json::Value value;
   value["server"] = found.server;
@@ -205,6 +219,12 @@
   if (!update.convicted.empty()) {
     message["convicted"] = encode_texts(update.convicted);
   }
+  if (update.quarantined_parts) {
+    message["quarantined_parts"] = encode_texts(*update.quarantined_parts);
+  }
+  if (update.suspected_parts) {
+    message["suspected_parts"] = encode_ages(*update.suspected_parts);
+  }
   if (update.rate_limits) {
     message["rate_limits"] = encode_limits(*update.rate_limits);
   }
@@ -232,6 +252,12 @@
         {.model = model, .ready_in = milliseconds(expected[model].asInt64())});
   }
   update.convicted = kernel::texts_of(message["convicted"]);
+  if (message.isMember("quarantined_parts")) {
+    update.quarantined_parts = kernel::texts_of(message["quarantined_parts"]);
+  }
+  if (message.isMember("suspected_parts")) {
+    update.suspected_parts = decode_ages(message["suspected_parts"]);
+  }
   if (message.isMember("rate_limits")) {
     update.rate_limits = decode_limits(message["rate_limits"]);
   }
@@ -323,9 +349,14 @@
       message["strikes"].append(request);
     }
   }
-  if (!report.quarantined.empty()) {
-    message["quarantined"] = encode_texts(report.quarantined);
-  }
+  const auto add = [&message](const char* name,
+                              const std::vector<std::string>& texts) {
+    if (!texts.empty()) message[name] = encode_texts(texts);
+  };
+  add("quarantined", report.quarantined);
+  add("quarantined_parts", report.quarantined_parts);
+  add("cleared_parts", report.cleared_parts);
+  add("completed_parts", report.completed_parts);
   const auto& limits = report.rate_limits;
   if (!limits.announcements.empty()) {
     message["rate_limits"] = encode_announcements(limits.announcements);
@@ -349,6 +380,9 @@
     report.interruptions.push_back(decode_interruption(each));
   }
   report.quarantined = kernel::texts_of(message["quarantined"]);
+  report.quarantined_parts = kernel::texts_of(message["quarantined_parts"]);
+  report.cleared_parts = kernel::texts_of(message["cleared_parts"]);
+  report.completed_parts = kernel::texts_of(message["completed_parts"]);
   report.rate_limits = {
       .announcements = decode_announcements(message["rate_limits"]),
       .needed = decode_tokens(message["tokens"])};
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -18,8 +18,21 @@
   std::vector<decide::interruption> interruptions;
   /// Requests that are quarantined; told to a new planner, which knows of none.
   std::vector<std::string> quarantined;
+  /// Parts of prompts that are quarantined; likewise.
+  std::vector<std::string> quarantined_parts;
+  /// Suspected parts with a complete response after their first crash.
+  std::vector<std::string> cleared_parts;
+  /// Suspected parts with a complete response before it.
+  std::vector<std::string> completed_parts;
   decide::rate_limit_report rate_limits;
 
+  /// \return True if it holds news of crashes.
+  bool tells_of_crashes() const {
+    return !this->interruptions.empty() || !this->quarantined.empty() ||
+           !this->quarantined_parts.empty() || !this->cleared_parts.empty() ||
+           !this->completed_parts.empty();
+  }
+
   bool operator==(const router_report&) const = default;
 };
 
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <boragehill/time_point.hpp>
+
 #include "decide/rate_limit.hpp"
 #include "decide/rate_limit_tokens.hpp"
 #include "decide/slot_grant.hpp"
@@ -30,6 +32,11 @@
   /// Requests that crash servers and must not run; all of them whenever they
   /// changed, else none.
   std::vector<std::string> convicted;
+  /// All parts of prompts that crash servers; nothing if they are as last told.
+  std::optional<std::vector<std::string>> quarantined_parts;
+  /// All parts that may do so, each with the time since the first crash that
+  /// counts against it; nothing if they are as last told.
+  std::optional<std::map<std::string, milliseconds>> suspected_parts;
   /// All rate limits by server; nothing if they are as last told.
   std::optional<std::map<std::string, decide::rate_limit>> rate_limits;
   /// Tokens granted to this router since the last update.
--- /dev/null
+++ b/test/decide-test/prompt_part_guard_test.cpp
@@ -0,0 +1,102 @@
+#include "decide/prompt_part_guard.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace boragehill::decide {
+namespace {
+
+using list = std::vector<std::string>;
+const std::string shared = "shared";
+const std::string poison = "poison";
+
+class prompt_part_guard_test : public testing::Test {
+ protected:
+  bool refuses(const list& parts) {
+    return this->guard.is_quarantined(parts, this->now);
+  }
+
+  /// Lets a server interrupt a request, as one router sees it.
+  void interrupt(const std::string& server) {
+    this->guard.on_interrupted(interruption_of(server, {shared, poison}),
+                               this->now);
+    this->now += milliseconds(400);
+    this->guard.update(this->now);
+  }
+
+  prompt_part_guard guard;
+  time_point now{std::chrono::hours(1)};
+};
+
+TEST_F(prompt_part_guard_test, refuses_prompts_with_a_quarantined_part) {
+  this->guard.on_planner_linked();
+  EXPECT_EQ(this->guard.on_quarantined({poison}, this->now), list{poison});
+  EXPECT_EQ(this->guard.on_quarantined({poison}, this->now), list{});
+  EXPECT_TRUE(this->refuses({shared, poison}));
+  EXPECT_FALSE(this->refuses({shared, "x"}));
+  EXPECT_FALSE(this->refuses({}));
+  this->guard.on_quarantined({}, this->now);
+  EXPECT_FALSE(this->refuses({shared, poison}));
+}
+
+TEST_F(prompt_part_guard_test, clears_what_completed_since_the_first_crash) {
+  this->guard.on_planner_linked();
+  this->guard.on_completed({"before", "after"}, this->now);
+  this->now += milliseconds(100);
+  this->guard.on_completed({"after"}, this->now);
+  const std::map<std::string, milliseconds> asked{{"before", milliseconds(50)},
+                                                  {"after", milliseconds(50)},
+                                                  {"later", milliseconds(50)},
+                                                  {poison, milliseconds(50)}};
+  this->guard.on_suspected(asked, this->now);
+  EXPECT_EQ(this->guard.take_cleared(), list{"after"});
+  EXPECT_EQ(this->guard.take_completed_before(), list{"before"});
+  this->now += milliseconds(100);
+  this->guard.on_completed({"later", "never asked"}, this->now);
+  EXPECT_EQ(this->guard.take_cleared(), list{"later"});
+  EXPECT_EQ(this->guard.take_cleared(), list{});
+}
+
+TEST_F(prompt_part_guard_test, counts_by_itself_without_a_planner) {
+  for (const char* server : {"a", "b", "c"}) {
+    EXPECT_FALSE(this->refuses({poison}));
+    this->interrupt(server);
+  }
+  EXPECT_TRUE(this->refuses({poison}));
+  EXPECT_FALSE(this->refuses({shared}));
+  EXPECT_EQ(this->guard.quarantined(this->now), list{poison});
+}
+
+// Guards against parts that are refused since responses are truncated, which
+// the planner could tell from crashes.
+TEST_F(prompt_part_guard_test, leaves_the_count_to_a_planner) {
+  this->guard.on_planner_linked();
+  for (const char* server : {"a", "b", "c", "d"}) this->interrupt(server);
+  EXPECT_FALSE(this->refuses({poison}));
+}
+
+TEST_F(prompt_part_guard_test, keeps_quarantines_while_the_planner_changes) {
+  this->guard.on_planner_linked();
+  this->guard.on_quarantined({poison}, this->now);
+  this->guard.on_planner_lost();
+  EXPECT_TRUE(this->refuses({poison}));
+  this->now += prompt_part_crashes::retention + milliseconds(1);
+  EXPECT_FALSE(this->refuses({poison}));
+}
+
+TEST_F(prompt_part_guard_test, bounds_the_complete_responses_that_it_keeps) {
+  constexpr std::size_t many = 3 * prompt_part_guard::max_completed;
+  this->guard.on_planner_linked();
+  this->guard.on_completed({"old"}, this->now);
+  for (std::size_t each = 0; each < many; ++each) {
+    this->now += milliseconds(1);
+    this->guard.on_completed({shared, std::to_string(each)}, this->now);
+  }
+  this->guard.on_suspected(
+      {{"old", milliseconds(0)}, {shared, milliseconds(0)}}, this->now);
+  EXPECT_EQ(this->guard.take_completed_before(), list{shared});
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- a/test/fleet-test/prompt_part_test.cpp
+++ b/test/fleet-test/prompt_part_test.cpp
@@ -123,5 +123,44 @@
   if (this->ended() < workers) this->expect_only_poison_refused();
 }
 
+// Guards against crashes that are forgotten with the planner.
+TEST_F(prompt_part_test, finds_it_though_the_planner_is_lost) {
+  this->send_poison(2, milliseconds(400));
+  const auto lost = this->fleet.planner();
+  ASSERT_FALSE(lost.empty());
+  this->fleet[lost].kill();
+  this->send_poison(8, milliseconds(400));
+  this->fleet[lost].start();
+  ASSERT_TRUE(this->fleet.wait_until_ready(lost == "router-1" ? 1 : 2,
+                                           milliseconds(5000)));
+  std::this_thread::sleep_for(milliseconds(1000));
+  EXPECT_LE(this->ended(), most_ended);
+  if (this->ended() < workers) this->expect_only_poison_refused();
+}
+
+// Guards against parts that are refused since servers that live truncate their
+// responses.
+TEST_F(prompt_part_test, takes_no_truncated_response_for_a_crash) {
+  for (int each = 1; each <= workers; ++each) {
+    this->fleet.fault(numbered("worker", each),
+                      R"({"kind":"cut_stream","count":1000})");
+  }
+  for (int each = 0; each < 24; ++each) {
+    const auto answer =
+        this->ask(1 + each % routers, "ab", numbered("cut", each));
+    EXPECT_FALSE(answer) << answer->status << answer->body;
+    std::this_thread::sleep_for(milliseconds(60));
+  }
+  for (int each = 1; each <= workers; ++each) {
+    this->fleet.fault(numbered("worker", each), R"({"kind":"none"})");
+  }
+  for (int each = 0; each < 10; ++each) {
+    const auto answer =
+        this->ask(1 + each % routers, "ab", numbered("whole", each));
+    ASSERT_TRUE(answer) << each;
+    EXPECT_EQ(answer->status, 200) << answer->body;
+  }
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -16,6 +16,8 @@
                            .servers = {told, counted},
                            .expected = {{"k", milliseconds(900)}},
                            .convicted = {"0a1b"},
+                           .quarantined_parts = {{"5c1e"}},
+                           .suspected_parts = {{{"91bd", milliseconds(70)}}},
                            .rate_limits = {{{"i-1", {1.5, 2}}}},
                            .tokens = {{"i-1", 3}},
                            .grants = {{"i-1", "m", "a1", 2}},
@@ -60,6 +62,9 @@
                          .requests = {"0a1b", "2c3d"},
                          .parts = {{"5c1e", 0}, {"91bd", 1}}}},
       .quarantined = {"4e5f"},
+      .quarantined_parts = {"5c1e"},
+      .cleared_parts = {"91bd"},
+      .completed_parts = {"e440"},
       .rate_limits = {.announcements = {{"i-1", 1.5}, {"i-2", std::nullopt}},
                       .needed = {{"i-1", 4}}}};
   EXPECT_EQ(decode_router_report(encode(report)), report);
