Count no server again for a part when routers report it again

Found in reading the diff. A router repeats what it saw in the last half minute to each planner that it links to, and the planner keeps a server's interruption for ten seconds; after that a repeat counted as another crash of the same server.

Change: a server counts once for a part for as long as its crash does.

Evidence: prompt_part_crashes_test.counts_no_server_again_that_is_reported_again failed before and passes.

--- a/src/decide/prompt_part_crashes.cpp
+++ b/src/decide/prompt_part_crashes.cpp
@@ -151,7 +151,10 @@
   if (this->is_explained(known)) return this->forget_crash(server);
   for (const auto& [part, position] : parts) {
     auto& entry = this->parts[part];
-    if (entry.crashes.size() >= max_crashes_of_part) continue;
+    const bool known_crash = std::any_of(
+        entry.crashes.begin(), entry.crashes.end(),
+        [&server](const crash& each) { return each.server == server; });
+    if (known_crash || entry.crashes.size() >= max_crashes_of_part) continue;
     entry.position = position;
     entry.recorded_at = now;
     const auto after = std::upper_bound(
--- a/test/decide-test/prompt_part_crashes_test.cpp
+++ b/test/decide-test/prompt_part_crashes_test.cpp
@@ -115,6 +115,16 @@
   EXPECT_EQ(this->quarantined(), list{});
 }
 
+// Guards against crashes that count again when routers repeat what they saw.
+TEST_F(prompt_part_crashes_test,
+       counts_no_server_again_that_is_reported_again) {
+  for (int each = 0; each < 4; ++each) {
+    this->crash("a", {poison});
+    this->pass(prompt_part_crashes::confirmation_limit + milliseconds(100));
+  }
+  EXPECT_EQ(this->quarantined(), list{});
+}
+
 // Guards against parts that are quarantined since a failure domain was lost.
 TEST_F(prompt_part_crashes_test, counts_servers_that_end_together_once) {
   for (int each = 0; each < 9; ++each) {
