Keep quarantined parts of prompts that a new planner has not heard of

Found in reading the diff. A router takes up the planner's list of quarantined parts in place of its own.

Change: what the first update on a link says is added.

Evidence: prompt_part_guard_test.keeps_what_a_new_planner_has_not_heard_of fails without the change and passes.

--- a/src/decide/prompt_part_guard.cpp
+++ b/src/decide/prompt_part_guard.cpp
@@ -32,8 +32,9 @@
 }
 
 std::vector<std::string> prompt_part_guard::on_quarantined(
-    const std::vector<std::string>& news, time_point now) {
+    const std::vector<std::string>& news, bool first, time_point now) {
   std::map<std::string, time_point> next;
+  if (first) next = this->refused;
   std::vector<std::string> added;
   for (const auto& part : news) {
     const auto known = this->refused.find(part);
--- a/src/decide/prompt_part_guard.hpp
+++ b/src/decide/prompt_part_guard.hpp
@@ -34,9 +34,11 @@
   void on_suspected(const std::map<std::string, milliseconds>& news,
                     time_point now);
   /// \param news All quarantined parts.
+  /// \param first The planner may be new, and hasn't heard of what is
+  ///     quarantined here.
   /// \return Those that weren't quarantined here.
   std::vector<std::string> on_quarantined(const std::vector<std::string>& news,
-                                          time_point now);
+                                          bool first, time_point now);
   void on_planner_linked();
   void on_planner_lost();
 
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -72,9 +72,9 @@
     this->prompt_parts.on_suspected(*update.suspected_parts, now);
   }
   if (!update.quarantined_parts) return;
-  this->log_quarantined(
-      this->prompt_parts.on_quarantined(*update.quarantined_parts, now),
-      "planner");
+  this->log_quarantined(this->prompt_parts.on_quarantined(
+                            *update.quarantined_parts, update.whole, now),
+                        "planner");
 }
 
 void dispatcher::judge_parts(time_point now) {
--- a/test/decide-test/prompt_part_guard_test.cpp
+++ b/test/decide-test/prompt_part_guard_test.cpp
@@ -31,12 +31,13 @@
 
 TEST_F(prompt_part_guard_test, refuses_prompts_with_a_quarantined_part) {
   this->guard.on_planner_linked();
-  EXPECT_EQ(this->guard.on_quarantined({poison}, this->now), list{poison});
-  EXPECT_EQ(this->guard.on_quarantined({poison}, this->now), list{});
+  EXPECT_EQ(this->guard.on_quarantined({poison}, false, this->now),
+            list{poison});
+  EXPECT_EQ(this->guard.on_quarantined({poison}, false, this->now), list{});
   EXPECT_TRUE(this->refuses({shared, poison}));
   EXPECT_FALSE(this->refuses({shared, "x"}));
   EXPECT_FALSE(this->refuses({}));
-  this->guard.on_quarantined({}, this->now);
+  this->guard.on_quarantined({}, false, this->now);
   EXPECT_FALSE(this->refuses({shared, poison}));
 }
 
@@ -78,13 +79,27 @@
 
 TEST_F(prompt_part_guard_test, keeps_quarantines_while_the_planner_changes) {
   this->guard.on_planner_linked();
-  this->guard.on_quarantined({poison}, this->now);
+  this->guard.on_quarantined({poison}, false, this->now);
   this->guard.on_planner_lost();
   EXPECT_TRUE(this->refuses({poison}));
   this->now += prompt_part_crashes::retention + milliseconds(1);
   EXPECT_FALSE(this->refuses({poison}));
 }
 
+// Guards against quarantines that are lost with the planner that found them.
+TEST_F(prompt_part_guard_test, keeps_what_a_new_planner_has_not_heard_of) {
+  this->guard.on_planner_linked();
+  this->guard.on_quarantined({poison}, true, this->now);
+  this->guard.on_planner_lost();
+  this->guard.on_planner_linked();
+  EXPECT_EQ(this->guard.on_quarantined({"other"}, true, this->now),
+            list{"other"});
+  EXPECT_TRUE(this->refuses({poison}));
+  EXPECT_TRUE(this->refuses({"other"}));
+  this->guard.on_quarantined({"other"}, false, this->now);
+  EXPECT_FALSE(this->refuses({poison}));
+}
+
 TEST_F(prompt_part_guard_test, bounds_the_complete_responses_that_it_keeps) {
   constexpr std::size_t many = 3 * prompt_part_guard::max_completed;
   this->guard.on_planner_linked();
