--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -10,7 +10,6 @@
 class request_codec;
 struct answer_fields;
 struct catalog;
-struct service;
 }  // namespace boragehill::fleet
 
 namespace boragehill::serve {
