--- a/test/http-test/event_splitter_test.cpp
+++ b/test/http-test/event_splitter_test.cpp
@@ -40,10 +40,9 @@
 }
 
 TEST(event_splitter_test, knows_each_end_of_line_wherever_it_is_split) {
-  const std::string one = "id: 1";
-  const std::string two = "data: a";
-  for (const std::string end : {"\r\n", "\n", "\r"}) {
-    const std::string text = one + end + two + end + end + "id: 2" + end;
+  for (const std::string text :
+       {"id: 1\r\ndata: a\r\n\r\nid: 2\r\n", "id: 1\ndata: a\n\nid: 2\n",
+        "id: 1\rdata: a\r\rid: 2\r"}) {
     for (std::size_t split = 0; split <= text.size(); ++split) {
       event_splitter events;
       auto seen = events.feed(std::string_view(text).substr(0, split));
