Mend two comments and a missing pair of braces

Last read of the diff: the formatter had joined a result to the sentence before it, and "isn't the cause" said less than what the caller knows.

--- a/src/decide/interruption_log.cpp
+++ b/src/decide/interruption_log.cpp
@@ -22,8 +22,9 @@
   auto& requests = known.found.requests;
   const bool listed =
       std::find(requests.begin(), requests.end(), request) != requests.end();
-  if (!listed && !request.empty() && requests.size() < max_requests)
+  if (!listed && !request.empty() && requests.size() < max_requests) {
     requests.push_back(request);
+  }
   for (const auto& each : interruption_of(server, parts).parts) {
     if (known.found.parts.size() >= max_parts) break;
     known.found.parts.insert(each);
--- a/src/decide/interruption_log.hpp
+++ b/src/decide/interruption_log.hpp
@@ -22,7 +22,8 @@
   static constexpr std::size_t max_interruptions = 256;
 
   /// Records a response that broke off.
-  /// \param request Its fingerprint; empty if it isn't the cause.
+  /// \param request Its fingerprint; empty if the request is known to be
+  ///     harmless.
   /// \param parts Of the request's prompt, in their order.
   void add(const std::string& server, const std::string& request,
            const std::vector<std::string>& parts, time_point now);
--- a/src/decide/prompt_part_crashes.hpp
+++ b/src/decide/prompt_part_crashes.hpp
@@ -53,8 +53,9 @@
   /// Records that a server's process still runs.
   void on_server_responded(const std::string& server, time_point now);
 
-  /// Records a complete response to a request that holds the part; it came
-  /// after the part's first crash. \return True if it was quarantined.
+  /// Records a complete response, after the part's first crash, to a request
+  /// that holds the part.
+  /// \return True if it was quarantined.
   bool on_completed(const std::string& part);
 
   /// Records that a request with the part had a complete response before the
