--- a/test/fleet-test/prompt_part_test.cpp
+++ b/test/fleet-test/prompt_part_test.cpp
@@ -2,7 +2,6 @@
 #include <chrono>
 #include <gtest/gtest.h>
 #include <httplib.h>
-#include <mutex>
 #include <string>
 #include <thread>
 
@@ -17,7 +16,6 @@
 constexpr int workers = 8;
 /// Servers that may end before the part is known.
 constexpr int most_ended = 5;
-/// Of the servers at the prompts' part "bad1".
 constexpr auto crash_on_part = R"({"kind":"crash_on_part","part":"bad1"})";
 const std::string poison_part = "bad1";
 
