Log what is counted, cleared and refused of requests that crash servers

A complete response that clears a request left no line, neither did the planner's counts, and the fingerprint of a request stood in no final line, so not even two sends of the same request could be found.

Change: the fingerprint stands in 601, 602, 603, 608 and 609; 615 (crash_counted) is the planner's count, with the router that saw it; 616 (request_cleared) the response that clears, with its status; 607 is written by the planner too, and by a router only if the quarantine is in force there. No logic changes.

--- a/src/decide/crash_counter.cpp
+++ b/src/decide/crash_counter.cpp
@@ -26,8 +26,8 @@
   this->evict_excess(now);
 }
 
-void crash_counter::clear(const std::string& fingerprint) {
-  this->entries.erase(fingerprint);
+bool crash_counter::clear(const std::string& fingerprint) {
+  return this->entries.erase(fingerprint) > 0;
 }
 
 bool crash_counter::has_reached_limit(const entry& known, time_point now) {
@@ -40,6 +40,11 @@
   return found != this->entries.end() && has_reached_limit(found->second, now);
 }
 
+std::size_t crash_counter::crashes_of(const std::string& fingerprint) const {
+  const auto found = this->entries.find(fingerprint);
+  return found == this->entries.end() ? 0 : found->second.servers.size();
+}
+
 std::vector<std::string> crash_counter::quarantined_requests(
     time_point now) const {
   std::vector<std::string> found;
--- a/src/decide/crash_counter.hpp
+++ b/src/decide/crash_counter.hpp
@@ -40,10 +40,15 @@
   void quarantine(const std::string& fingerprint, time_point now);
 
   /// Removes a request that is known to be harmless.
-  void clear(const std::string& fingerprint);
+  /// \return True if crashes were counted for it.
+  bool clear(const std::string& fingerprint);
 
   bool is_quarantined(const std::string& fingerprint, time_point now) const;
 
+  /// \return How many servers interrupted a run of the request; at most
+  ///     `crash_limit`.
+  std::size_t crashes_of(const std::string& fingerprint) const;
+
   /// \return The fingerprints of all quarantined requests.
   std::vector<std::string> quarantined_requests(time_point now) const;
 
--- a/src/decide/crash_tracker.cpp
+++ b/src/decide/crash_tracker.cpp
@@ -9,13 +9,14 @@
   return true;
 }
 
-void crash_tracker::on_completed(const std::string& fingerprint) {
-  this->crash_counts.clear(fingerprint);
-  if (!this->completed.insert(fingerprint).second) return;
+bool crash_tracker::on_completed(const std::string& fingerprint) {
+  const bool cleared = this->crash_counts.clear(fingerprint);
+  if (!this->completed.insert(fingerprint).second) return cleared;
   this->completed_by_age.push_back(fingerprint);
-  if (this->completed_by_age.size() <= max_completed) return;
+  if (this->completed_by_age.size() <= max_completed) return cleared;
   this->completed.erase(this->completed_by_age.front());
   this->completed_by_age.pop_front();
+  return cleared;
 }
 
 void crash_tracker::on_quarantined(const std::string& fingerprint,
--- a/src/decide/crash_tracker.hpp
+++ b/src/decide/crash_tracker.hpp
@@ -39,7 +39,8 @@
                       time_point now);
 
   /// Records a run with a complete response.
-  void on_completed(const std::string& fingerprint);
+  /// \return True if this clears the request of crashes counted here.
+  bool on_completed(const std::string& fingerprint);
 
   /// Records that the planner quarantined a request because of the crashes at
   /// all routers.
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -74,6 +74,8 @@
   retry_sent = 612,
   prompt_part_quarantined = 613,
   prompt_part_cleared = 614,
+  crash_counted = 615,
+  request_cleared = 616,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -125,7 +125,9 @@
   for (const auto& each : update.convicted) {
     if (this->crashes.is_quarantined(each, now)) continue;
     this->crashes.on_quarantined(each, now);
-    kernel::log_event(kernel::event::convicted, {{"fingerprint", each}});
+    if (!this->crashes.is_quarantined(each, now)) continue;
+    kernel::log_event(kernel::event::convicted,
+                      {{"fingerprint", each}, {"by", "planner"}});
   }
   this->on_part_news(update, now);
   this->metrics.set_planner_term(static_cast<double>(update.term));
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -59,8 +59,14 @@
 }
 
 void dispatcher::clear(const exchange& request) {
-  this->crashes.on_completed(request.fingerprint());
   const int status = request.result().status;
+  if (this->crashes.on_completed(request.fingerprint())) {
+    kernel::log_event(kernel::event::request_cleared,
+                      {{"request", request.fields().attempt},
+                       {"fingerprint", request.fingerprint()},
+                       {"server", request.last_server()},
+                       {"status", status}});
+  }
   if (status < ok_status || status >= first_failure_status) return;
   this->prompt_parts.on_completed(request.fields().prompt_parts,
                                   time_point::clock::now());
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -48,6 +48,7 @@
   kernel::log_event(
       which,
       {{"request", asked.attempt},
+       {"fingerprint", request.fingerprint()},
        {"route", request.route() ? request.route()->name : std::string()},
        {"service", request.service()},
        {"model", asked.model},
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -12,7 +12,7 @@
   const auto now = time_point::clock::now();
   for (const auto& each : report.interruptions) {
     for (const auto& request : each.requests) {
-      this->crashes.on_crash(request, each.server, now);
+      this->count_crash(request, each.server, report.router, now);
     }
     this->part_crashes.on_interrupted(each, now);
   }
@@ -34,6 +34,23 @@
   this->convicted = this->crashes.quarantined_requests(now);
 }
 
+void planner_duty::count_crash(const std::string& fingerprint,
+                               const std::string& server,
+                               const std::string& router, time_point now) {
+  const auto known = this->crashes.crashes_of(fingerprint);
+  const bool quarantined = this->crashes.on_crash(fingerprint, server, now);
+  const auto servers = this->crashes.crashes_of(fingerprint);
+  if (servers == known) return;
+  kernel::log_event(kernel::event::crash_counted, {{"fingerprint", fingerprint},
+                                                   {"server", server},
+                                                   {"router", router},
+                                                   {"servers", servers},
+                                                   {"term", this->term}});
+  if (!quarantined) return;
+  kernel::log_event(kernel::event::convicted,
+                    {{"fingerprint", fingerprint}, {"term", this->term}});
+}
+
 bool planner_duty::has_ended(const std::string& server) const {
   if (this->lost_workers.contains(server)) return true;
   const auto& listed = this->servers.servers;
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -77,6 +77,9 @@
   void on_router_gone(std::uint64_t number);
   /// Counts the crashes that a router has seen.
   void note_crashes(const wire::router_report& report);
+  /// Counts a server that interrupted a request at a router.
+  void count_crash(const std::string& fingerprint, const std::string& server,
+                   const std::string& router, time_point now);
   /// Finds out which servers with interruptions have ended, and quarantines the
   /// parts of prompts that ended them.
   void judge_crashes(time_point now);
