Show that a cleared request crashes servers without end

What callers see: a request that ends each server which runs it is never refused at a router that once passed on a complete response to it, be it a server's own 500 or a success from before it began to crash. It ends server after server, and the service's other callers get nothing.

--- /dev/null
+++ b/test/fleet-test/crashing_request_test.cpp
@@ -0,0 +1,117 @@
+#include <chrono>
+#include <gtest/gtest.h>
+#include <string>
+#include <thread>
+
+#include "fleet-test/small_fleet.hpp"
+
+namespace boragehill::fleet_test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int routers = 2;
+constexpr int plains = 6;
+constexpr int crash_limit = 3;
+/// All routers refuse a request within this after its third crash.
+constexpr milliseconds known_everywhere{1000};
+constexpr milliseconds between_calls{150};
+
+/// A fleet whose plain servers may be told to end when they get a certain
+/// request, which comes again and again at any router.
+class crashing_request_test : public testing::Test {
+ protected:
+  crashing_request_test() : fleet(routers, 1, plains, 1) {}
+
+  void SetUp() override { ASSERT_TRUE(this->fleet.start()); }
+
+  void set_fault(const std::string& json) {
+    for (int each = 1; each <= plains; ++each) {
+      this->fleet.fault(numbered("plain", each), json);
+    }
+  }
+
+  /// Lets the servers end from now on, and do nothing else that is wrong.
+  void begin_to_crash() {
+    this->set_fault(R"({"kind":"none"})");
+    this->set_fault(R"({"kind":"crash_on","marker":"poison"})");
+  }
+
+  /// Sends the request once more.
+  std::string send(int router) {
+    return this->fleet.raw(router,
+                           "POST /plain/x HTTP/1.1\r\nHost: valves.example\r\n"
+                           "Connection: close\r\nBoragehill-Attempt-Id: " +
+                               numbered("call", ++this->sent) +
+                               "\r\nContent-Length: 6\r\n\r\npoison");
+  }
+
+  void send_everywhere(const std::string& status) {
+    for (int router = 1; router <= routers; ++router) {
+      const auto answer = this->send(router);
+      EXPECT_NE(answer.find(" " + status + " "), std::string::npos) << answer;
+    }
+  }
+
+  /// Crashes as many servers as it takes to know the request.
+  void crash_servers() {
+    for (int each = 0; each < crash_limit; ++each) {
+      const auto answer = this->send(1 + each % routers);
+      EXPECT_NE(answer.find(" 502 "), std::string::npos) << answer;
+      std::this_thread::sleep_for(between_calls);
+    }
+    std::this_thread::sleep_for(known_everywhere);
+  }
+
+  void expect_refused_everywhere() {
+    for (int router = 1; router <= routers; ++router) {
+      const auto answer = this->send(router);
+      EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+      EXPECT_NE(answer.find("1009 "), std::string::npos) << answer;
+    }
+    int ended = 0;
+    for (int each = 1; each <= plains; ++each) {
+      if (!this->fleet[numbered("plain", each)].is_running()) ++ended;
+    }
+    EXPECT_EQ(ended, crash_limit);
+  }
+
+  small_fleet fleet;
+  int sent = 0;
+};
+
+// Guards against a server's own failure that is taken for proof that a request
+// is harmless.
+TEST_F(crashing_request_test, refuses_a_request_whose_earlier_runs_failed) {
+  this->set_fault(R"({"kind":"fail_runs","count":1000})");
+  this->send_everywhere("500");
+  this->begin_to_crash();
+  this->crash_servers();
+  this->expect_refused_everywhere();
+}
+
+// Guards against a complete response from before the crashes that is taken for
+// proof that a request is harmless.
+TEST_F(crashing_request_test, refuses_a_request_that_used_to_complete) {
+  this->send_everywhere("200");
+  this->begin_to_crash();
+  this->crash_servers();
+  this->expect_refused_everywhere();
+}
+
+// Guards against the loss of requests that complete and are interrupted by
+// turns.
+TEST_F(crashing_request_test, serves_a_request_that_completes_in_between) {
+  for (int each = 0; each < 2 * crash_limit; ++each) {
+    this->set_fault(R"({"kind":"lose_answers","count":1000})");
+    this->send_everywhere("502");
+    this->set_fault(R"({"kind":"none"})");
+    std::this_thread::sleep_for(between_calls);
+    this->send_everywhere("200");
+  }
+  std::this_thread::sleep_for(known_everywhere);
+  this->send_everywhere("200");
+}
+
+}  // namespace
+}  // namespace boragehill::fleet_test
