--- a/src/decide/prompt_part_crashes.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -1,4 +1,4 @@
-#include "decide/prompt_part_crashes.hpp"
+#include "decide/crash_suspects.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -6,8 +6,7 @@
 
 namespace boragehill::decide {
 
-void prompt_part_crashes::on_interrupted(const interruption& found,
-                                         time_point now) {
+void crash_suspects::on_interrupted(const interruption& found, time_point now) {
   this->drop_expired(now);
   if (found.parts.empty()) return;
   auto known = this->servers.find(found.server);
@@ -30,23 +29,23 @@
   }
 }
 
-void prompt_part_crashes::on_server_ended(const std::string& server,
-                                          time_point now) {
+void crash_suspects::on_server_ended(const std::string& server,
+                                     time_point now) {
   const auto known = this->servers.find(server);
   if (known == this->servers.end() || known->second.ended) return;
   known->second.ended = true;
   this->add_crash(server, known->second, known->second.parts, now);
 }
 
-void prompt_part_crashes::on_server_responded(const std::string& server,
-                                              time_point now) {
+void crash_suspects::on_server_responded(const std::string& server,
+                                         time_point now) {
   const auto known = this->servers.find(server);
   if (known == this->servers.end() || known->second.ended) return;
   if (now - known->second.interrupted_at < alive_after) return;
   this->servers.erase(known);
 }
 
-bool prompt_part_crashes::on_completed(const std::string& part) {
+bool crash_suspects::on_completed(const std::string& part) {
   const auto known = this->parts.find(part);
   if (known == this->parts.end()) return false;
   const bool was_quarantined = known->second.quarantined;
@@ -54,12 +53,12 @@
   return was_quarantined;
 }
 
-void prompt_part_crashes::on_completed_before(const std::string& part) {
+void crash_suspects::on_completed_before(const std::string& part) {
   const auto known = this->parts.find(part);
   if (known != this->parts.end()) known->second.completed_before = true;
 }
 
-void prompt_part_crashes::quarantine(const std::string& part, time_point now) {
+void crash_suspects::quarantine(const std::string& part, time_point now) {
   auto& known = this->parts[part];
   // An existing quarantine isn't renewed, so that it expires.
   if (known.quarantined) return;
@@ -68,7 +67,7 @@
   this->evict_excess();
 }
 
-std::vector<std::string> prompt_part_crashes::update(time_point now) {
+std::vector<std::string> crash_suspects::update(time_point now) {
   this->drop_expired(now);
   for (auto& [part, known] : this->parts) {
     if (known.quarantined || known.asked) continue;
@@ -93,8 +92,7 @@
   }
 }
 
-std::vector<std::string> prompt_part_crashes::quarantined(
-    time_point now) const {
+std::vector<std::string> crash_suspects::quarantined(time_point now) const {
   std::vector<std::string> found;
   for (const auto& [part, known] : this->parts) {
     const bool holds = now - known.recorded_at <= retention;
@@ -103,7 +101,7 @@
   return found;
 }
 
-std::map<std::string, time_point> prompt_part_crashes::suspected(
+std::map<std::string, time_point> crash_suspects::suspected(
     time_point now) const {
   std::map<std::string, time_point> found;
   for (const auto& [part, known] : this->parts) {
@@ -116,7 +114,7 @@
   return found;
 }
 
-std::vector<std::string> prompt_part_crashes::unconfirmed() const {
+std::vector<std::string> crash_suspects::unconfirmed() const {
   std::vector<std::string> found;
   for (const auto& [server, known] : this->servers) {
     if (!known.ended) found.push_back(server);
@@ -124,7 +122,7 @@
   return found;
 }
 
-std::vector<std::string> prompt_part_crashes::servers_of(
+std::vector<std::string> crash_suspects::servers_of(
     const std::string& part) const {
   std::vector<std::string> found;
   const auto known = this->parts.find(part);
@@ -133,7 +131,7 @@
   return found;
 }
 
-std::size_t prompt_part_crashes::count(const part_entry& known) {
+std::size_t crash_suspects::count(const part_entry& known) {
   std::size_t crashes = 0;
   time_point last;
   for (const auto& each : known.crashes) {
@@ -144,10 +142,10 @@
   return crashes;
 }
 
-void prompt_part_crashes::add_crash(const std::string& server,
-                                    const server_entry& known,
-                                    const std::map<std::string, int>& parts,
-                                    time_point now) {
+void crash_suspects::add_crash(const std::string& server,
+                               const server_entry& known,
+                               const std::map<std::string, int>& parts,
+                               time_point now) {
   if (this->is_explained(known)) return this->forget_crash(server);
   for (const auto& [part, position] : parts) {
     auto& entry = this->parts[part];
@@ -165,7 +163,7 @@
   this->evict_excess();
 }
 
-bool prompt_part_crashes::is_explained(const server_entry& known) const {
+bool crash_suspects::is_explained(const server_entry& known) const {
   return std::any_of(
       known.parts.begin(), known.parts.end(), [&](const auto& each) {
         const auto found = this->parts.find(each.first);
@@ -173,7 +171,7 @@
       });
 }
 
-std::vector<std::string> prompt_part_crashes::next_to_quarantine(
+std::vector<std::string> crash_suspects::next_to_quarantine(
     time_point now) const {
   // Of parts that were in flight at equally many crashes, one further behind in
   // the prompt is shared by fewer requests.
@@ -200,7 +198,7 @@
   return best;
 }
 
-void prompt_part_crashes::forget_crash(const std::string& server) {
+void crash_suspects::forget_crash(const std::string& server) {
   for (auto& [part, known] : this->parts) {
     if (known.quarantined) continue;
     std::erase_if(known.crashes, [&server](const crash& each) {
@@ -212,7 +210,7 @@
   });
 }
 
-void prompt_part_crashes::drop_expired(time_point now) {
+void crash_suspects::drop_expired(time_point now) {
   std::erase_if(this->parts, [now](const auto& each) {
     return now - each.second.recorded_at > retention;
   });
@@ -221,7 +219,7 @@
   });
 }
 
-void prompt_part_crashes::evict_excess() {
+void crash_suspects::evict_excess() {
   // A part with few crashes is most likely harmless, so it is evicted first; of
   // equal counts the oldest.
   while (this->parts.size() > max_parts) {
--- a/src/decide/prompt_part_crashes.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -1,5 +1,5 @@
-#ifndef BORAGEHILL_DECIDE_PROMPT_PART_CRASHES_HPP
-#define BORAGEHILL_DECIDE_PROMPT_PART_CRASHES_HPP
+#ifndef BORAGEHILL_DECIDE_CRASH_SUSPECTS_HPP
+#define BORAGEHILL_DECIDE_CRASH_SUSPECTS_HPP
 
 #include <cstddef>
 #include <map>
@@ -19,7 +19,7 @@
 /// is ever complete. Other parts are in flight there by chance: a complete
 /// response clears them, and the crashes that a quarantined part explains are
 /// counted for no other.
-class prompt_part_crashes {
+class crash_suspects {
  public:
   /// Crashes after which a part is quarantined.
   static constexpr std::size_t crash_limit = 3;
@@ -126,4 +126,4 @@
 
 }  // namespace boragehill::decide
 
-#endif  // BORAGEHILL_DECIDE_PROMPT_PART_CRASHES_HPP
+#endif  // BORAGEHILL_DECIDE_CRASH_SUSPECTS_HPP
--- a/src/decide/prompt_part_guard.cpp
+++ b/src/decide/suspect_guard.cpp
@@ -1,19 +1,18 @@
-#include "decide/prompt_part_guard.hpp"
+#include "decide/suspect_guard.hpp"
 
 #include <algorithm>
 #include <utility>
 
 namespace boragehill::decide {
 
-void prompt_part_guard::on_interrupted(const interruption& found,
-                                       time_point now) {
+void suspect_guard::on_interrupted(const interruption& found, time_point now) {
   if (this->linked) return;
   this->own_counts.on_interrupted(found, now);
   this->own_counts.on_server_ended(found.server, now);
 }
 
-void prompt_part_guard::on_completed(const std::vector<std::string>& parts,
-                                     time_point now) {
+void suspect_guard::on_completed(const std::vector<std::string>& parts,
+                                 time_point now) {
   for (const auto& part : parts) {
     this->completed[part] = now;
     this->own_counts.on_completed(part);
@@ -22,7 +21,7 @@
   this->evict_excess();
 }
 
-void prompt_part_guard::on_suspected(
+void suspect_guard::on_suspected(
     const std::map<std::string, milliseconds>& news, time_point now) {
   this->suspected.clear();
   for (const auto& [part, age] : news) {
@@ -31,7 +30,7 @@
   }
 }
 
-std::vector<std::string> prompt_part_guard::on_quarantined(
+std::vector<std::string> suspect_guard::on_quarantined(
     const std::vector<std::string>& news, bool first, time_point now) {
   std::map<std::string, time_point> next;
   if (first) next = this->refused;
@@ -46,52 +45,52 @@
   return added;
 }
 
-void prompt_part_guard::on_planner_linked() {
+void suspect_guard::on_planner_linked() {
   this->linked = true;
   this->own_counts = {};
 }
 
-void prompt_part_guard::on_planner_lost() {
+void suspect_guard::on_planner_lost() {
   this->linked = false;
   this->suspected.clear();
 }
 
-std::vector<std::string> prompt_part_guard::update(time_point now) {
+std::vector<std::string> suspect_guard::update(time_point now) {
   if (this->linked) return {};
   auto found = this->own_counts.update(now);
   for (const auto& part : found) this->refused.emplace(part, now);
   return found;
 }
 
-bool prompt_part_guard::is_quarantined(const std::vector<std::string>& parts,
-                                       time_point now) const {
+bool suspect_guard::is_quarantined(const std::vector<std::string>& parts,
+                                   time_point now) const {
   if (this->refused.empty()) return false;
   return std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
     const auto found = this->refused.find(part);
     return found != this->refused.end() &&
-           now - found->second <= prompt_part_crashes::retention;
+           now - found->second <= crash_suspects::retention;
   });
 }
 
-std::vector<std::string> prompt_part_guard::quarantined(time_point now) const {
+std::vector<std::string> suspect_guard::quarantined(time_point now) const {
   std::vector<std::string> found;
   for (const auto& [part, since] : this->refused) {
-    if (now - since <= prompt_part_crashes::retention) found.push_back(part);
+    if (now - since <= crash_suspects::retention) found.push_back(part);
   }
   return found;
 }
 
-std::vector<std::string> prompt_part_guard::take_cleared() {
+std::vector<std::string> suspect_guard::take_cleared() {
   const auto taken = std::exchange(this->cleared, {});
   return {taken.begin(), taken.end()};
 }
 
-std::vector<std::string> prompt_part_guard::take_completed_before() {
+std::vector<std::string> suspect_guard::take_completed_before() {
   const auto taken = std::exchange(this->completed_before, {});
   return {taken.begin(), taken.end()};
 }
 
-void prompt_part_guard::clear_if_completed(const std::string& part) {
+void suspect_guard::clear_if_completed(const std::string& part) {
   const auto suspect = this->suspected.find(part);
   const auto response = this->completed.find(part);
   if (suspect == this->suspected.end() || response == this->completed.end()) {
@@ -105,7 +104,7 @@
   this->suspected.erase(suspect);
 }
 
-void prompt_part_guard::evict_excess() {
+void suspect_guard::evict_excess() {
   while (this->completed.size() > max_completed) {
     this->completed.erase(
         std::min_element(this->completed.begin(), this->completed.end(),
--- a/src/decide/prompt_part_guard.hpp
+++ b/src/decide/suspect_guard.hpp
@@ -1,5 +1,5 @@
-#ifndef BORAGEHILL_DECIDE_PROMPT_PART_GUARD_HPP
-#define BORAGEHILL_DECIDE_PROMPT_PART_GUARD_HPP
+#ifndef BORAGEHILL_DECIDE_SUSPECT_GUARD_HPP
+#define BORAGEHILL_DECIDE_SUSPECT_GUARD_HPP
 
 #include <cstddef>
 #include <map>
@@ -9,14 +9,14 @@
 
 #include <boragehill/time_point.hpp>
 
-#include "decide/prompt_part_crashes.hpp"
+#include "decide/crash_suspects.hpp"
 
 namespace boragehill::decide {
 
 /// One router's view of prompt parts that crash servers: refuses what the
 /// planner has quarantined, and tells it of complete responses that clear a
 /// part. Without a planner it counts what it sees itself.
-class prompt_part_guard {
+class suspect_guard {
  public:
   /// Maximum number of parts whose complete responses are remembered.
   static constexpr std::size_t max_completed = 2048;
@@ -73,10 +73,10 @@
   std::map<std::string, time_point> refused;
   std::set<std::string> cleared;
   std::set<std::string> completed_before;
-  prompt_part_crashes own_counts;
+  crash_suspects own_counts;
   bool linked = false;
 };
 
 }  // namespace boragehill::decide
 
-#endif  // BORAGEHILL_DECIDE_PROMPT_PART_GUARD_HPP
+#endif  // BORAGEHILL_DECIDE_SUSPECT_GUARD_HPP
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -20,7 +20,6 @@
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
 #include "decide/interruption_log.hpp"
-#include "decide/prompt_part_guard.hpp"
 #include "decide/rate_limit_report.hpp"
 #include "decide/rate_limited_servers.hpp"
 #include "decide/response_time_estimate.hpp"
@@ -28,6 +27,7 @@
 #include "decide/router_count.hpp"
 #include "decide/shutdown_gate.hpp"
 #include "decide/slot_grant.hpp"
+#include "decide/suspect_guard.hpp"
 #include "decide/windowed_retry_budget.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/server_list.hpp"
@@ -291,7 +291,7 @@
   std::function<void()> waits;
   decide::crash_tracker crashes;
   decide::interruption_log interruptions;
-  decide::prompt_part_guard prompt_parts;
+  decide::suspect_guard prompt_parts;
   /// A new planner hears of what is quarantined with the next report.
   bool tells_quarantined = false;
   decide::shutdown_gate gate;
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -13,8 +13,8 @@
 #include <boragehill/endpoint.hpp>
 
 #include "decide/crash_counter.hpp"
+#include "decide/crash_suspects.hpp"
 #include "decide/fleet_view.hpp"
-#include "decide/prompt_part_crashes.hpp"
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "decide/slot_allocator.hpp"
@@ -124,7 +124,7 @@
   decide::crash_counter crashes{most_struck};
   /// Requests that no router should run, as last summed up.
   std::vector<std::string> convicted;
-  decide::prompt_part_crashes part_crashes;
+  decide::crash_suspects part_crashes;
   /// Workers that their agents don't reach, or of another lifetime.
   std::set<std::string> lost_workers;
   decide::rate_limit_allocator rate_limits;
--- a/test/decide-test/prompt_part_crashes_test.cpp
+++ b/test/decide-test/crash_suspects_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/prompt_part_crashes.hpp"
+#include "decide/crash_suspects.hpp"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -15,7 +15,7 @@
 const std::string shared = "shared";
 const std::string poison = "poison";
 
-class prompt_part_crashes_test : public testing::Test {
+class crash_suspects_test : public testing::Test {
  protected:
   /// Lets a server end with prompts in flight that hold these parts.
   void crash(const std::string& server,
@@ -40,17 +40,17 @@
   }
 
   std::vector<std::string> quarantined() {
-    this->pass(prompt_part_crashes::hearing + milliseconds(40));
+    this->pass(crash_suspects::hearing + milliseconds(40));
     return this->found.quarantined(this->now);
   }
 
-  prompt_part_crashes found;
+  crash_suspects found;
   time_point now{std::chrono::hours(1)};
 };
 
 using list = std::vector<std::string>;
 
-TEST_F(prompt_part_crashes_test, quarantines_the_part_that_is_in_each_crash) {
+TEST_F(crash_suspects_test, quarantines_the_part_that_is_in_each_crash) {
   this->crash("a", {shared, poison, "x"});
   this->pass(milliseconds(700));
   this->crash("b", {shared, poison, "y"});
@@ -62,7 +62,7 @@
 
 // Guards against the loss of all requests with a part that all share, where too
 // few of them complete to clear it.
-TEST_F(prompt_part_crashes_test, blames_the_part_that_fewer_requests_share) {
+TEST_F(crash_suspects_test, blames_the_part_that_fewer_requests_share) {
   for (const char* server : {"a", "b", "c", "d", "e"}) {
     this->crash(server, {shared, poison});
     this->pass(milliseconds(100));
@@ -74,8 +74,7 @@
   EXPECT_EQ(this->quarantined(), list{poison});
 }
 
-TEST_F(prompt_part_crashes_test,
-       blames_a_first_part_that_nothing_else_explains) {
+TEST_F(crash_suspects_test, blames_a_first_part_that_nothing_else_explains) {
   for (const char* server : {"a", "b", "c"}) {
     this->crash(server, {shared, server});
     this->pass(milliseconds(100));
@@ -85,7 +84,7 @@
 
 // Guards against sound parts that are taken for the cause as they are as far
 // behind in the prompt.
-TEST_F(prompt_part_crashes_test, blames_a_part_that_has_never_completed) {
+TEST_F(crash_suspects_test, blames_a_part_that_has_never_completed) {
   for (const char* server : {"a", "b", "c", "d"}) {
     this->crash(server, {shared, poison, "subject"});
     this->pass(milliseconds(100));
@@ -95,7 +94,7 @@
   EXPECT_EQ(this->quarantined(), list{poison});
 }
 
-TEST_F(prompt_part_crashes_test, blames_all_parts_that_nothing_tells_apart) {
+TEST_F(crash_suspects_test, blames_all_parts_that_nothing_tells_apart) {
   for (const char* server : {"a", "b", "c"}) {
     this->crash(server, {shared, poison});
     this->interrupt(server, {shared, "other"});
@@ -106,7 +105,7 @@
 
 // Guards against one crash that counts once for each router or request that saw
 // it.
-TEST_F(prompt_part_crashes_test, counts_each_server_once) {
+TEST_F(crash_suspects_test, counts_each_server_once) {
   for (int each = 0; each < 5; ++each) {
     this->crash("a", {poison});
     this->interrupt("a", {poison, "x" + std::to_string(each)});
@@ -116,17 +115,16 @@
 }
 
 // Guards against crashes that count again when routers repeat what they saw.
-TEST_F(prompt_part_crashes_test,
-       counts_no_server_again_that_is_reported_again) {
+TEST_F(crash_suspects_test, counts_no_server_again_that_is_reported_again) {
   for (int each = 0; each < 4; ++each) {
     this->crash("a", {poison});
-    this->pass(prompt_part_crashes::confirmation_limit + milliseconds(100));
+    this->pass(crash_suspects::confirmation_limit + milliseconds(100));
   }
   EXPECT_EQ(this->quarantined(), list{});
 }
 
 // Guards against parts that are quarantined since a failure domain was lost.
-TEST_F(prompt_part_crashes_test, counts_servers_that_end_together_once) {
+TEST_F(crash_suspects_test, counts_servers_that_end_together_once) {
   for (int each = 0; each < 9; ++each) {
     this->crash("a" + std::to_string(each), {shared});
     this->now += milliseconds(4);
@@ -135,17 +133,17 @@
 }
 
 // Guards against parts that are quarantined since responses are truncated.
-TEST_F(prompt_part_crashes_test, ignores_interruptions_at_servers_that_run_on) {
+TEST_F(crash_suspects_test, ignores_interruptions_at_servers_that_run_on) {
   for (const char* server : {"a", "b", "c", "d"}) {
     this->interrupt(server, {shared});
-    this->pass(prompt_part_crashes::alive_after);
+    this->pass(crash_suspects::alive_after);
     this->found.on_server_responded(server, this->now);
     this->found.on_server_ended(server, this->now);
   }
   EXPECT_EQ(this->quarantined(), list{});
 }
 
-TEST_F(prompt_part_crashes_test, trusts_no_response_of_before_the_end) {
+TEST_F(crash_suspects_test, trusts_no_response_of_before_the_end) {
   for (const char* server : {"a", "b", "c"}) {
     this->interrupt(server, {poison});
     this->found.on_server_responded(server, this->now);
@@ -155,7 +153,7 @@
   EXPECT_EQ(this->quarantined(), list{poison});
 }
 
-TEST_F(prompt_part_crashes_test, asks_before_the_limit_and_is_cleared) {
+TEST_F(crash_suspects_test, asks_before_the_limit_and_is_cleared) {
   this->crash("a", {shared});
   this->pass(milliseconds(100));
   EXPECT_TRUE(this->found.suspected(this->now).empty());
@@ -168,7 +166,7 @@
   EXPECT_EQ(this->quarantined(), list{});
 }
 
-TEST_F(prompt_part_crashes_test, lets_a_quarantined_part_go_that_completes) {
+TEST_F(crash_suspects_test, lets_a_quarantined_part_go_that_completes) {
   for (const char* server : {"a", "b", "c"}) {
     this->crash(server, {shared});
     this->pass(milliseconds(100));
@@ -179,18 +177,18 @@
   EXPECT_EQ(this->quarantined(), list{});
 }
 
-TEST_F(prompt_part_crashes_test, takes_over_what_an_earlier_planner_found) {
+TEST_F(crash_suspects_test, takes_over_what_an_earlier_planner_found) {
   this->found.quarantine(poison, this->now);
   EXPECT_EQ(this->quarantined(), list{poison});
   this->crash("a", {shared, poison});
   this->crash("b", {shared});
-  this->pass(prompt_part_crashes::retention / 2);
+  this->pass(crash_suspects::retention / 2);
   this->found.quarantine(poison, this->now);
-  this->now += prompt_part_crashes::retention;
+  this->now += crash_suspects::retention;
   EXPECT_EQ(this->quarantined(), list{});
 }
 
-TEST_F(prompt_part_crashes_test, merges_late_reports_of_other_routers) {
+TEST_F(crash_suspects_test, merges_late_reports_of_other_routers) {
   for (const char* server : {"a", "b", "c"}) {
     this->crash(server, {shared});
     this->pass(milliseconds(80));
@@ -201,7 +199,7 @@
 }
 
 // Guards against callers that fill the planner's memory with parts.
-TEST_F(prompt_part_crashes_test, bounds_what_it_keeps) {
+TEST_F(crash_suspects_test, bounds_what_it_keeps) {
   this->found.quarantine(poison, this->now);
   constexpr std::size_t servers = 40;
   for (std::size_t server = 0; server < servers; ++server) {
@@ -213,13 +211,13 @@
     this->found.on_server_ended(seen.server, this->now);
     this->now += milliseconds(100);
   }
-  EXPECT_LE(this->found.size(), prompt_part_crashes::max_parts);
+  EXPECT_LE(this->found.size(), crash_suspects::max_parts);
   EXPECT_EQ(this->quarantined(), list{poison});
 }
 
 // Guards against sound parts that are taken for the cause while servers crash
 // one after the other, and against a cause that is found too late.
-RC_GTEST_FIXTURE_PROP(prompt_part_crashes_test,
+RC_GTEST_FIXTURE_PROP(crash_suspects_test,
                       finds_the_one_part_and_no_other_in_a_storm, ()) {
   const int subjects = *rc::gen::inRange(3, 40);
   const int in_flight = *rc::gen::inRange(0, 20);
--- a/test/decide-test/prompt_part_guard_test.cpp
+++ b/test/decide-test/suspect_guard_test.cpp
@@ -1,4 +1,4 @@
-#include "decide/prompt_part_guard.hpp"
+#include "decide/suspect_guard.hpp"
 
 #include <gtest/gtest.h>
 #include <string>
@@ -11,7 +11,7 @@
 const std::string shared = "shared";
 const std::string poison = "poison";
 
-class prompt_part_guard_test : public testing::Test {
+class suspect_guard_test : public testing::Test {
  protected:
   bool refuses(const list& parts) {
     return this->guard.is_quarantined(parts, this->now);
@@ -25,11 +25,11 @@
     this->guard.update(this->now);
   }
 
-  prompt_part_guard guard;
+  suspect_guard guard;
   time_point now{std::chrono::hours(1)};
 };
 
-TEST_F(prompt_part_guard_test, refuses_prompts_with_a_quarantined_part) {
+TEST_F(suspect_guard_test, refuses_prompts_with_a_quarantined_part) {
   this->guard.on_planner_linked();
   EXPECT_EQ(this->guard.on_quarantined({poison}, false, this->now),
             list{poison});
@@ -41,7 +41,7 @@
   EXPECT_FALSE(this->refuses({shared, poison}));
 }
 
-TEST_F(prompt_part_guard_test, clears_what_completed_since_the_first_crash) {
+TEST_F(suspect_guard_test, clears_what_completed_since_the_first_crash) {
   this->guard.on_planner_linked();
   this->guard.on_completed({"before", "after"}, this->now);
   this->now += milliseconds(100);
@@ -59,7 +59,7 @@
   EXPECT_EQ(this->guard.take_cleared(), list{});
 }
 
-TEST_F(prompt_part_guard_test, counts_by_itself_without_a_planner) {
+TEST_F(suspect_guard_test, counts_by_itself_without_a_planner) {
   for (const char* server : {"a", "b", "c"}) {
     EXPECT_FALSE(this->refuses({poison}));
     this->interrupt(server);
@@ -71,23 +71,23 @@
 
 // Guards against parts that are refused since responses are truncated, which
 // the planner could tell from crashes.
-TEST_F(prompt_part_guard_test, leaves_the_count_to_a_planner) {
+TEST_F(suspect_guard_test, leaves_the_count_to_a_planner) {
   this->guard.on_planner_linked();
   for (const char* server : {"a", "b", "c", "d"}) this->interrupt(server);
   EXPECT_FALSE(this->refuses({poison}));
 }
 
-TEST_F(prompt_part_guard_test, keeps_quarantines_while_the_planner_changes) {
+TEST_F(suspect_guard_test, keeps_quarantines_while_the_planner_changes) {
   this->guard.on_planner_linked();
   this->guard.on_quarantined({poison}, false, this->now);
   this->guard.on_planner_lost();
   EXPECT_TRUE(this->refuses({poison}));
-  this->now += prompt_part_crashes::retention + milliseconds(1);
+  this->now += crash_suspects::retention + milliseconds(1);
   EXPECT_FALSE(this->refuses({poison}));
 }
 
 // Guards against quarantines that are lost with the planner that found them.
-TEST_F(prompt_part_guard_test, keeps_what_a_new_planner_has_not_heard_of) {
+TEST_F(suspect_guard_test, keeps_what_a_new_planner_has_not_heard_of) {
   this->guard.on_planner_linked();
   this->guard.on_quarantined({poison}, true, this->now);
   this->guard.on_planner_lost();
@@ -100,8 +100,8 @@
   EXPECT_FALSE(this->refuses({poison}));
 }
 
-TEST_F(prompt_part_guard_test, bounds_the_complete_responses_that_it_keeps) {
-  constexpr std::size_t many = 3 * prompt_part_guard::max_completed;
+TEST_F(suspect_guard_test, bounds_the_complete_responses_that_it_keeps) {
+  constexpr std::size_t many = 3 * suspect_guard::max_completed;
   this->guard.on_planner_linked();
   this->guard.on_completed({"old"}, this->now);
   for (std::size_t each = 0; each < many; ++each) {
