--- /dev/null
+++ b/src/decide/crash_suspect_settings.hpp
@@ -0,0 +1,29 @@
+#ifndef BORAGEHILL_DECIDE_CRASH_SUSPECT_SETTINGS_HPP
+#define BORAGEHILL_DECIDE_CRASH_SUSPECT_SETTINGS_HPP
+
+#include <boragehill/time_point.hpp>
+
+namespace boragehill::decide {
+
+/// How crashes are counted against suspects.
+struct crash_suspect_settings {
+  /// An interruption counts once the server is known to have ended. Else it
+  /// counts at once, until the server responds after it.
+  bool confirms_end = true;
+  /// Routers are asked for complete responses with a suspect after its second
+  /// crash, and have so long to tell of one.
+  milliseconds hearing{300};
+
+  bool operator==(const crash_suspect_settings&) const = default;
+};
+
+/// For parts of prompts: many sound requests share them, so a truncated
+/// response must not count.
+constexpr crash_suspect_settings part_settings{};
+/// For whole requests: few are alike, and nobody may ask a server without a
+/// status check whether it has ended.
+constexpr crash_suspect_settings request_settings{.confirms_end = false};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_CRASH_SUSPECT_SETTINGS_HPP
--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -6,26 +6,26 @@
 
 namespace boragehill::decide {
 
-void crash_suspects::on_interrupted(const interruption& found, time_point now) {
+void crash_suspects::on_interrupted(const std::string& server, milliseconds age,
+                                    const sighting_map& found, time_point now) {
   this->drop_expired(now);
-  if (found.parts.empty()) return;
-  auto known = this->servers.find(found.server);
+  if (found.empty()) return;
+  auto known = this->servers.find(server);
   if (known == this->servers.end()) {
     if (this->servers.size() >= max_servers) return;
     known = this->servers
-                .emplace(found.server,
-                         server_entry{.interrupted_at = now - found.age})
+                .emplace(server,
+                         server_entry{.interrupted_at = now - age,
+                                      .ended = !this->settings.confirms_end})
                 .first;
   }
-  std::map<std::string, int> added;
-  for (const auto& [part, position] : found.parts) {
-    if (known->second.parts.size() >= max_parts_of_server) break;
-    if (known->second.parts.emplace(part, position).second) {
-      added.emplace(part, position);
-    }
+  sighting_map added;
+  for (const auto& each : found) {
+    if (known->second.suspects.size() >= max_suspects_of_server) break;
+    if (known->second.suspects.insert(each).second) added.insert(each);
   }
   if (known->second.ended) {
-    this->add_crash(found.server, known->second, added, now);
+    this->add_crash(server, known->second, added, now);
   }
 }
 
@@ -34,42 +34,43 @@
   const auto known = this->servers.find(server);
   if (known == this->servers.end() || known->second.ended) return;
   known->second.ended = true;
-  this->add_crash(server, known->second, known->second.parts, now);
+  this->add_crash(server, known->second, known->second.suspects, now);
 }
 
 void crash_suspects::on_server_responded(const std::string& server,
                                          time_point now) {
   const auto known = this->servers.find(server);
-  if (known == this->servers.end() || known->second.ended) return;
+  if (known == this->servers.end()) return;
+  if (known->second.ended && this->settings.confirms_end) return;
   if (now - known->second.interrupted_at < alive_after) return;
+  if (known->second.ended) this->forget_crash(server);
   this->servers.erase(known);
 }
 
-bool crash_suspects::on_completed(const std::string& part) {
-  const auto known = this->parts.find(part);
-  if (known == this->parts.end()) return false;
+bool crash_suspects::on_completed(const std::string& suspect) {
+  const auto known = this->suspects.find(suspect);
+  if (known == this->suspects.end()) return false;
   const bool was_quarantined = known->second.quarantined;
-  this->parts.erase(known);
+  this->suspects.erase(known);
   return was_quarantined;
 }
 
-void crash_suspects::on_completed_before(const std::string& part) {
-  const auto known = this->parts.find(part);
-  if (known != this->parts.end()) known->second.completed_before = true;
+void crash_suspects::on_completed_before(const std::string& suspect) {
+  const auto known = this->suspects.find(suspect);
+  if (known != this->suspects.end()) known->second.completed_before = true;
 }
 
-void crash_suspects::quarantine(const std::string& part, time_point now) {
-  auto& known = this->parts[part];
-  // An existing quarantine isn't renewed, so that it expires.
+void crash_suspects::quarantine(const std::string& suspect, time_point since) {
+  auto& known = this->suspects[suspect];
   if (known.quarantined) return;
   known.quarantined = true;
-  known.recorded_at = now;
+  known.recorded_at = since;
   this->evict_excess();
 }
 
 std::vector<std::string> crash_suspects::update(time_point now) {
   this->drop_expired(now);
-  for (auto& [part, known] : this->parts) {
+  for (auto& [suspect, known] : this->suspects) {
     if (known.quarantined || known.asked) continue;
     known.asked = count(known) + 1 >= crash_limit;
     known.asked_at = now;
@@ -78,14 +79,14 @@
   while (true) {
     const auto next = this->next_to_quarantine(now);
     if (next.empty()) return found;
-    for (const auto& part : next) {
-      auto& known = this->parts.at(part);
+    for (const auto& suspect : next) {
+      auto& known = this->suspects.at(suspect);
       known.quarantined = true;
       known.recorded_at = now;
-      found.push_back(part);
+      found.push_back(suspect);
     }
-    for (const auto& part : next) {
-      for (const auto& each : this->parts.at(part).crashes) {
+    for (const auto& suspect : next) {
+      for (const auto& each : this->suspects.at(suspect).crashes) {
         this->forget_crash(each.server);
       }
     }
@@ -94,22 +95,27 @@
 
 std::vector<std::string> crash_suspects::quarantined(time_point now) const {
   std::vector<std::string> found;
-  for (const auto& [part, known] : this->parts) {
-    const bool holds = now - known.recorded_at <= retention;
-    if (known.quarantined && holds) found.push_back(part);
+  for (const auto& [suspect, known] : this->suspects) {
+    if (known.quarantined && holds(known, now)) found.push_back(suspect);
   }
   return found;
 }
 
+bool crash_suspects::is_quarantined(const std::string& suspect,
+                                    time_point now) const {
+  const auto found = this->suspects.find(suspect);
+  return found != this->suspects.end() && found->second.quarantined &&
+         holds(found->second, now);
+}
+
 std::map<std::string, time_point> crash_suspects::suspected(
     time_point now) const {
   std::map<std::string, time_point> found;
-  for (const auto& [part, known] : this->parts) {
-    const bool holds = now - known.recorded_at <= retention;
-    if (!holds || (!known.asked && !known.quarantined)) continue;
+  for (const auto& [suspect, known] : this->suspects) {
+    if (!holds(known, now) || (!known.asked && !known.quarantined)) continue;
     const auto since =
         known.crashes.empty() ? known.recorded_at : known.crashes.front().at;
-    found.emplace(part, since);
+    found.emplace(suspect, since);
   }
   return found;
 }
@@ -123,19 +129,28 @@
 }
 
 std::vector<std::string> crash_suspects::servers_of(
-    const std::string& part) const {
+    const std::string& suspect) const {
   std::vector<std::string> found;
-  const auto known = this->parts.find(part);
-  if (known == this->parts.end()) return found;
+  const auto known = this->suspects.find(suspect);
+  if (known == this->suspects.end()) return found;
   for (const auto& each : known->second.crashes) found.push_back(each.server);
   return found;
 }
 
-std::size_t crash_suspects::count(const part_entry& known) {
+bool crash_suspects::holds(const suspect_entry& known, time_point now) {
+  return now - known.recorded_at <= retention;
+}
+
+bool crash_suspects::is_same_crash(time_point last, const crash& next) {
+  if (next.at - last >= same_crash) return false;
+  return !next.began || *next.began + report_jitter < last;
+}
+
+std::size_t crash_suspects::count(const suspect_entry& known) {
   std::size_t crashes = 0;
   time_point last;
   for (const auto& each : known.crashes) {
-    if (crashes > 0 && each.at - last < same_crash) continue;
+    if (crashes > 0 && is_same_crash(last, each)) continue;
     ++crashes;
     last = each.at;
   }
@@ -144,30 +159,31 @@
 
 void crash_suspects::add_crash(const std::string& server,
                                const server_entry& known,
-                               const std::map<std::string, int>& parts,
-                               time_point now) {
+                               const sighting_map& found, time_point now) {
   if (this->is_explained(known)) return this->forget_crash(server);
-  for (const auto& [part, position] : parts) {
-    auto& entry = this->parts[part];
+  for (const auto& [suspect, sighting] : found) {
+    auto& entry = this->suspects[suspect];
     const bool known_crash = std::any_of(
         entry.crashes.begin(), entry.crashes.end(),
         [&server](const crash& each) { return each.server == server; });
-    if (known_crash || entry.crashes.size() >= max_crashes_of_part) continue;
-    entry.position = position;
+    if (known_crash || entry.crashes.size() >= max_crashes_of_suspect) continue;
+    entry.position = sighting.position;
     entry.recorded_at = now;
+    crash added{.server = server, .at = known.interrupted_at};
+    if (sighting.ran) added.began = added.at - *sighting.ran;
     const auto after = std::upper_bound(
-        entry.crashes.begin(), entry.crashes.end(), known.interrupted_at,
+        entry.crashes.begin(), entry.crashes.end(), added.at,
         [](time_point at, const crash& each) { return at < each.at; });
-    entry.crashes.insert(after, {server, known.interrupted_at});
+    entry.crashes.insert(after, std::move(added));
   }
   this->evict_excess();
 }
 
 bool crash_suspects::is_explained(const server_entry& known) const {
   return std::any_of(
-      known.parts.begin(), known.parts.end(), [&](const auto& each) {
-        const auto found = this->parts.find(each.first);
-        return found != this->parts.end() && found->second.quarantined;
+      known.suspects.begin(), known.suspects.end(), [&](const auto& each) {
+        const auto found = this->suspects.find(each.first);
+        return found != this->suspects.end() && found->second.quarantined;
       });
 }
 
@@ -175,23 +191,23 @@
     time_point now) const {
   // Of parts that were in flight at equally many crashes, one further behind in
   // the prompt is shared by fewer requests.
-  const auto rank = [](const part_entry& known) {
+  const auto rank = [](const suspect_entry& known) {
     return std::tuple{!known.completed_before, count(known), known.position};
   };
   std::vector<std::string> best;
   bool heard = true;
-  for (const auto& [part, known] : this->parts) {
+  for (const auto& [suspect, known] : this->suspects) {
     if (known.quarantined || !known.asked || count(known) < crash_limit) {
       continue;
     }
     if (!best.empty()) {
-      const auto best_rank = rank(this->parts.at(best.front()));
+      const auto best_rank = rank(this->suspects.at(best.front()));
       if (rank(known) < best_rank) continue;
       if (rank(known) > best_rank) best.clear();
     }
     if (best.empty()) heard = true;
-    heard = heard && now - known.asked_at >= hearing;
-    best.push_back(part);
+    heard = heard && now - known.asked_at >= this->settings.hearing;
+    best.push_back(suspect);
   }
   // Others wait meanwhile: it may explain their crashes.
   if (!heard) return {};
@@ -199,19 +215,19 @@
 }
 
 void crash_suspects::forget_crash(const std::string& server) {
-  for (auto& [part, known] : this->parts) {
+  for (auto& [suspect, known] : this->suspects) {
     if (known.quarantined) continue;
     std::erase_if(known.crashes, [&server](const crash& each) {
       return each.server == server;
     });
   }
-  std::erase_if(this->parts, [](const auto& each) {
+  std::erase_if(this->suspects, [](const auto& each) {
     return !each.second.quarantined && each.second.crashes.empty();
   });
 }
 
 void crash_suspects::drop_expired(time_point now) {
-  std::erase_if(this->parts, [now](const auto& each) {
+  std::erase_if(this->suspects, [now](const auto& each) {
     return now - each.second.recorded_at > retention;
   });
   std::erase_if(this->servers, [now](const auto& each) {
@@ -220,13 +236,13 @@
 }
 
 void crash_suspects::evict_excess() {
-  // A part with few crashes is most likely harmless, so it is evicted first; of
-  // equal counts the oldest.
-  while (this->parts.size() > max_parts) {
-    this->parts.erase(std::min_element(
-        this->parts.begin(), this->parts.end(),
+  // A suspect with few crashes is most likely harmless, so it is evicted first;
+  // of equal counts the oldest.
+  while (this->suspects.size() > max_suspects) {
+    this->suspects.erase(std::min_element(
+        this->suspects.begin(), this->suspects.end(),
         [](const auto& left, const auto& right) {
-          const auto rank = [](const part_entry& known) {
+          const auto rank = [](const suspect_entry& known) {
             return std::tuple{known.quarantined, known.crashes.size(),
                               known.recorded_at};
           };
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -3,49 +3,58 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boragehill/time_point.hpp>
 
-#include "decide/interruption.hpp"
+#include "decide/crash_suspect_settings.hpp"
+#include "decide/suspect_sighting.hpp"
 
 namespace boragehill::decide {
 
-/// Finds the parts of prompts that crash each server which begins to respond to
-/// them, from the requests that were in flight at servers that ended.
+/// Finds what crashes each server that runs it, among the suspects that were in
+/// flight at servers that ended: whole requests, or parts of prompts.
 ///
-/// Such a part is in flight at each of these crashes, and no response with it
-/// is ever complete. Other parts are in flight there by chance: a complete
-/// response clears them, and the crashes that a quarantined part explains are
-/// counted for no other.
+/// The cause is in flight at each of these crashes, and no response with it is
+/// complete after the first. Other suspects are in flight there by chance: a
+/// complete response since then clears them, and the crashes that a quarantined
+/// suspect explains are counted for no other.
 class crash_suspects {
  public:
-  /// Crashes after which a part is quarantined.
+  /// Crashes after which a suspect is quarantined.
   static constexpr std::size_t crash_limit = 3;
   /// Servers that end within this time are one crash: a failure domain that is
-  /// lost takes many servers with it, whatever they were sent.
+  /// lost takes many servers with it, whatever they were sent. A run that began
+  /// after the one before had ended is another crash.
   static constexpr milliseconds same_crash{50};
-  /// Routers are asked for complete responses with a part after its second
-  /// crash, and have so long to tell of one.
-  static constexpr milliseconds hearing{300};
+  /// Two routers' reports place a moment alike within this.
+  static constexpr milliseconds report_jitter{5};
   /// A server that responds so long after an interruption has not ended.
   static constexpr milliseconds alive_after{500};
   /// How long crashes and quarantines count.
   static constexpr milliseconds retention{600000};
   /// How long an interruption waits to be shown to be a crash.
   static constexpr milliseconds confirmation_limit{10000};
-  /// Maximum number of stored parts.
-  static constexpr std::size_t max_parts = 1024;
+  /// Maximum number of stored suspects.
+  static constexpr std::size_t max_suspects = 1024;
   /// Maximum number of servers with interruptions that are stored.
   static constexpr std::size_t max_servers = 256;
-  /// Maximum number of parts stored of one server, and of crashes of one part.
-  static constexpr std::size_t max_parts_of_server = 256;
-  static constexpr std::size_t max_crashes_of_part = 8;
+  /// Maximum number of suspects stored of one server, and of crashes of one
+  /// suspect.
+  static constexpr std::size_t max_suspects_of_server = 256;
+  static constexpr std::size_t max_crashes_of_suspect = 8;
+
+  explicit crash_suspects(
+      const crash_suspect_settings& settings = part_settings)
+      : settings(settings) {}
 
   /// Records responses that a server interrupted. Several routers may report
   /// the same server.
-  void on_interrupted(const interruption& found, time_point now);
+  /// \param age Since the first of them broke off.
+  void on_interrupted(const std::string& server, milliseconds age,
+                      const sighting_map& found, time_point now);
 
   /// Records that a server's process has ended.
   void on_server_ended(const std::string& server, time_point now);
@@ -53,19 +62,19 @@
   /// Records that a server's process still runs.
   void on_server_responded(const std::string& server, time_point now);
 
-  /// Records a complete response, after the part's first crash, to a request
-  /// that holds the part.
+  /// Records a complete response with the suspect after its first crash.
   /// \return True if it was quarantined.
-  bool on_completed(const std::string& part);
+  bool on_completed(const std::string& suspect);
 
-  /// Records that a request with the part had a complete response before the
-  /// part's first crash: others are blamed before it.
-  void on_completed_before(const std::string& part);
+  /// Records a complete response with the suspect from before its first crash:
+  /// others are blamed before it.
+  void on_completed_before(const std::string& suspect);
 
-  /// Quarantines a part that an earlier planner found.
-  void quarantine(const std::string& part, time_point now);
+  /// Quarantines a suspect that an earlier planner found.
+  /// \param since An existing quarantine isn't renewed, so that it expires.
+  void quarantine(const std::string& suspect, time_point since);
 
-  /// Quarantines the parts that have reached the limit.
+  /// Quarantines the suspects that have reached the limit.
   /// \return The newly quarantined ones.
   std::vector<std::string> update(time_point now);
 
@@ -73,16 +82,23 @@
   ///     ended.
   std::vector<std::string> unconfirmed() const;
 
-  /// \return All quarantined parts.
+  /// \return All quarantined suspects.
   std::vector<std::string> quarantined(time_point now) const;
 
-  /// \return The servers whose crashes count against a part.
-  std::vector<std::string> servers_of(const std::string& part) const;
+  bool is_quarantined(const std::string& suspect, time_point now) const;
+
+  /// \return True if crashes are stored for the suspect.
+  bool is_counted(const std::string& suspect) const {
+    return this->suspects.contains(suspect);
+  }
+
+  /// \return The servers whose crashes count against a suspect.
+  std::vector<std::string> servers_of(const std::string& suspect) const;
 
-  /// \return The number of stored parts.
-  std::size_t size() const { return this->parts.size(); }
+  /// \return The number of stored suspects.
+  std::size_t size() const { return this->suspects.size(); }
 
-  /// \return The parts that routers are asked about, quarantined ones among
+  /// \return The suspects that routers are asked about, quarantined ones among
   ///     them, with the time of the first crash that counts against each.
   std::map<std::string, time_point> suspected(time_point now) const;
 
@@ -90,8 +106,10 @@
   struct crash {
     std::string server;
     time_point at;
+    /// When the first run with the suspect began there, if that is known.
+    std::optional<time_point> began;
   };
-  struct part_entry {
+  struct suspect_entry {
     std::vector<crash> crashes;
     int position = 0;
     bool asked = false;
@@ -102,25 +120,27 @@
   };
   struct server_entry {
     time_point interrupted_at;
-    /// The position in the prompt by part.
-    std::map<std::string, int> parts;
+    sighting_map suspects;
     bool ended = false;
   };
-  using part_map = std::map<std::string, part_entry>;
+  using suspect_map = std::map<std::string, suspect_entry>;
 
-  static std::size_t count(const part_entry& known);
+  static std::size_t count(const suspect_entry& known);
+  static bool is_same_crash(time_point last, const crash& next);
+  static bool holds(const suspect_entry& known, time_point now);
   void add_crash(const std::string& server, const server_entry& known,
-                 const std::map<std::string, int>& parts, time_point now);
-  /// \return True if a quarantined part was in flight at the server.
+                 const sighting_map& found, time_point now);
+  /// \return True if a quarantined suspect was in flight at the server.
   bool is_explained(const server_entry& known) const;
-  /// \return The parts to blame next; several if nothing tells them apart.
+  /// \return The suspects to blame next; several if nothing tells them apart.
   std::vector<std::string> next_to_quarantine(time_point now) const;
-  /// Counts the crash of a server for no part that isn't quarantined.
+  /// Counts the crash of a server for no suspect that isn't quarantined.
   void forget_crash(const std::string& server);
   void drop_expired(time_point now);
   void evict_excess();
 
-  part_map parts;
+  crash_suspect_settings settings;
+  suspect_map suspects;
   std::map<std::string, server_entry> servers;
 };
 
--- a/src/decide/interruption.hpp
+++ b/src/decide/interruption.hpp
@@ -1,12 +1,13 @@
 #ifndef BORAGEHILL_DECIDE_INTERRUPTION_HPP
 #define BORAGEHILL_DECIDE_INTERRUPTION_HPP
 
-#include <map>
 #include <string>
 #include <vector>
 
 #include <boragehill/time_point.hpp>
 
+#include "decide/suspect_sighting.hpp"
+
 namespace boragehill::decide {
 
 /// Responses that broke off at one server, as one router saw it.
@@ -14,21 +15,21 @@
   std::string server;
   /// Since the first of them did.
   milliseconds age{0};
-  /// The fingerprints of their requests, each once.
-  std::vector<std::string> requests;
-  /// The parts of their prompts, with the place of each in its prompt.
-  std::map<std::string, int> parts;
+  /// Their requests, by fingerprint.
+  sighting_map requests;
+  /// The parts of their prompts.
+  sighting_map parts;
 
   bool operator==(const interruption&) const = default;
 };
 
-/// \return One response that has just broken off.
-/// \param parts Of its request's prompt, in their order.
-inline interruption interruption_of(const std::string& server,
-                                    const std::vector<std::string>& parts) {
-  interruption found{.server = server};
+/// \param parts Of a prompt, in their order.
+inline sighting_map sightings_of(const std::vector<std::string>& parts) {
+  sighting_map found;
   int position = 0;
-  for (const auto& part : parts) found.parts.emplace(part, position++);
+  for (const auto& part : parts) {
+    found.emplace(part, suspect_sighting{.position = position++});
+  }
   return found;
 }
 
--- a/src/decide/interruption_log.cpp
+++ b/src/decide/interruption_log.cpp
@@ -10,22 +10,27 @@
 constexpr std::size_t max_requests = 256;
 constexpr std::size_t max_parts = 256;
 
+void add_request(sighting_map& requests, const std::string& request,
+                 milliseconds ran) {
+  const auto known = requests.find(request);
+  if (known != requests.end()) {
+    known->second.ran = std::max(known->second.ran.value_or(ran), ran);
+  } else if (requests.size() < max_requests) {
+    requests.emplace(request, suspect_sighting{.ran = ran});
+  }
+}
+
 }  // namespace
 
 void interruption_log::add(const std::string& server,
-                           const std::string& request,
+                           const std::string& request, milliseconds ran,
                            const std::vector<std::string>& parts,
                            time_point now) {
   this->drop_expired(now);
   auto& known = this->entry_of(server, now);
   known.reported = false;
-  auto& requests = known.found.requests;
-  const bool listed =
-      std::find(requests.begin(), requests.end(), request) != requests.end();
-  if (!listed && !request.empty() && requests.size() < max_requests) {
-    requests.push_back(request);
-  }
-  for (const auto& each : interruption_of(server, parts).parts) {
+  add_request(known.found.requests, request, ran);
+  for (const auto& each : sightings_of(parts)) {
     if (known.found.parts.size() >= max_parts) break;
     known.found.parts.insert(each);
   }
--- a/src/decide/interruption_log.hpp
+++ b/src/decide/interruption_log.hpp
@@ -22,11 +22,12 @@
   static constexpr std::size_t max_interruptions = 256;
 
   /// Records a response that broke off.
-  /// \param request Its fingerprint; empty if the request is known to be
-  ///     harmless.
-  /// \param parts Of the request's prompt, in their order.
+  /// \param request Its fingerprint.
+  /// \param ran How long it had been under way at the server.
+  /// \param parts Of its prompt, in their order.
   void add(const std::string& server, const std::string& request,
-           const std::vector<std::string>& parts, time_point now);
+           milliseconds ran, const std::vector<std::string>& parts,
+           time_point now);
 
   /// \return What has been added since the last call.
   std::vector<interruption> take_unreported(time_point now);
--- a/src/decide/suspect_guard.cpp
+++ b/src/decide/suspect_guard.cpp
@@ -5,28 +5,37 @@
 
 namespace boragehill::decide {
 
-void suspect_guard::on_interrupted(const interruption& found, time_point now) {
-  if (this->linked) return;
-  this->own_counts.on_interrupted(found, now);
-  this->own_counts.on_server_ended(found.server, now);
+void suspect_guard::on_interrupted(const std::string& server,
+                                   const sighting_map& found, time_point now) {
+  if (this->linked && this->settings.confirms_end) return;
+  this->own_counts.on_interrupted(server, milliseconds(0), found, now);
+  this->own_counts.on_server_ended(server, now);
 }
 
-void suspect_guard::on_completed(const std::vector<std::string>& parts,
+bool suspect_guard::on_completed(const std::vector<std::string>& suspects,
                                  time_point now) {
-  for (const auto& part : parts) {
-    this->completed[part] = now;
-    this->own_counts.on_completed(part);
-    this->clear_if_completed(part);
+  bool clears = false;
+  for (const auto& suspect : suspects) {
+    this->remember(suspect, now);
+    clears = this->own_counts.is_counted(suspect) || clears;
+    this->own_counts.on_completed(suspect);
+    clears = this->clear_if_completed(suspect) || clears;
+    // A planner would say so itself.
+    if (!this->linked) this->refused.erase(suspect);
   }
-  this->evict_excess();
+  return clears;
 }
 
 void suspect_guard::on_suspected(
     const std::map<std::string, milliseconds>& news, time_point now) {
+  // What the planner has dropped was cleared, at whichever router.
+  for (const auto& [suspect, since] : this->suspected) {
+    if (!news.contains(suspect)) this->own_counts.on_completed(suspect);
+  }
   this->suspected.clear();
-  for (const auto& [part, age] : news) {
-    this->suspected.emplace(part, now - age);
-    this->clear_if_completed(part);
+  for (const auto& [suspect, age] : news) {
+    this->suspected.emplace(suspect, now - age);
+    this->clear_if_completed(suspect);
   }
 }
 
@@ -35,11 +44,11 @@
   std::map<std::string, time_point> next;
   if (first) next = this->refused;
   std::vector<std::string> added;
-  for (const auto& part : news) {
-    const auto known = this->refused.find(part);
+  for (const auto& suspect : news) {
+    const auto known = this->refused.find(suspect);
     const bool is_new = known == this->refused.end();
-    if (is_new) added.push_back(part);
-    next.emplace(part, is_new ? now : known->second);
+    if (is_new) added.push_back(suspect);
+    next.emplace(suspect, is_new ? now : known->second);
   }
   this->refused = std::move(next);
   return added;
@@ -47,7 +56,9 @@
 
 void suspect_guard::on_planner_linked() {
   this->linked = true;
-  this->own_counts = {};
+  if (this->settings.confirms_end) {
+    this->own_counts = crash_suspects(this->settings);
+  }
 }
 
 void suspect_guard::on_planner_lost() {
@@ -56,26 +67,34 @@
 }
 
 std::vector<std::string> suspect_guard::update(time_point now) {
-  if (this->linked) return {};
+  if (this->linked && this->settings.confirms_end) return {};
   auto found = this->own_counts.update(now);
-  for (const auto& part : found) this->refused.emplace(part, now);
+  if (this->settings.confirms_end) {
+    // Own counts end when a planner is linked.
+    for (const auto& suspect : found) this->refused.emplace(suspect, now);
+  }
   return found;
 }
 
-bool suspect_guard::is_quarantined(const std::vector<std::string>& parts,
+bool suspect_guard::is_quarantined(const std::vector<std::string>& suspects,
                                    time_point now) const {
-  if (this->refused.empty()) return false;
-  return std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
-    const auto found = this->refused.find(part);
-    return found != this->refused.end() &&
-           now - found->second <= crash_suspects::retention;
-  });
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [&](const auto& suspect) {
+                       if (this->own_counts.is_quarantined(suspect, now))
+                         return true;
+                       const auto found = this->refused.find(suspect);
+                       return found != this->refused.end() &&
+                              now - found->second <= crash_suspects::retention;
+                     });
 }
 
 std::vector<std::string> suspect_guard::quarantined(time_point now) const {
-  std::vector<std::string> found;
-  for (const auto& [part, since] : this->refused) {
-    if (now - since <= crash_suspects::retention) found.push_back(part);
+  auto found = this->own_counts.quarantined(now);
+  for (const auto& [suspect, since] : this->refused) {
+    const bool holds = now - since <= crash_suspects::retention;
+    if (holds && !this->own_counts.is_quarantined(suspect, now)) {
+      found.push_back(suspect);
+    }
   }
   return found;
 }
@@ -90,28 +109,37 @@
   return {taken.begin(), taken.end()};
 }
 
-void suspect_guard::clear_if_completed(const std::string& part) {
-  const auto suspect = this->suspected.find(part);
-  const auto response = this->completed.find(part);
-  if (suspect == this->suspected.end() || response == this->completed.end()) {
-    return;
-  }
-  if (response->second <= suspect->second) {
-    this->completed_before.insert(part);
-    return;
+void suspect_guard::remember(const std::string& suspect, time_point now) {
+  const bool is_new = this->completed.insert_or_assign(suspect, now).second;
+  if (!is_new) return;
+  this->completed_by_age.push_back({.suspect = suspect, .at = now});
+  while (this->completed.size() > max_completed) {
+    auto oldest = std::move(this->completed_by_age.front());
+    this->completed_by_age.pop_front();
+    const auto known = this->completed.find(oldest.suspect);
+    if (known->second == oldest.at) {
+      this->completed.erase(known);
+    } else {
+      // It has completed again since then.
+      oldest.at = known->second;
+      this->completed_by_age.push_back(std::move(oldest));
+    }
   }
-  this->cleared.insert(part);
-  this->suspected.erase(suspect);
 }
 
-void suspect_guard::evict_excess() {
-  while (this->completed.size() > max_completed) {
-    this->completed.erase(
-        std::min_element(this->completed.begin(), this->completed.end(),
-                         [](const auto& left, const auto& right) {
-                           return left.second < right.second;
-                         }));
+bool suspect_guard::clear_if_completed(const std::string& suspect) {
+  const auto asked = this->suspected.find(suspect);
+  const auto response = this->completed.find(suspect);
+  if (asked == this->suspected.end() || response == this->completed.end()) {
+    return false;
+  }
+  if (response->second <= asked->second) {
+    this->completed_before.insert(suspect);
+    return false;
   }
+  this->cleared.insert(suspect);
+  this->suspected.erase(asked);
+  return true;
 }
 
 }  // namespace boragehill::decide
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -122,14 +122,7 @@
   for (const auto& each : update.tokens) {
     this->rate_limited.on_tokens(each, now);
   }
-  for (const auto& each : update.convicted) {
-    if (this->crashes.is_quarantined(each, now)) continue;
-    this->crashes.on_quarantined(each, now);
-    if (!this->crashes.is_quarantined(each, now)) continue;
-    kernel::log_event(kernel::event::convicted,
-                      {{"fingerprint", each}, {"by", "planner"}});
-  }
-  this->on_part_news(update, now);
+  this->on_crash_news(update, now);
   this->metrics.set_planner_term(static_cast<double>(update.term));
   if (update.grant_round > 0) {
     this->grant_round = update.grant_round;
@@ -142,6 +135,7 @@
 void dispatcher::on_planner_lost() {
   this->routers.on_planner_lost(time_point::clock::now());
   this->planner_linked = false;
+  this->crashing_requests.on_planner_lost();
   this->prompt_parts.on_planner_lost();
   this->grant_round = 0;
   this->expected.clear();
@@ -170,7 +164,7 @@
     return refusal{result_code::unknown_model,
                    "no such model in the configuration", next_catalog};
   }
-  if (this->crashes.is_quarantined(request.fingerprint(), now)) {
+  if (this->crashing_requests.is_quarantined({request.fingerprint()}, now)) {
     // Nothing is said of coming back: it would only be refused again.
     return refusal{result_code::request_convicted,
                    "this request crashes servers", milliseconds(0)};
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -16,7 +16,6 @@
 #include <boragehill/result.hpp>
 #include <boragehill/time_point.hpp>
 
-#include "decide/crash_tracker.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
 #include "decide/interruption_log.hpp"
@@ -132,11 +131,11 @@
     milliseconds retry_after;
   };
 
-  /// Takes up what the planner says of parts of prompts that crash servers.
-  void on_part_news(const wire::view_update& update, time_point now);
-  /// Quarantines parts of prompts by own counts without a planner.
-  void judge_parts(time_point now);
-  void log_quarantined(const std::vector<std::string>& parts, const char* by);
+  /// Takes up what the planner says of requests and parts of prompts that crash
+  /// servers.
+  void on_crash_news(const wire::view_update& update, time_point now);
+  /// Quarantines requests and parts of prompts by own counts.
+  void judge_crashes(time_point now);
   /// Clears a request with a complete response, and the parts of its prompt.
   void clear(const exchange& request);
   /// Forgets servers that are off the list once no request is there any more.
@@ -289,8 +288,9 @@
   std::map<flight_key, int> flights;
   std::map<std::string, decide::windowed_retry_budget> budgets;
   std::function<void()> waits;
-  decide::crash_tracker crashes;
   decide::interruption_log interruptions;
+  decide::suspect_guard crashing_requests{decide::crash_suspect_settings{
+      .confirms_end = false, .hearing = milliseconds(0)}};
   decide::suspect_guard prompt_parts;
   /// A new planner hears of what is quarantined with the next report.
   bool tells_quarantined = false;
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -13,6 +13,22 @@
 
 constexpr int ok_status = 200;
 constexpr int first_failure_status = 300;
+constexpr auto by_planner = "planner";
+constexpr auto by_own_count = "own count";
+
+void log_requests(const std::vector<std::string>& quarantined, const char* by) {
+  for (const auto& each : quarantined) {
+    kernel::log_event(kernel::event::convicted,
+                      {{"fingerprint", each}, {"by", by}});
+  }
+}
+
+void log_parts(const std::vector<std::string>& quarantined, const char* by) {
+  for (const auto& each : quarantined) {
+    kernel::log_event(kernel::event::prompt_part_quarantined,
+                      {{"part", each}, {"by", by}});
+  }
+}
 
 }  // namespace
 
@@ -34,65 +50,73 @@
   const auto now = time_point::clock::now();
   this->on_interrupted(request, now);
   const auto& parts = request.fields().prompt_parts;
-  const bool may_be_cause = this->crashes.on_interrupted(request.fingerprint(),
-                                                         request.server(), now);
-  this->interruptions.add(request.server(),
-                          may_be_cause ? request.fingerprint() : std::string(),
-                          parts, now);
-  this->prompt_parts.on_interrupted(
-      decide::interruption_of(request.server(), parts), now);
+  const milliseconds ran(ms_between(request.last_sent(), now));
+  this->interruptions.add(request.server(), request.fingerprint(), ran, parts,
+                          now);
+  this->crashing_requests.on_interrupted(
+      request.server(), {{request.fingerprint(), {.ran = ran}}}, now);
+  this->prompt_parts.on_interrupted(request.server(),
+                                    decide::sightings_of(parts), now);
   kernel::log_event(kernel::event::striked,
                     {{"request", request.fields().attempt},
                      {"server", request.server()},
                      {"fingerprint", request.fingerprint()},
                      {"parts", absl::StrJoin(parts, ",")}});
+  this->judge_crashes(now);
 }
 
 void dispatcher::add_crashes(wire::router_report& report) {
   const auto now = time_point::clock::now();
   report.interruptions = this->interruptions.take_unreported(now);
+  report.cleared_requests = this->crashing_requests.take_cleared();
+  report.completed_requests = this->crashing_requests.take_completed_before();
   report.cleared_parts = this->prompt_parts.take_cleared();
   report.completed_parts = this->prompt_parts.take_completed_before();
   if (!std::exchange(this->tells_quarantined, false)) return;
-  report.quarantined = this->crashes.quarantined_requests(now);
+  report.quarantined = this->crashing_requests.quarantined(now);
   report.quarantined_parts = this->prompt_parts.quarantined(now);
 }
 
 void dispatcher::clear(const exchange& request) {
   const int status = request.result().status;
-  if (this->crashes.on_completed(request.fingerprint())) {
-    kernel::log_event(kernel::event::request_cleared,
-                      {{"request", request.fields().attempt},
-                       {"fingerprint", request.fingerprint()},
-                       {"server", request.last_server()},
-                       {"status", status}});
-  }
   if (status < ok_status || status >= first_failure_status) return;
-  this->prompt_parts.on_completed(request.fields().prompt_parts,
-                                  time_point::clock::now());
+  const auto now = time_point::clock::now();
+  this->prompt_parts.on_completed(request.fields().prompt_parts, now);
+  if (!this->crashing_requests.on_completed({request.fingerprint()}, now)) {
+    return;
+  }
+  kernel::log_event(kernel::event::request_cleared,
+                    {{"request", request.fields().attempt},
+                     {"fingerprint", request.fingerprint()},
+                     {"server", request.last_server()},
+                     {"status", status}});
 }
 
-void dispatcher::on_part_news(const wire::view_update& update, time_point now) {
+void dispatcher::on_crash_news(const wire::view_update& update,
+                               time_point now) {
+  this->crashing_requests.on_planner_linked();
   this->prompt_parts.on_planner_linked();
+  if (update.suspected_requests) {
+    this->crashing_requests.on_suspected(*update.suspected_requests, now);
+  }
   if (update.suspected_parts) {
     this->prompt_parts.on_suspected(*update.suspected_parts, now);
   }
-  if (!update.quarantined_parts) return;
-  this->log_quarantined(this->prompt_parts.on_quarantined(
-                            *update.quarantined_parts, update.whole, now),
-                        "planner");
-}
-
-void dispatcher::judge_parts(time_point now) {
-  this->log_quarantined(this->prompt_parts.update(now), "own count");
+  if (update.quarantined_requests) {
+    log_requests(this->crashing_requests.on_quarantined(
+                     *update.quarantined_requests, update.whole, now),
+                 by_planner);
+  }
+  if (update.quarantined_parts) {
+    log_parts(this->prompt_parts.on_quarantined(*update.quarantined_parts,
+                                                update.whole, now),
+              by_planner);
+  }
 }
 
-void dispatcher::log_quarantined(const std::vector<std::string>& parts,
-                                 const char* by) {
-  for (const auto& each : parts) {
-    kernel::log_event(kernel::event::prompt_part_quarantined,
-                      {{"part", each}, {"by", by}});
-  }
+void dispatcher::judge_crashes(time_point now) {
+  log_requests(this->crashing_requests.update(now), by_own_count);
+  log_parts(this->prompt_parts.update(now), by_own_count);
 }
 
 }  // namespace boragehill::serve
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -89,7 +89,7 @@
   }
   if (may_serve) this->serve_waiting();
   this->judge_silent_waits(now);
-  this->judge_parts(now);
+  this->judge_crashes(now);
 }
 
 void dispatcher::judge_silent_waits(time_point now) {
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -11,44 +11,50 @@
 void planner_duty::note_crashes(const wire::router_report& report) {
   const auto now = time_point::clock::now();
   for (const auto& each : report.interruptions) {
-    for (const auto& request : each.requests) {
-      this->count_crash(request, each.server, report.router, now);
-    }
-    this->part_crashes.on_interrupted(each, now);
+    this->count_requests(each, report.router, now);
+    this->crashing_parts.on_interrupted(each.server, each.age, each.parts, now);
   }
   for (const auto& each : report.quarantined) {
-    this->crashes.quarantine(each, now);
+    this->crashing_requests.quarantine(each, now);
   }
   for (const auto& each : report.quarantined_parts) {
-    this->part_crashes.quarantine(each, now);
+    this->crashing_parts.quarantine(each, now);
+  }
+  for (const auto& each : report.completed_requests) {
+    this->crashing_requests.on_completed_before(each);
   }
   for (const auto& each : report.completed_parts) {
-    this->part_crashes.on_completed_before(each);
+    this->crashing_parts.on_completed_before(each);
+  }
+  for (const auto& each : report.cleared_requests) {
+    if (!this->crashing_requests.on_completed(each)) continue;
+    kernel::log_event(kernel::event::request_cleared,
+                      {{"fingerprint", each},
+                       {"router", report.router},
+                       {"term", this->term}});
   }
   for (const auto& each : report.cleared_parts) {
-    if (!this->part_crashes.on_completed(each)) continue;
+    if (!this->crashing_parts.on_completed(each)) continue;
     kernel::log_event(kernel::event::prompt_part_cleared,
                       {{"part", each}, {"router", report.router}});
   }
-  if (report.interruptions.empty() && report.quarantined.empty()) return;
-  this->convicted = this->crashes.quarantined_requests(now);
 }
 
-void planner_duty::count_crash(const std::string& fingerprint,
-                               const std::string& server,
-                               const std::string& router, time_point now) {
-  const auto known = this->crashes.crashes_of(fingerprint);
-  const bool quarantined = this->crashes.on_crash(fingerprint, server, now);
-  const auto servers = this->crashes.crashes_of(fingerprint);
-  if (servers == known) return;
-  kernel::log_event(kernel::event::crash_counted, {{"fingerprint", fingerprint},
-                                                   {"server", server},
-                                                   {"router", router},
-                                                   {"servers", servers},
-                                                   {"term", this->term}});
-  if (!quarantined) return;
-  kernel::log_event(kernel::event::convicted,
-                    {{"fingerprint", fingerprint}, {"term", this->term}});
+void planner_duty::count_requests(const decide::interruption& found,
+                                  const std::string& router, time_point now) {
+  for (const auto& each : found.requests) {
+    const auto known = this->crashing_requests.servers_of(each.first).size();
+    this->crashing_requests.on_interrupted(found.server, found.age, {each},
+                                           now);
+    const auto servers = this->crashing_requests.servers_of(each.first).size();
+    if (servers == known) continue;
+    kernel::log_event(kernel::event::crash_counted,
+                      {{"fingerprint", each.first},
+                       {"server", found.server},
+                       {"router", router},
+                       {"servers", servers},
+                       {"term", this->term}});
+  }
 }
 
 bool planner_duty::has_ended(const std::string& server) const {
@@ -63,36 +69,47 @@
 }
 
 void planner_duty::judge_crashes(time_point now) {
-  for (const auto& server : this->part_crashes.unconfirmed()) {
+  for (const auto& server : this->crashing_parts.unconfirmed()) {
     if (!this->has_ended(server)) continue;
-    this->part_crashes.on_server_ended(server, now);
+    this->crashing_parts.on_server_ended(server, now);
   }
-  for (const auto& part : this->part_crashes.update(now)) {
-    kernel::log_event(
-        kernel::event::prompt_part_quarantined,
-        {{"part", part},
-         {"servers", absl::StrJoin(this->part_crashes.servers_of(part), ",")},
-         {"term", this->term}});
+  for (const auto& request : this->crashing_requests.update(now)) {
+    const auto servers = this->crashing_requests.servers_of(request);
+    kernel::log_event(kernel::event::convicted,
+                      {{"fingerprint", request},
+                       {"servers", absl::StrJoin(servers, ",")},
+                       {"term", this->term}});
   }
+  for (const auto& part : this->crashing_parts.update(now)) {
+    const auto servers = this->crashing_parts.servers_of(part);
+    kernel::log_event(kernel::event::prompt_part_quarantined,
+                      {{"part", part},
+                       {"servers", absl::StrJoin(servers, ",")},
+                       {"term", this->term}});
+  }
+}
+
+planner_duty::told_suspects planner_duty::state_of(
+    const decide::crash_suspects& known, time_point now) {
+  return {.quarantined = known.quarantined(now),
+          .suspected = known.suspected(now)};
 }
 
-bool planner_duty::add_parts(router_link& router, wire::view_update& update,
-                             time_point now) const {
-  auto quarantined = this->part_crashes.quarantined(now);
-  if (router.quarantined_parts != quarantined) {
-    update.quarantined_parts = quarantined;
-    router.quarantined_parts = std::move(quarantined);
+bool planner_duty::add_suspects(const told_suspects& current,
+                                told_suspects& told, const suspect_news& news,
+                                time_point now) {
+  if (told.quarantined != current.quarantined) {
+    news.quarantined = current.quarantined;
   }
-  auto suspected = this->part_crashes.suspected(now);
-  if (router.suspected_parts != suspected) {
-    update.suspected_parts.emplace();
-    for (const auto& [part, since] : suspected) {
-      update.suspected_parts->emplace(part,
-                                      milliseconds(ms_between(since, now)));
+  if (told.suspected != current.suspected) {
+    news.suspected.emplace();
+    for (const auto& [suspect, since] : current.suspected) {
+      news.suspected->emplace(suspect, milliseconds(ms_between(since, now)));
     }
-    router.suspected_parts = std::move(suspected);
   }
-  return update.quarantined_parts || update.suspected_parts;
+  if (!news.quarantined && !news.suspected) return false;
+  told = current;
+  return true;
 }
 
 }  // namespace boragehill::serve
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -222,7 +222,8 @@
       this->servers.servers.at(server).may_have_sent(status.report);
   if (status.reachable && same) {
     this->lost_workers.erase(server);
-    this->part_crashes.on_server_responded(server, now);
+    this->crashing_requests.on_server_responded(server, now);
+    this->crashing_parts.on_server_responded(server, now);
     this->planner.on_report(server, status.report, now);
   } else {
     this->lost_workers.insert(server);
@@ -373,6 +374,8 @@
   auto tokens = this->rate_limits.grant(now);
   auto grants = this->grant_slots(now);
   this->view.update(this->planner.workers(), this->slots.unconfirmed());
+  const auto crashing_requests = state_of(this->crashing_requests, now);
+  const auto crashing_parts = state_of(this->crashing_parts, now);
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
@@ -382,27 +385,27 @@
     this->add_news(each, own, update);
     const auto expected = this->expected_at(each.router);
     const bool same = is_same_expectation(each.expected, expected);
-    const bool same_convicted = each.convicted == this->convicted;
     const bool same_limits = each.rate_limits == limits;
     const bool same_count = std::exchange(each.told_routers, count) == count;
-    const bool same_parts = !this->add_parts(each, update, now);
+    const bool same_requests = !add_suspects(
+        crashing_requests, each.crashing_requests,
+        {update.quarantined_requests, update.suspected_requests}, now);
+    const bool same_parts =
+        !add_suspects(crashing_parts, each.crashing_parts,
+                      {update.quarantined_parts, update.suspected_parts}, now);
     // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
     if (update.servers.empty() && update.tokens.empty() &&
-        update.grants.empty() && each.greeted && same && same_convicted &&
-        same_limits && same_count && same_parts) {
+        update.grants.empty() && each.greeted && same && same_limits &&
+        same_count && same_requests && same_parts) {
       continue;
     }
     if (!same_limits) {
       update.rate_limits = limits;
       each.rate_limits = limits;
     }
-    if (!same_convicted) {
-      update.convicted = this->convicted;
-      each.convicted = this->convicted;
-    }
     if (!same) each.expected = expected;
     for (const auto& [model, at] : expected) {
       update.expected.push_back(
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -6,13 +6,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <boragehill/endpoint.hpp>
 
-#include "decide/crash_counter.hpp"
 #include "decide/crash_suspects.hpp"
 #include "decide/fleet_view.hpp"
 #include "decide/rate_limit_allocator.hpp"
@@ -45,14 +45,23 @@
   void set_servers(std::shared_ptr<const fleet::server_list> news);
 
  private:
-  /// Requests that break off, over all routers; convicted ones stay longest.
-  static constexpr std::size_t most_struck = 1024;
   /// What a router was told of a worker.
   struct told_worker {
     /// 0 before the first update.
     std::uint64_t models_version = 0;
     int other_requests = 0;
   };
+  /// What a router was told of requests, or of parts of prompts, that crash
+  /// servers.
+  struct told_suspects {
+    std::vector<std::string> quarantined;
+    std::map<std::string, time_point> suspected;
+  };
+  /// The fields of an update that tell of them.
+  struct suspect_news {
+    std::optional<std::vector<std::string>>& quarantined;
+    std::optional<std::map<std::string, milliseconds>>& suspected;
+  };
   struct router_link {
     std::shared_ptr<wire::message_link> link;
     time_point linked_at;
@@ -60,9 +69,8 @@
     /// By the worker's index.
     std::vector<told_worker> told;
     std::map<std::string, time_point> expected;
-    std::vector<std::string> convicted;
-    std::vector<std::string> quarantined_parts;
-    std::map<std::string, time_point> suspected_parts;
+    told_suspects crashing_requests;
+    told_suspects crashing_parts;
     std::map<std::string, decide::rate_limit> rate_limits;
     int told_routers = 0;
     bool greeted = false;
@@ -77,17 +85,19 @@
   void on_router_gone(std::uint64_t number);
   /// Counts the crashes that a router has seen.
   void note_crashes(const wire::router_report& report);
-  /// Counts a server that interrupted a request at a router.
-  void count_crash(const std::string& fingerprint, const std::string& server,
-                   const std::string& router, time_point now);
-  /// Finds out which servers with interruptions have ended, and quarantines the
-  /// parts of prompts that ended them.
+  /// Counts a server against the requests that it interrupted at a router.
+  void count_requests(const decide::interruption& found,
+                      const std::string& router, time_point now);
+  /// Finds out which servers with interruptions have ended, and quarantines
+  /// what ended them.
   void judge_crashes(time_point now);
   bool has_ended(const std::string& server) const;
-  /// Adds what changed of quarantined and suspected parts.
+  static told_suspects state_of(const decide::crash_suspects& known,
+                                time_point now);
+  /// Adds what changed since a router was told.
   /// \return True if anything did.
-  bool add_parts(router_link& router, wire::view_update& update,
-                 time_point now) const;
+  static bool add_suspects(const told_suspects& current, told_suspects& told,
+                           const suspect_news& news, time_point now);
   void link_agents();
   void connect_agent(const endpoint& address);
   void on_agent_message(const endpoint& address, const Json::Value& message);
@@ -121,10 +131,8 @@
   std::map<std::string, decide::demand_report> demands;
   std::map<endpoint, agent_link> agents;
   std::map<endpoint, time_point> agent_retry;
-  decide::crash_counter crashes{most_struck};
-  /// Requests that no router should run, as last summed up.
-  std::vector<std::string> convicted;
-  decide::crash_suspects part_crashes;
+  decide::crash_suspects crashing_requests{decide::request_settings};
+  decide::crash_suspects crashing_parts;
   /// Workers that their agents don't reach, or of another lifetime.
   std::set<std::string> lost_workers;
   decide::rate_limit_allocator rate_limits;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -180,20 +180,32 @@
   Json::Value value;
   value["server"] = found.server;
   value["age_ms"] = Json::Int64(found.age.count());
-  value["requests"] = encode_texts(found.requests);
-  for (const auto& [part, position] : found.parts) {
-    value["parts"][part] = position;
+  Json::Value& requests = value["requests"] = Json::Value(Json::arrayValue);
+  for (const auto& [request, sighting] : found.requests) {
+    requests.append(request);
+    if (!sighting.ran) continue;
+    value["ran_ms"][request] = Json::Int64(sighting.ran->count());
+  }
+  for (const auto& [part, sighting] : found.parts) {
+    value["parts"][part] = sighting.position;
   }
   return value;
 }
 
 decide::interruption decode_interruption(const Json::Value& value) {
   decide::interruption found{.server = value["server"].asString(),
-                             .age = milliseconds(value["age_ms"].asInt64()),
-                             .requests = kernel::texts_of(value["requests"])};
+                             .age = milliseconds(value["age_ms"].asInt64())};
+  const auto& ran = value["ran_ms"];
+  for (const auto& request : kernel::texts_of(value["requests"])) {
+    auto& sighting = found.requests[request];
+    if (ran.isMember(request)) {
+      sighting.ran = milliseconds(ran[request].asInt64());
+    }
+  }
   const auto& parts = value["parts"];
   for (const auto& part : parts.getMemberNames()) {
-    found.parts.emplace(part, parts[part].asInt());
+    found.parts.emplace(
+        part, decide::suspect_sighting{.position = parts[part].asInt()});
   }
   return found;
 }
@@ -216,8 +228,11 @@
   for (const auto& each : update.expected) {
     message["expected"][each.model] = Json::Int64(each.ready_in.count());
   }
-  if (!update.convicted.empty()) {
-    message["convicted"] = encode_texts(update.convicted);
+  if (update.quarantined_requests) {
+    message["convicted"] = encode_texts(*update.quarantined_requests);
+  }
+  if (update.suspected_requests) {
+    message["suspected_requests"] = encode_ages(*update.suspected_requests);
   }
   if (update.quarantined_parts) {
     message["quarantined_parts"] = encode_texts(*update.quarantined_parts);
@@ -251,7 +266,12 @@
     update.expected.push_back(
         {.model = model, .ready_in = milliseconds(expected[model].asInt64())});
   }
-  update.convicted = kernel::texts_of(message["convicted"]);
+  if (message.isMember("convicted")) {
+    update.quarantined_requests = kernel::texts_of(message["convicted"]);
+  }
+  if (message.isMember("suspected_requests")) {
+    update.suspected_requests = decode_ages(message["suspected_requests"]);
+  }
   if (message.isMember("quarantined_parts")) {
     update.quarantined_parts = kernel::texts_of(message["quarantined_parts"]);
   }
@@ -345,7 +365,7 @@
   for (const auto& each : report.interruptions) {
     message["crashes"].append(encode_interruption(each));
     // What planners of an earlier version read.
-    for (const auto& request : each.requests) {
+    for (const auto& [request, sighting] : each.requests) {
       message["strikes"].append(request);
     }
   }
@@ -354,6 +374,8 @@
     if (!texts.empty()) message[name] = encode_texts(texts);
   };
   add("quarantined", report.quarantined);
+  add("cleared_requests", report.cleared_requests);
+  add("completed_requests", report.completed_requests);
   add("quarantined_parts", report.quarantined_parts);
   add("cleared_parts", report.cleared_parts);
   add("completed_parts", report.completed_parts);
@@ -380,6 +402,8 @@
     report.interruptions.push_back(decode_interruption(each));
   }
   report.quarantined = kernel::texts_of(message["quarantined"]);
+  report.cleared_requests = kernel::texts_of(message["cleared_requests"]);
+  report.completed_requests = kernel::texts_of(message["completed_requests"]);
   report.quarantined_parts = kernel::texts_of(message["quarantined_parts"]);
   report.cleared_parts = kernel::texts_of(message["cleared_parts"]);
   report.completed_parts = kernel::texts_of(message["completed_parts"]);
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -18,7 +18,11 @@
   std::vector<decide::interruption> interruptions;
   /// Requests that are quarantined; told to a new planner, which knows of none.
   std::vector<std::string> quarantined;
-  /// Parts of prompts that are quarantined; likewise.
+  /// Suspected requests with a complete response after their first crash.
+  std::vector<std::string> cleared_requests;
+  /// Suspected requests with a complete response before it.
+  std::vector<std::string> completed_requests;
+  /// Parts of prompts that are quarantined; told as requests are.
   std::vector<std::string> quarantined_parts;
   /// Suspected parts with a complete response after their first crash.
   std::vector<std::string> cleared_parts;
@@ -29,6 +33,8 @@
   /// \return True if it holds news of crashes.
   bool tells_of_crashes() const {
     return !this->interruptions.empty() || !this->quarantined.empty() ||
+           !this->cleared_requests.empty() ||
+           !this->completed_requests.empty() ||
            !this->quarantined_parts.empty() || !this->cleared_parts.empty() ||
            !this->completed_parts.empty();
   }
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -29,9 +29,11 @@
   /// Models that requests of this router wait for and that stand nowhere; all
   /// of them each time.
   std::vector<expected_model> expected;
-  /// Requests that crash servers and must not run; all of them whenever they
-  /// changed, else none.
-  std::vector<std::string> convicted;
+  /// All requests that crash servers; nothing if they are as last told.
+  std::optional<std::vector<std::string>> quarantined_requests;
+  /// All requests that may do so, each with the time since the first crash that
+  /// counts against it; nothing if they are as last told.
+  std::optional<std::map<std::string, milliseconds>> suspected_requests;
   /// All parts of prompts that crash servers; nothing if they are as last told.
   std::optional<std::vector<std::string>> quarantined_parts;
   /// All parts that may do so, each with the time since the first crash that
--- a/test/decide-test/crash_suspects_test.cpp
+++ b/test/decide-test/crash_suspects_test.cpp
@@ -26,8 +26,8 @@
 
   void interrupt(const std::string& server,
                  const std::vector<std::string>& parts_in_flight) {
-    this->found.on_interrupted(interruption_of(server, parts_in_flight),
-                               this->now);
+    this->found.on_interrupted(server, milliseconds(0),
+                               sightings_of(parts_in_flight), this->now);
   }
 
   /// Lets time pass in steps, as the planner plans.
@@ -40,7 +40,7 @@
   }
 
   std::vector<std::string> quarantined() {
-    this->pass(crash_suspects::hearing + milliseconds(40));
+    this->pass(part_settings.hearing + milliseconds(40));
     return this->found.quarantined(this->now);
   }
 
@@ -132,6 +132,17 @@
   EXPECT_EQ(this->quarantined(), list{});
 }
 
+// Guards against crashes of one request, sent on at once, that count as one.
+TEST_F(crash_suspects_test, counts_runs_that_began_one_after_the_other) {
+  for (const char* server : {"a", "b", "c"}) {
+    this->now += milliseconds(8);
+    this->found.on_interrupted(server, milliseconds(0),
+                               {{poison, {.ran = milliseconds(7)}}}, this->now);
+    this->found.on_server_ended(server, this->now);
+  }
+  EXPECT_EQ(this->quarantined(), list{poison});
+}
+
 // Guards against parts that are quarantined since responses are truncated.
 TEST_F(crash_suspects_test, ignores_interruptions_at_servers_that_run_on) {
   for (const char* server : {"a", "b", "c", "d"}) {
@@ -203,15 +214,17 @@
   this->found.quarantine(poison, this->now);
   constexpr std::size_t servers = 40;
   for (std::size_t server = 0; server < servers; ++server) {
-    interruption seen{.server = "s" + std::to_string(server)};
+    const auto name = "s" + std::to_string(server);
+    sighting_map seen;
     for (std::size_t part = 0; part < 1000; ++part) {
-      seen.parts.emplace(seen.server + "-" + std::to_string(part), 1);
+      seen.emplace(name + "-" + std::to_string(part),
+                   suspect_sighting{.position = 1});
     }
-    this->found.on_interrupted(seen, this->now);
-    this->found.on_server_ended(seen.server, this->now);
+    this->found.on_interrupted(name, milliseconds(0), seen, this->now);
+    this->found.on_server_ended(name, this->now);
     this->now += milliseconds(100);
   }
-  EXPECT_LE(this->found.size(), crash_suspects::max_parts);
+  EXPECT_LE(this->found.size(), crash_suspects::max_suspects);
   EXPECT_EQ(this->quarantined(), list{poison});
 }
 
@@ -224,14 +237,14 @@
   const int gap_ms = *rc::gen::inRange(60, 2000);
   int crashes = 0;
   while (this->found.quarantined(this->now).empty()) {
-    interruption seen{.server = "s" + std::to_string(crashes)};
-    seen.parts = {{shared, 0}, {poison, 1}};
+    const auto server = "s" + std::to_string(crashes);
+    sighting_map seen{{shared, {0}}, {poison, {1}}};
     for (int each = 0; each < in_flight; ++each) {
-      seen.parts.emplace(
-          "subject-" + std::to_string(*rc::gen::inRange(0, subjects)), 1);
+      seen.emplace("subject-" + std::to_string(*rc::gen::inRange(0, subjects)),
+                   1);
     }
-    this->found.on_interrupted(seen, this->now);
-    this->found.on_server_ended(seen.server, this->now);
+    this->found.on_interrupted(server, milliseconds(0), seen, this->now);
+    this->found.on_server_ended(server, this->now);
     ++crashes;
     this->pass(milliseconds(gap_ms));
     // What completes elsewhere meanwhile, as routers tell.
--- /dev/null
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -0,0 +1,248 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decide/crash_suspects.hpp"
+#include "decide/suspect_guard.hpp"
+
+namespace boragehill::decide {
+namespace {
+
+using list = std::vector<std::string>;
+const std::string poison = "poison";
+constexpr crash_suspect_settings own_settings{.confirms_end = false,
+                                              .hearing = milliseconds(0)};
+
+/// Two routers and a planner that decide about whole requests.
+class crashing_requests_test : public testing::Test {
+ protected:
+  struct sighted {
+    std::string server;
+    time_point at;
+    sighting_map requests;
+  };
+
+  crashing_requests_test() {
+    for (auto* router : this->routers) router->on_planner_linked();
+  }
+
+  /// Lets a server interrupt a run of a request that came by a router.
+  void interrupt(suspect_guard& router, const std::string& server,
+                 const std::string& request = poison) {
+    const sighting_map seen{{request, {.ran = milliseconds(30)}}};
+    router.on_interrupted(server, seen, this->now);
+    router.update(this->now);
+    this->unreported.push_back({server, this->now, seen});
+  }
+
+  /// Lets all tell each other what is new.
+  void exchange_reports() {
+    for (const auto& each : std::exchange(this->unreported, {})) {
+      const milliseconds age(ms_between(each.at, this->now));
+      this->planner.on_interrupted(each.server, age, each.requests, this->now);
+    }
+    for (auto* router : this->routers) {
+      for (const auto& each : router->take_cleared()) {
+        this->planner.on_completed(each);
+      }
+      for (const auto& each : router->take_completed_before()) {
+        this->planner.on_completed_before(each);
+      }
+    }
+    this->planner.update(this->now);
+    std::map<std::string, milliseconds> suspected;
+    for (const auto& [name, since] : this->planner.suspected(this->now)) {
+      suspected.emplace(name, ms_between(since, this->now));
+    }
+    for (auto* router : this->routers) {
+      router->on_suspected(suspected, this->now);
+      router->on_quarantined(this->planner.quarantined(this->now), false,
+                             this->now);
+    }
+  }
+
+  /// Lets time pass with a report ten times a second.
+  void pass(milliseconds time) {
+    constexpr milliseconds step{100};
+    for (milliseconds passed{0}; passed < time; passed += step) {
+      this->now += step;
+      this->exchange_reports();
+    }
+  }
+
+  bool refuses(const suspect_guard& router,
+               const std::string& request = poison) {
+    return router.is_quarantined({request}, this->now);
+  }
+
+  std::vector<sighted> unreported;
+  suspect_guard first_router{own_settings};
+  suspect_guard second_router{own_settings};
+  std::vector<suspect_guard*> routers{&first_router, &second_router};
+  crash_suspects planner{request_settings};
+  time_point now{std::chrono::hours(1)};
+};
+
+// Guards against a request that takes down every server, as no router has seen
+// three crashes.
+TEST_F(crashing_requests_test,
+       quarantines_everywhere_after_crashes_at_any_router) {
+  this->interrupt(this->first_router, "a");
+  this->pass(milliseconds(500));
+  this->interrupt(this->second_router, "b");
+  this->pass(milliseconds(500));
+  EXPECT_FALSE(this->refuses(this->first_router));
+  this->interrupt(this->second_router, "c");
+  this->pass(milliseconds(500));
+  EXPECT_TRUE(this->refuses(this->first_router));
+  EXPECT_TRUE(this->refuses(this->second_router));
+}
+
+TEST_F(crashing_requests_test, quarantines_without_a_planner) {
+  this->first_router.on_planner_lost();
+  for (const char* server : {"a", "b", "c"}) {
+    EXPECT_FALSE(this->refuses(this->first_router));
+    this->now += milliseconds(40);
+    this->interrupt(this->first_router, server);
+  }
+  EXPECT_TRUE(this->refuses(this->first_router));
+}
+
+// Guards against a planner that stands still, and so hears of no crash.
+TEST_F(crashing_requests_test, quarantines_by_own_count_beside_a_planner) {
+  for (const char* server : {"a", "b", "c"}) {
+    this->now += milliseconds(40);
+    this->interrupt(this->first_router, server);
+  }
+  EXPECT_TRUE(this->refuses(this->first_router));
+}
+
+// Guards against a request that is never refused, as it completed before it
+// began to crash servers.
+TEST_F(crashing_requests_test, trusts_no_response_of_before_the_first_crash) {
+  for (auto* router : this->routers) {
+    router->on_completed({poison}, this->now);
+  }
+  for (const char* server : {"a", "b", "c"}) {
+    this->pass(milliseconds(500));
+    this->interrupt(this->second_router, server);
+  }
+  this->pass(milliseconds(500));
+  EXPECT_TRUE(this->refuses(this->first_router));
+  EXPECT_TRUE(this->refuses(this->second_router));
+}
+
+// Guards against the loss of a request that hundreds of callers send, where cut
+// connections interrupt it several times per second while other copies
+// complete.
+TEST_F(crashing_requests_test, clears_a_request_that_completes_meanwhile) {
+  for (int each = 0; each < 20; ++each) {
+    const auto server = std::to_string(each);
+    this->interrupt(this->second_router, server);
+    this->interrupt(this->first_router, server + "x");
+    this->pass(milliseconds(100));
+    this->first_router.on_completed({poison}, this->now);
+    this->pass(milliseconds(100));
+    EXPECT_FALSE(this->refuses(this->first_router));
+    EXPECT_FALSE(this->refuses(this->second_router));
+  }
+}
+
+// Guards against a router that refuses for long what has completed elsewhere.
+TEST_F(crashing_requests_test, lets_in_what_another_router_has_cleared) {
+  for (const char* server : {"a", "b", "c"}) {
+    this->now += milliseconds(40);
+    this->interrupt(this->first_router, server);
+  }
+  EXPECT_TRUE(this->refuses(this->first_router));
+  this->pass(milliseconds(500));
+  EXPECT_TRUE(this->refuses(this->second_router));
+  // A copy that was sent before ends.
+  this->second_router.on_completed({poison}, this->now);
+  this->pass(milliseconds(200));
+  EXPECT_FALSE(this->refuses(this->first_router));
+  EXPECT_FALSE(this->refuses(this->second_router));
+}
+
+TEST_F(crashing_requests_test, reports_quarantines_to_a_new_planner) {
+  this->first_router.on_planner_lost();
+  for (const char* server : {"a", "b", "c"}) {
+    this->now += milliseconds(40);
+    this->interrupt(this->first_router, server);
+  }
+  this->unreported.clear();
+  for (const auto& each : this->first_router.quarantined(this->now)) {
+    this->planner.quarantine(each, this->now);
+  }
+  this->first_router.on_planner_linked();
+  this->exchange_reports();
+  EXPECT_TRUE(this->refuses(this->second_router));
+}
+
+// Guards against one crash that counts once for each request under way.
+TEST_F(crashing_requests_test, counts_each_server_once) {
+  for (int run = 0; run < 4; ++run) {
+    this->interrupt(this->first_router, "a");
+    this->interrupt(this->second_router, "a");
+    this->pass(milliseconds(100));
+  }
+  this->pass(milliseconds(500));
+  EXPECT_FALSE(this->refuses(this->first_router));
+  EXPECT_FALSE(this->refuses(this->second_router));
+}
+
+// Guards against a request that is refused since a failure domain was lost.
+TEST_F(crashing_requests_test, counts_servers_that_end_together_once) {
+  for (const char* server : {"a", "b", "c", "d"}) {
+    this->interrupt(this->first_router, server);
+    this->now += milliseconds(2);
+  }
+  this->pass(milliseconds(500));
+  EXPECT_FALSE(this->refuses(this->first_router));
+}
+
+// Guards against a request that is refused since servers that live truncate its
+// responses.
+TEST_F(crashing_requests_test, takes_back_what_a_living_server_interrupted) {
+  for (const char* server : {"a", "b", "c", "d"}) {
+    this->interrupt(
+        server == std::string("a") ? this->first_router : this->second_router,
+        server);
+    this->pass(crash_suspects::alive_after + milliseconds(100));
+    this->planner.on_server_responded(server, this->now);
+    this->pass(milliseconds(100));
+  }
+  EXPECT_TRUE(this->planner.quarantined(this->now).empty());
+  EXPECT_FALSE(this->refuses(this->first_router));
+}
+
+TEST_F(crashing_requests_test, expires_quarantines) {
+  this->first_router.on_quarantined({poison}, false, this->now);
+  this->now += crash_suspects::retention / 2;
+  this->first_router.on_quarantined({poison}, false, this->now);
+  EXPECT_TRUE(this->refuses(this->first_router));
+  this->now += crash_suspects::retention;
+  EXPECT_FALSE(this->refuses(this->first_router));
+  this->interrupt(this->first_router, "a");
+  EXPECT_FALSE(this->refuses(this->first_router));
+}
+
+TEST_F(crashing_requests_test, bounds_memory_and_keeps_quarantined_requests) {
+  for (const char* server : {"a", "b", "c"}) {
+    this->now += milliseconds(40);
+    this->interrupt(this->first_router, server);
+  }
+  for (int i = 0; i < 10000; ++i) {
+    this->now += milliseconds(1);
+    this->interrupt(this->first_router, "a" + std::to_string(i),
+                    "b" + std::to_string(i));
+    this->first_router.on_completed({"c" + std::to_string(i)}, this->now);
+  }
+  EXPECT_TRUE(this->refuses(this->first_router));
+  EXPECT_EQ(this->first_router.quarantined(this->now), list{poison});
+}
+
+}  // namespace
+}  // namespace boragehill::decide
--- a/test/decide-test/suspect_guard_test.cpp
+++ b/test/decide-test/suspect_guard_test.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "decide/interruption.hpp"
+
 namespace boragehill::decide {
 namespace {
 
@@ -19,7 +21,7 @@
 
   /// Lets a server interrupt a request, as one router sees it.
   void interrupt(const std::string& server) {
-    this->guard.on_interrupted(interruption_of(server, {shared, poison}),
+    this->guard.on_interrupted(server, sightings_of({shared, poison}),
                                this->now);
     this->now += milliseconds(400);
     this->guard.update(this->now);
@@ -100,6 +102,15 @@
   EXPECT_FALSE(this->refuses({poison}));
 }
 
+// Guards against a suspect that is refused for long after a request with it has
+// completed, since no planner is there to say so.
+TEST_F(suspect_guard_test, lets_in_what_completes_without_a_planner) {
+  for (const char* server : {"a", "b", "c"}) this->interrupt(server);
+  EXPECT_TRUE(this->refuses({poison}));
+  EXPECT_TRUE(this->guard.on_completed({poison}, this->now));
+  EXPECT_FALSE(this->refuses({poison}));
+}
+
 TEST_F(suspect_guard_test, bounds_the_complete_responses_that_it_keeps) {
   constexpr std::size_t many = 3 * suspect_guard::max_completed;
   this->guard.on_planner_linked();
