Keep what is quarantined in the store, so that a restart of all routers keeps it

What callers saw: after a loss of all routers a request that is known to crash servers crashes three more, and so does a part of prompts; the service is away once more.

Cause: quarantines lay in the memory of routers alone. Class, as before: what is known of a request ends with the one who knows it.

Change: a row of the store, boragehill/quarantine, written by the planner under the row's version whenever what is quarantined changes, one write at a time, with the wall-clock time of each so that it expires. It lies behind the planner's row and is read with it in the same call: no read is added. A router takes it up at its start, before it takes callers, and while it has no planner, so one that reaches the store but no planner hears of quarantines, too; a new planner starts from it. A planner that was replaced forgets its counts, which another may have cleared meanwhile. Events 617, and by=store in 607 and 613.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -101,6 +101,16 @@
   return found;
 }
 
+std::map<std::string, time_point> crash_suspects::quarantined_since(
+    time_point now) const {
+  std::map<std::string, time_point> found;
+  for (const auto& [suspect, known] : this->suspects) {
+    if (!known.quarantined || !holds(known, now)) continue;
+    found.emplace(suspect, known.recorded_at);
+  }
+  return found;
+}
+
 bool crash_suspects::is_quarantined(const std::string& suspect,
                                     time_point now) const {
   const auto found = this->suspects.find(suspect);
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -85,6 +85,9 @@
   /// \return All quarantined suspects.
   std::vector<std::string> quarantined(time_point now) const;
 
+  /// \return All quarantined suspects, with the time of their quarantine.
+  std::map<std::string, time_point> quarantined_since(time_point now) const;
+
   bool is_quarantined(const std::string& suspect, time_point now) const;
 
   /// \return True if crashes are stored for the suspect.
--- a/src/decide/suspect_guard.cpp
+++ b/src/decide/suspect_guard.cpp
@@ -54,6 +54,19 @@
   return added;
 }
 
+std::vector<std::string> suspect_guard::restore(
+    const std::map<std::string, milliseconds>& ages, time_point now) {
+  std::vector<std::string> added;
+  if (this->linked) return added;
+  for (const auto& [suspect, age] : ages) {
+    if (age > crash_suspects::retention) continue;
+    if (this->refused.emplace(suspect, now - age).second) {
+      added.push_back(suspect);
+    }
+  }
+  return added;
+}
+
 void suspect_guard::on_planner_linked() {
   this->linked = true;
   if (this->settings.confirms_end) {
--- a/src/decide/suspect_guard.hpp
+++ b/src/decide/suspect_guard.hpp
@@ -50,6 +50,11 @@
   /// \return Those that weren't quarantined here.
   std::vector<std::string> on_quarantined(const std::vector<std::string>& news,
                                           bool first, time_point now);
+  /// Takes up what the store holds, unless a planner tells more.
+  /// \param ages All that is quarantined, with the time since then.
+  /// \return Those that weren't quarantined here.
+  std::vector<std::string> restore(
+      const std::map<std::string, milliseconds>& ages, time_point now);
   void on_planner_linked();
   void on_planner_lost();
 
--- a/src/fleet/platform_store.hpp
+++ b/src/fleet/platform_store.hpp
@@ -10,6 +10,8 @@
 
 #include "fleet/catalog.hpp"
 #include "fleet/planner_row.hpp"
+#include "fleet/planner_state.hpp"
+#include "fleet/quarantine_row.hpp"
 #include "fleet/server_list.hpp"
 #include "fleet/store_statistics.hpp"
 
@@ -24,6 +26,8 @@
   using servers_receiver =
       std::function<void(std::shared_ptr<const server_list>)>;
   using planner_receiver = std::function<void(result<planner_row>)>;
+  using state_receiver = std::function<void(result<planner_state>)>;
+  using quarantine_receiver = std::function<void(result<quarantine_row>)>;
   using number_receiver = std::function<void(result<std::int64_t>)>;
 
   platform_store() = default;
@@ -39,8 +43,8 @@
   /// store was away stays listed until the store has been back for a while.
   virtual void follow_servers(servers_receiver receive) = 0;
 
-  /// Reads which router plans.
-  virtual void read_planner(planner_receiver receive) = 0;
+  /// Reads which router plans, and what is quarantined.
+  virtual void read_planner(state_receiver receive) = 0;
 
   /// Makes this router the planner if nobody else became it since `known`.
   /// Receives the row then in force, whoever it names, or an error if the
@@ -48,6 +52,11 @@
   virtual void take_planner(const planner_row& known, const planner_row& own,
                             planner_receiver receive) = 0;
 
+  /// Writes what is quarantined if nobody else wrote it since `row.version`.
+  /// Receives the row then in force, or an error if the outcome isn't known.
+  virtual void write_quarantine(const quarantine_row& row,
+                                quarantine_receiver receive) = 0;
+
   /// Takes a number higher than all that any process took before; it guards
   /// orders against those of an earlier lifetime.
   virtual void take_fence(const std::string& holder,
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -76,6 +76,7 @@
   prompt_part_cleared = 614,
   crash_counted = 615,
   request_cleared = 616,
+  quarantine_stored = 617,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -29,6 +29,7 @@
 #include "decide/suspect_guard.hpp"
 #include "decide/windowed_retry_budget.hpp"
 #include "fleet/catalog.hpp"
+#include "fleet/quarantine_row.hpp"
 #include "fleet/server_list.hpp"
 #include "http/whole_answer.hpp"
 #include "serve/entry_metrics.hpp"
@@ -59,6 +60,8 @@
   /// The planner said which workers hold what.
   void on_view(const wire::view_update& update);
   void on_planner_lost();
+  /// What the store holds of requests and parts that crash servers was read.
+  void restore_quarantine(const fleet::quarantine_row& row);
 
   /// \return The demand since the last call, and the requests out now.
   decide::demand_report take_report();
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -3,7 +3,10 @@
 #include <absl/strings/str_join.h>
 #include <utility>
 
+#include "decide/quarantine_ages.hpp"
+#include "fleet/quarantine_row.hpp"
 #include "kernel/event_log.hpp"
+#include "kernel/wall_clock.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
 
@@ -15,6 +18,7 @@
 constexpr int first_failure_status = 300;
 constexpr auto by_planner = "planner";
 constexpr auto by_own_count = "own count";
+constexpr auto by_store = "store";
 
 void log_requests(const std::vector<std::string>& quarantined, const char* by) {
   for (const auto& each : quarantined) {
@@ -114,6 +118,17 @@
   }
 }
 
+void dispatcher::restore_quarantine(const fleet::quarantine_row& row) {
+  const auto now = time_point::clock::now();
+  const auto now_ms = kernel::wall_clock_ms();
+  log_requests(this->crashing_requests.restore(
+                   decide::quarantine_ages(row.requests, now_ms), now),
+               by_store);
+  log_parts(this->prompt_parts.restore(
+                decide::quarantine_ages(row.parts, now_ms), now),
+            by_store);
+}
+
 void dispatcher::judge_crashes(time_point now) {
   log_requests(this->crashing_requests.update(now), by_own_count);
   log_parts(this->prompt_parts.update(now), by_own_count);
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -29,10 +29,11 @@
 constexpr double weak_link_mbps = 100;
 constexpr milliseconds weak_machine_waits{400};
 /// After a start, callers' connections wait in the listen queue until the
-/// configuration and the servers are read, some ten milliseconds: taken at
-/// once, their requests were refused for want of a configuration and came back
-/// late (28 at the restart of four routers). While the store is away they are
-/// taken after this, and refused.
+/// configuration, the servers and what is quarantined are read, some ten
+/// milliseconds: taken at once, their requests were refused for want of a
+/// configuration and came back late (28 at the restart of four routers), or
+/// crashed a server once more. While the store is away they are taken after
+/// this, and refused.
 constexpr milliseconds first_read_limit{600};
 constexpr milliseconds first_read_poll{5};
 /// Left before the kill for the last bytes and the end of the threads.
@@ -59,6 +60,7 @@
                              .address = settings.link_address()},
           settings.link_mbps < weak_link_mbps ? weak_machine_waits
                                               : milliseconds(0))),
+      keeper(this->loop, *this->store),
       acceptor(this->loop.context()),
       report_timer(this->loop.context()),
       tidy_timer(this->loop.context()),
@@ -99,7 +101,11 @@
         this->last_report.reset();
         this->requests.on_planner_lost();
       },
-      [this](std::int64_t term) { this->planner.lead(term); });
+      [this](std::int64_t term) { this->planner.lead(term, this->quarantine); },
+      [this](const fleet::quarantine_row& row) { this->on_quarantine(row); });
+  this->planner.on_quarantine([this](const fleet::quarantine_row& row) {
+    this->loop.post([this, row] { this->keeper.write(row); });
+  });
   this->requests.on_waiting([this] { this->on_waiting(); });
   this->follow_store();
   this->loop.start();
@@ -133,6 +139,13 @@
       });
 }
 
+void entry::on_quarantine(const fleet::quarantine_row& row) {
+  this->quarantine = row;
+  this->knows_quarantine = true;
+  this->keeper.on_read(row);
+  this->requests.restore_quarantine(row);
+}
+
 bool entry::is_ready() const {
   return this->knows_fleet && !this->stopping;
 }
@@ -142,7 +155,8 @@
 }
 
 void entry::accept_when_known(time_point limit) {
-  if (this->knows_fleet || time_point::clock::now() >= limit) {
+  const bool is_known = this->knows_fleet && this->knows_quarantine;
+  if (is_known || time_point::clock::now() >= limit) {
     return this->accept();
   }
   this->accept_timer.expires_after(first_read_poll);
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -13,6 +13,7 @@
 
 #include "fleet/caller_limits.hpp"
 #include "fleet/platform_store.hpp"
+#include "fleet/quarantine_row.hpp"
 #include "fleet/request_codec.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/dispatcher.hpp"
@@ -20,6 +21,7 @@
 #include "serve/entry_settings.hpp"
 #include "serve/planner_duty.hpp"
 #include "serve/planner_finder.hpp"
+#include "serve/quarantine_keeper.hpp"
 #include "serve/session_host.hpp"
 #include "serve/status_server.hpp"
 
@@ -66,6 +68,7 @@
   void tidy();
   void close_idle();
   void say_goodbye();
+  void on_quarantine(const fleet::quarantine_row& row);
   bool is_ready() const;
 
   entry_settings settings;
@@ -76,6 +79,9 @@
   planner_duty planner;
   dispatcher requests;
   std::unique_ptr<planner_finder> finder;
+  quarantine_keeper keeper;
+  /// As last read from the store.
+  fleet::quarantine_row quarantine;
   asio::ip::tcp::acceptor acceptor;
   asio::steady_timer report_timer;
   asio::steady_timer tidy_timer;
@@ -89,6 +95,7 @@
   /// What the planner that is linked was told last.
   std::optional<decide::demand_report> last_report;
   bool needs_tokens = false;
+  bool knows_quarantine = false;
   bool report_armed = false;
   std::atomic<bool> knows_fleet{false};
   std::atomic<bool> stopping{false};
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -2,8 +2,11 @@
 
 #include <absl/strings/str_join.h>
 #include <algorithm>
+#include <utility>
 
+#include "decide/quarantine_ages.hpp"
 #include "kernel/event_log.hpp"
+#include "kernel/wall_clock.hpp"
 #include "serve/planner_duty.hpp"
 
 namespace boragehill::serve {
@@ -89,6 +92,38 @@
   }
 }
 
+void planner_duty::restore(const fleet::quarantine_row& row) {
+  const auto now = time_point::clock::now();
+  const auto now_ms = kernel::wall_clock_ms();
+  for (const auto& [request, age] :
+       decide::quarantine_ages(row.requests, now_ms)) {
+    this->crashing_requests.quarantine(request, now - age);
+  }
+  for (const auto& [part, age] : decide::quarantine_ages(row.parts, now_ms)) {
+    this->crashing_parts.quarantine(part, now - age);
+  }
+  this->stored_requests = this->crashing_requests.quarantined_since(now);
+  this->stored_parts = this->crashing_parts.quarantined_since(now);
+}
+
+void planner_duty::publish_quarantine(time_point now) {
+  auto requests = this->crashing_requests.quarantined_since(now);
+  auto parts = this->crashing_parts.quarantined_since(now);
+  if (requests == this->stored_requests && parts == this->stored_parts) return;
+  this->stored_requests = std::move(requests);
+  this->stored_parts = std::move(parts);
+  if (!this->tell_quarantine) return;
+  const auto now_ms = kernel::wall_clock_ms();
+  fleet::quarantine_row row;
+  for (const auto& [request, since] : this->stored_requests) {
+    row.requests.emplace(request, now_ms - ms_between(since, now));
+  }
+  for (const auto& [part, since] : this->stored_parts) {
+    row.parts.emplace(part, now_ms - ms_between(since, now));
+  }
+  this->tell_quarantine(row);
+}
+
 planner_duty::told_suspects planner_duty::state_of(
     const decide::crash_suspects& known, time_point now) {
   return {.quarantined = known.quarantined(now),
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -64,8 +64,9 @@
   this->loop.stop();
 }
 
-void planner_duty::lead(std::int64_t new_term) {
-  this->loop.post([this, new_term] {
+void planner_duty::lead(std::int64_t new_term,
+                        const fleet::quarantine_row& quarantine) {
+  this->loop.post([this, new_term, quarantine] {
     kernel::log_event(kernel::event::planner_leads, {{"term", new_term}});
     this->term = new_term;
     this->planner.start(time_point::clock::now());
@@ -73,6 +74,7 @@
     this->rate_limits = {};
     this->slots.clear();
     this->view.clear();
+    this->restore(quarantine);
     // What an earlier term told the agents must be told again under this one.
     for (auto& [address, each] : this->agents) each.told = {};
     this->link_agents();
@@ -243,6 +245,9 @@
   this->agents.clear();
   this->routers.clear();
   this->demands.clear();
+  // Another planner may clear what is known here.
+  this->crashing_requests = decide::crash_suspects(decide::request_settings);
+  this->crashing_parts = decide::crash_suspects();
 }
 
 void planner_duty::plan_soon() {
@@ -268,6 +273,7 @@
     this->log_move(move);
   }
   this->judge_crashes(time_point::clock::now());
+  this->publish_quarantine(time_point::clock::now());
   this->tell_agents();
   this->tell_routers();
   this->arm(plan_interval);
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -4,11 +4,13 @@
 #include <asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boragehill/endpoint.hpp>
@@ -18,6 +20,7 @@
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "decide/slot_allocator.hpp"
+#include "fleet/quarantine_row.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
 #include "wire/link_listener.hpp"
@@ -39,8 +42,15 @@
   std::error_code start();
   void stop();
 
+  /// Sets what gets all that is quarantined whenever it changed, on this duty's
+  /// thread; called before the start.
+  void on_quarantine(std::function<void(const fleet::quarantine_row&)> told) {
+    this->tell_quarantine = std::move(told);
+  }
+
   /// Becomes the planner of a term; from any thread.
-  void lead(std::int64_t term);
+  /// \param quarantine What the store holds.
+  void lead(std::int64_t term, const fleet::quarantine_row& quarantine);
   void set_catalog(std::shared_ptr<const fleet::catalog> news);
   void set_servers(std::shared_ptr<const fleet::server_list> news);
 
@@ -92,6 +102,9 @@
   /// what ended them.
   void judge_crashes(time_point now);
   bool has_ended(const std::string& server) const;
+  void restore(const fleet::quarantine_row& row);
+  /// Tells what is quarantined if that changed.
+  void publish_quarantine(time_point now);
   static told_suspects state_of(const decide::crash_suspects& known,
                                 time_point now);
   /// Adds what changed since a router was told.
@@ -133,6 +146,10 @@
   std::map<endpoint, time_point> agent_retry;
   decide::crash_suspects crashing_requests{decide::request_settings};
   decide::crash_suspects crashing_parts;
+  /// What the store was told last of both.
+  std::map<std::string, time_point> stored_requests;
+  std::map<std::string, time_point> stored_parts;
+  std::function<void(const fleet::quarantine_row&)> tell_quarantine;
   /// Workers that their agents don't reach, or of another lifetime.
   std::set<std::string> lost_workers;
   decide::rate_limit_allocator rate_limits;
--- a/src/serve/planner_finder.cpp
+++ b/src/serve/planner_finder.cpp
@@ -32,10 +32,12 @@
       timer(loop.context()) {}
 
 void planner_finder::on_events(message_receiver receive_message,
-                               lost_receiver lost, lead_receiver lead) {
+                               lost_receiver lost, lead_receiver lead,
+                               quarantine_receiver quarantine) {
   this->receive = std::move(receive_message);
   this->on_lost = std::move(lost);
   this->on_lead = std::move(lead);
+  this->on_quarantine = std::move(quarantine);
 }
 
 void planner_finder::start() {
@@ -57,15 +59,16 @@
 }
 
 void planner_finder::look() {
-  this->store.read_planner([this](const result<fleet::planner_row>& row) {
-    this->loop.post([this, row] { this->on_row(row); });
+  this->store.read_planner([this](const result<fleet::planner_state>& state) {
+    this->loop.post([this, state] { this->on_row(state); });
   });
 }
 
-void planner_finder::on_row(const result<fleet::planner_row>& row) {
+void planner_finder::on_row(const result<fleet::planner_state>& state) {
   if (this->stopped) return;
-  if (!row) return this->look_later(store_backoff);
-  const auto& found = row.value();
+  if (!state) return this->look_later(store_backoff);
+  this->on_quarantine(state.value().quarantine);
+  const auto& found = state.value().planner;
   // A row of an earlier lifetime of this process names us, too.
   const bool ours = found.router == this->own.router;
   const bool vacant = found.router.empty() || found.term == this->failed_term;
--- a/src/serve/planner_finder.hpp
+++ b/src/serve/planner_finder.hpp
@@ -10,6 +10,7 @@
 
 #include "decide/planner_loss_detector.hpp"
 #include "fleet/planner_row.hpp"
+#include "fleet/planner_state.hpp"
 #include "fleet/platform_store.hpp"
 #include "kernel/event_loop.hpp"
 #include "wire/message_link.hpp"
@@ -28,6 +29,9 @@
  public:
   using message_receiver = std::function<void(const Json::Value&)>;
   using lost_receiver = std::function<void()>;
+  /// Called with what is quarantined whenever the store was read.
+  using quarantine_receiver =
+      std::function<void(const fleet::quarantine_row& row)>;
   /// Called when this router became the planner.
   using lead_receiver = std::function<void(std::int64_t term)>;
 
@@ -37,7 +41,7 @@
                  fleet::planner_row own, milliseconds reluctance);
 
   void on_events(message_receiver receive, lost_receiver on_lost,
-                 lead_receiver on_lead);
+                 lead_receiver on_lead, quarantine_receiver on_quarantine);
 
   /// Begins to look for the planner.
   void start();
@@ -51,7 +55,7 @@
  private:
   void look_later(milliseconds wait);
   void look();
-  void on_row(const result<fleet::planner_row>& row);
+  void on_row(const result<fleet::planner_state>& state);
   void take_later(const fleet::planner_row& known);
   void take(const fleet::planner_row& known);
   void follow(const fleet::planner_row& row);
@@ -64,6 +68,7 @@
   message_receiver receive;
   lost_receiver on_lost;
   lead_receiver on_lead;
+  quarantine_receiver on_quarantine;
   asio::steady_timer timer;
   std::shared_ptr<wire::message_link> link;
   fleet::planner_row followed;
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/catalog_decoder.hpp"
 #include "platform/lifetime.hpp"
 #include "platform/planner_row_codec.hpp"
+#include "platform/quarantine_row_codec.hpp"
 #include "platform/row_codec.hpp"
 #include "platform/server_decoder.hpp"
 
@@ -222,5 +223,38 @@
   EXPECT_NE(none.find(R"("ver":0)"), std::string::npos) << none;
 }
 
+TEST(quarantine_row_codec_test, reads_what_was_written) {
+  const fleet::quarantine_row row{.version = 7,
+                                  .requests = {{"0a1b", 1764800000000}},
+                                  .parts = {{"5c1e", 1764800000500}}};
+  EXPECT_EQ(decode_quarantine(encode_quarantine(row), 7), row);
+}
+
+TEST(quarantine_row_codec_test, an_unreadable_row_quarantines_nothing) {
+  for (const char* text :
+       {"", "\xff", "[]", "7", R"({"requests":[]})", R"({"parts":7})",
+        R"({"requests":{"a":"b"},"parts":{}})", R"({"requests":{"a":-1}})"}) {
+    EXPECT_EQ(decode_quarantine(text, 9), (fleet::quarantine_row{.version = 9}))
+        << text;
+  }
+}
+
+// Guards against callers that fill the store's row with parts of their prompts.
+TEST(quarantine_row_codec_test, keeps_the_newest_that_fit_into_a_row) {
+  constexpr std::size_t row_bytes = 65536;
+  fleet::quarantine_row row;
+  for (int each = 0; each < 5000; ++each) {
+    const auto name = std::to_string(each) + std::string(50, 'x');
+    row.requests.emplace(name, 1764800000000 + each);
+    row.parts.emplace(name + std::string(1000, 'y'), 1764800000000);
+    row.parts.emplace(name, 1764800000000 + each);
+  }
+  const auto text = encode_quarantine(row);
+  EXPECT_LE(text.size(), row_bytes);
+  const auto read = decode_quarantine(text, 1);
+  EXPECT_TRUE(read.requests.contains("4999" + std::string(50, 'x')));
+  EXPECT_TRUE(read.parts.contains("4999" + std::string(50, 'x')));
+}
+
 }  // namespace
 }  // namespace boragehill::platform
--- a/test/adapter-test/planner_duty_test.cpp
+++ b/test/adapter-test/planner_duty_test.cpp
@@ -124,7 +124,7 @@
   router_side router(settings.link_address());
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   EXPECT_FALSE(router.ended());
-  planner.lead(7);
+  planner.lead(7, {});
   router.report();
   EXPECT_TRUE(becomes_true([&] { return router.term() == 7; }));
   EXPECT_FALSE(router.ended());
@@ -149,7 +149,7 @@
   const auto settings = planner_settings_of_test();
   planner_duty planner(settings);
   ASSERT_FALSE(planner.start());
-  planner.lead(1);
+  planner.lead(1, {});
   router_side first(settings.link_address());
   EXPECT_TRUE(becomes_true([&] { return first.count() == 1; }));
   {
@@ -166,7 +166,7 @@
   const auto settings = planner_settings_of_test();
   planner_duty planner(settings);
   ASSERT_FALSE(planner.start());
-  planner.lead(1);
+  planner.lead(1, {});
   router_side first(settings.link_address());
   first.announce_limit("w-1", 2);
   EXPECT_TRUE(becomes_true([&] { return first.count() == 1; }));
--- a/test/decide-test/suspect_guard_test.cpp
+++ b/test/decide-test/suspect_guard_test.cpp
@@ -111,6 +111,27 @@
   EXPECT_FALSE(this->refuses({poison}));
 }
 
+// Guards against quarantines that a restart of all routers forgets.
+TEST_F(suspect_guard_test, takes_up_what_the_store_holds) {
+  const std::map<std::string, milliseconds> stored{
+      {poison, crash_suspects::retention / 2},
+      {"old", crash_suspects::retention + milliseconds(1)}};
+  EXPECT_EQ(this->guard.restore(stored, this->now), list{poison});
+  EXPECT_EQ(this->guard.restore(stored, this->now), list{});
+  EXPECT_TRUE(this->refuses({poison}));
+  EXPECT_FALSE(this->refuses({"old"}));
+  EXPECT_EQ(this->guard.quarantined(this->now), list{poison});
+  this->now += crash_suspects::retention / 2 + milliseconds(1);
+  EXPECT_FALSE(this->refuses({poison}));
+}
+
+TEST_F(suspect_guard_test, takes_up_nothing_of_the_store_beside_a_planner) {
+  this->guard.on_planner_linked();
+  EXPECT_EQ(this->guard.restore({{poison, milliseconds(1)}}, this->now),
+            list{});
+  EXPECT_FALSE(this->refuses({poison}));
+}
+
 TEST_F(suspect_guard_test, bounds_the_complete_responses_that_it_keeps) {
   constexpr std::size_t many = 3 * suspect_guard::max_completed;
   this->guard.on_planner_linked();
--- a/test/fleet-test/crashing_request_test.cpp
+++ b/test/fleet-test/crashing_request_test.cpp
@@ -99,6 +99,22 @@
   this->expect_refused_everywhere();
 }
 
+// Guards against quarantines that are lost with the memory of all routers.
+TEST_F(crashing_request_test, refuses_it_after_a_restart_of_all_routers) {
+  this->begin_to_crash();
+  this->crash_servers();
+  for (int router = 1; router <= routers; ++router) {
+    this->fleet[numbered("router", router)].kill();
+  }
+  for (int router = 1; router <= routers; ++router) {
+    this->fleet[numbered("router", router)].start();
+  }
+  for (int router = 1; router <= routers; ++router) {
+    ASSERT_TRUE(this->fleet.wait_until_ready(router, milliseconds(5000)));
+  }
+  this->expect_refused_everywhere();
+}
+
 // Guards against the loss of requests that complete and are interrupted by
 // turns.
 TEST_F(crashing_request_test, serves_a_request_that_completes_in_between) {
