Write out a sighting of a test in full

clang takes no aggregate for emplace where g++ does: the linter's only finding in 24 files of this change. No test changes in what it checks.

--- a/test/decide-test/crash_suspects_test.cpp
+++ b/test/decide-test/crash_suspects_test.cpp
@@ -241,7 +241,7 @@
     sighting_map seen{{shared, {0}}, {poison, {1}}};
     for (int each = 0; each < in_flight; ++each) {
       seen.emplace("subject-" + std::to_string(*rc::gen::inRange(0, subjects)),
-                   1);
+                   suspect_sighting{.position = 1});
     }
     this->found.on_interrupted(server, milliseconds(0), seen, this->now);
     this->found.on_server_ended(server, this->now);
