Date a crash by the interruption of the request itself

Found in a read of the diff, never seen at a caller. A router keeps one interruption a server, dated by the first response that broke off there, and the planner did likewise. A server that truncates a response and ends seconds later under another request had the second request's crash dated back to the first response: a success of the second request from between the two would have cleared it, the very fault that mends.

Each request has its own delay after the first response now (delay_ms in a router's report), and the planner dates its crash by it. Parts of prompts keep the time of the server's first interruption, which is compared with the server's later responses.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -24,9 +24,11 @@
     if (known->second.suspects.size() >= max_suspects_of_server) break;
     if (known->second.suspects.insert(each).second) added.insert(each);
   }
-  if (known->second.ended) {
-    this->add_crash(server, known->second, added, now);
-  }
+  if (!known->second.ended) return;
+  // One that runs on may interrupt others long before it crashes.
+  const auto at =
+      this->settings.confirms_end ? known->second.interrupted_at : now - age;
+  this->add_crash(server, known->second, added, at, now);
 }
 
 void crash_suspects::on_server_ended(const std::string& server,
@@ -34,7 +36,8 @@
   const auto known = this->servers.find(server);
   if (known == this->servers.end() || known->second.ended) return;
   known->second.ended = true;
-  this->add_crash(server, known->second, known->second.suspects, now);
+  this->add_crash(server, known->second, known->second.suspects,
+                  known->second.interrupted_at, now);
 }
 
 void crash_suspects::on_server_responded(const std::string& server,
@@ -169,7 +172,8 @@
 
 void crash_suspects::add_crash(const std::string& server,
                                const server_entry& known,
-                               const sighting_map& found, time_point now) {
+                               const sighting_map& found, time_point at,
+                               time_point now) {
   if (this->is_explained(known)) return this->forget_crash(server);
   for (const auto& [suspect, sighting] : found) {
     auto& entry = this->suspects[suspect];
@@ -179,7 +183,7 @@
     if (known_crash || entry.crashes.size() >= max_crashes_of_suspect) continue;
     entry.position = sighting.position;
     entry.recorded_at = now;
-    crash added{.server = server, .at = known.interrupted_at};
+    crash added{.server = server, .at = at + sighting.delay};
     if (sighting.ran) added.began = added.at - *sighting.ran;
     const auto after = std::upper_bound(
         entry.crashes.begin(), entry.crashes.end(), added.at,
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -131,8 +131,9 @@
   static std::size_t count(const suspect_entry& known);
   static bool is_same_crash(time_point last, const crash& next);
   static bool holds(const suspect_entry& known, time_point now);
+  /// \param at When the first response broke off there.
   void add_crash(const std::string& server, const server_entry& known,
-                 const sighting_map& found, time_point now);
+                 const sighting_map& found, time_point at, time_point now);
   /// \return True if a quarantined suspect was in flight at the server.
   bool is_explained(const server_entry& known) const;
   /// \return The suspects to blame next; several if nothing tells them apart.
--- a/src/decide/interruption_log.cpp
+++ b/src/decide/interruption_log.cpp
@@ -11,12 +11,12 @@
 constexpr std::size_t max_parts = 256;
 
 void add_request(sighting_map& requests, const std::string& request,
-                 milliseconds ran) {
+                 const suspect_sighting& seen) {
   const auto known = requests.find(request);
   if (known != requests.end()) {
-    known->second.ran = std::max(known->second.ran.value_or(ran), ran);
+    known->second.ran = std::max(known->second.ran, seen.ran);
   } else if (requests.size() < max_requests) {
-    requests.emplace(request, suspect_sighting{.ran = ran});
+    requests.emplace(request, seen);
   }
 }
 
@@ -29,7 +29,8 @@
   this->drop_expired(now);
   auto& known = this->entry_of(server, now);
   known.reported = false;
-  add_request(known.found.requests, request, ran);
+  const milliseconds delay(ms_between(known.at, now));
+  add_request(known.found.requests, request, {.ran = ran, .delay = delay});
   for (const auto& each : sightings_of(parts)) {
     if (known.found.parts.size() >= max_parts) break;
     known.found.parts.insert(each);
--- a/src/decide/suspect_sighting.hpp
+++ b/src/decide/suspect_sighting.hpp
@@ -15,6 +15,8 @@
   int position = 0;
   /// How long the first run with it had been under way; nothing if not known.
   std::optional<milliseconds> ran;
+  /// How much later than the first response there it broke off.
+  milliseconds delay{0};
 
   bool operator==(const suspect_sighting&) const = default;
 };
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -183,8 +183,12 @@
   Json::Value& requests = value["requests"] = Json::Value(Json::arrayValue);
   for (const auto& [request, sighting] : found.requests) {
     requests.append(request);
-    if (!sighting.ran) continue;
-    value["ran_ms"][request] = Json::Int64(sighting.ran->count());
+    if (sighting.ran) {
+      value["ran_ms"][request] = Json::Int64(sighting.ran->count());
+    }
+    if (sighting.delay > milliseconds(0)) {
+      value["delay_ms"][request] = Json::Int64(sighting.delay.count());
+    }
   }
   for (const auto& [part, sighting] : found.parts) {
     value["parts"][part] = sighting.position;
@@ -196,11 +200,15 @@
   decide::interruption found{.server = value["server"].asString(),
                              .age = milliseconds(value["age_ms"].asInt64())};
   const auto& ran = value["ran_ms"];
+  const auto& delays = value["delay_ms"];
   for (const auto& request : kernel::texts_of(value["requests"])) {
     auto& sighting = found.requests[request];
     if (ran.isMember(request)) {
       sighting.ran = milliseconds(ran[request].asInt64());
     }
+    if (delays.isMember(request)) {
+      sighting.delay = milliseconds(delays[request].asInt64());
+    }
   }
   const auto& parts = value["parts"];
   for (const auto& part : parts.getMemberNames()) {
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -134,6 +134,21 @@
   EXPECT_TRUE(this->refuses(this->second_router));
 }
 
+// Guards against a crash that is dated back to an earlier interruption at the
+// same server, so that a response from between them clears it.
+TEST_F(crashing_requests_test, dates_a_crash_by_its_own_interruption) {
+  this->interrupt(this->second_router, "a", "other");
+  this->pass(milliseconds(1000));
+  this->first_router.on_completed({poison}, this->now);
+  this->pass(milliseconds(1000));
+  for (const char* server : {"a", "b", "c"}) {
+    this->interrupt(this->second_router, server);
+    this->pass(milliseconds(500));
+  }
+  EXPECT_TRUE(this->refuses(this->first_router));
+  EXPECT_TRUE(this->refuses(this->second_router));
+}
+
 // Guards against the loss of a request that hundreds of callers send, where cut
 // connections interrupt it several times per second while other copies
 // complete.
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -61,7 +61,7 @@
       .interruptions = {{.server = "i-1",
                          .age = milliseconds(40),
                          .requests = {{"0a1b", {.ran = milliseconds(30)}},
-                                      {"2c3d", {}}},
+                                      {"2c3d", {.delay = milliseconds(8)}}},
                          .parts = {{"5c1e", {0}}, {"91bd", {1}}}}},
       .quarantined = {"4e5f"},
       .cleared_requests = {"0a1b"},
