Let the fuzz target read the row of quarantines

Anybody may write into the store's table; the planner's row beside it was read by the target already.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -13,6 +13,7 @@
 #include "kernel/json_text.hpp"
 #include "platform/catalog_decoder.hpp"
 #include "platform/planner_row_codec.hpp"
+#include "platform/quarantine_row_codec.hpp"
 #include "platform/row_codec.hpp"
 #include "platform/server_book.hpp"
 #include "platform/server_decoder.hpp"
@@ -90,6 +91,7 @@
   (void)boragehill::platform::decode_report(text);
   (void)boragehill::platform::decode_rows(text);
   (void)boragehill::platform::decode_planner(text, 1);
+  (void)boragehill::platform::decode_quarantine(text, 1);
   read_entries(text);
   read_message(boragehill::http::message_kind::request, text);
   read_message(boragehill::http::message_kind::answer, text);
