Name the settings of a router's own counts once

Found in the last read of the change: the settings by which a router counts whole requests by itself stood in the dispatcher and again in a test. They have a name beside those of the planner now. A test's comment of three lines has two.

--- a/src/decide/crash_suspect_settings.hpp
+++ b/src/decide/crash_suspect_settings.hpp
@@ -23,6 +23,9 @@
 /// For whole requests: few are alike, and nobody may ask a server without a
 /// status check whether it has ended.
 constexpr crash_suspect_settings request_settings{.confirms_end = false};
+/// For what one router counts of whole requests: it knows its own responses.
+constexpr crash_suspect_settings own_request_settings{
+    .confirms_end = false, .hearing = milliseconds(0)};
 
 }  // namespace boragehill::decide
 
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -292,8 +292,7 @@
   std::map<std::string, decide::windowed_retry_budget> budgets;
   std::function<void()> waits;
   decide::interruption_log interruptions;
-  decide::suspect_guard crashing_requests{decide::crash_suspect_settings{
-      .confirms_end = false, .hearing = milliseconds(0)}};
+  decide::suspect_guard crashing_requests{decide::own_request_settings};
   decide::suspect_guard prompt_parts;
   /// A new planner hears of what is quarantined with the next report.
   bool tells_quarantined = false;
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -12,8 +12,6 @@
 
 using list = std::vector<std::string>;
 const std::string poison = "poison";
-constexpr crash_suspect_settings own_settings{.confirms_end = false,
-                                              .hearing = milliseconds(0)};
 
 /// Two routers and a planner that decide about whole requests.
 class crashing_requests_test : public testing::Test {
@@ -78,8 +76,8 @@
   }
 
   std::vector<sighted> unreported;
-  suspect_guard first_router{own_settings};
-  suspect_guard second_router{own_settings};
+  suspect_guard first_router{own_request_settings};
+  suspect_guard second_router{own_request_settings};
   std::vector<suspect_guard*> routers{&first_router, &second_router};
   crash_suspects planner{request_settings};
   time_point now{std::chrono::hours(1)};
@@ -149,9 +147,8 @@
   EXPECT_TRUE(this->refuses(this->second_router));
 }
 
-// Guards against the loss of a request that hundreds of callers send, where cut
-// connections interrupt it several times per second while other copies
-// complete.
+// Guards against the loss of a request of hundreds of callers, some copies of
+// which are interrupted while others complete.
 TEST_F(crashing_requests_test, clears_a_request_that_completes_meanwhile) {
   for (int each = 0; each < 20; ++each) {
     const auto server = std::to_string(each);
