Tell how late a router's traffic thread is and how much of its link is in use

What callers saw: requests that a crowded router had read were lost, and no line of its log said that anything was wrong: waited_ms and first_ms count from the moment at which a request is read. Time in the listen queue, in the socket and in the loop stood nowhere, so the hypotheses processor and link couldn't be told apart.

Change: twenty times a second the router takes how late its traffic thread is, how many connections wait to be accepted, and the bytes that callers and servers have moved over its link. src/decide/overload_detector judges them: what two samples in a row have in common, and the use of the link in 0.2 s. Events 820 and 821, metrics boragehill_loop_delay_seconds, boragehill_listen_queue and boragehill_link_share. No decision rests on it yet.

Evidence: overload_detector_test, 5 cases; docs_test.

--- /dev/null
+++ b/src/decide/overload_detector.hpp
@@ -0,0 +1,64 @@
+#ifndef BORAGEHILL_DECIDE_OVERLOAD_DETECTOR_HPP
+#define BORAGEHILL_DECIDE_OVERLOAD_DETECTOR_HPP
+
+#include <deque>
+#include <optional>
+
+#include <boragehill/time_point.hpp>
+
+#include "decide/load_sample.hpp"
+#include "decide/overload_cause.hpp"
+
+namespace boragehill::decide {
+
+/// Tells whether a router has more load than its processor or its link can
+/// bear.
+///
+/// The processor is overloaded while work waits for it all the time: a delay
+/// that only some samples show is a burst, or a pause of the process. A link is
+/// overloaded while nearly all that it carries is in use, in either direction.
+class overload_detector {
+ public:
+  /// A delay that stands costs a request twice as much, on its way there and
+  /// back.
+  static constexpr milliseconds max_delay{50};
+  /// So many connections that wait to be accepted are no burst if they stand.
+  static constexpr int max_queued = 16;
+  /// Overload ends below these, so that it isn't left at the first gap.
+  static constexpr milliseconds end_delay{25};
+  static constexpr double max_link_share = 0.85;
+  static constexpr double end_link_share = 0.7;
+  /// The time over which the use of the link is measured.
+  static constexpr milliseconds link_window{200};
+
+  /// \param link_mbps What the link carries in each direction, in megabits a
+  ///     second.
+  explicit overload_detector(double link_mbps) : link_mbps(link_mbps) {}
+
+  /// Takes the next sample, some times within `link_window`.
+  void on_sample(const load_sample& sample);
+
+  /// \return What is overloaded; the processor, if both are.
+  std::optional<overload_cause> cause() const;
+
+  /// \return The delay that the last samples have in common.
+  milliseconds standing_delay() const;
+
+  /// \return The number of waiting connections that the last samples have in
+  ///     common.
+  int standing_queue() const;
+
+  /// \return The share of the link that was in use, in the direction that was
+  ///     used more.
+  double link_share() const;
+
+ private:
+  std::deque<load_sample> samples;
+  double link_mbps;
+  bool delayed = false;
+  bool link_full = false;
+};
+
+}  // namespace boragehill::decide
+
+#endif  // BORAGEHILL_DECIDE_OVERLOAD_DETECTOR_HPP
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -95,6 +95,8 @@
     row{event::slots_granted, "slots_granted", severity::info},
     row{event::server_interrupted, "server_interrupted", severity::info},
     row{event::interruption_ended, "interruption_ended", severity::info},
+    row{event::overload_began, "overload_began", severity::warning},
+    row{event::overload_ended, "overload_ended", severity::info},
     row{event::planner_followed, "planner_followed", severity::info},
     row{event::planner_lost, "planner_lost", severity::warning},
     row{event::planner_leads, "planner_leads", severity::info},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -105,6 +105,8 @@
   slots_granted = 817,
   server_interrupted = 818,
   interruption_ended = 819,
+  overload_began = 820,
+  overload_ended = 821,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/kernel/listen.cpp
+++ b/src/kernel/listen.cpp
@@ -1,5 +1,9 @@
 #include "kernel/listen.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace boragehill::kernel {
 
 std::error_code listen(asio::ip::tcp::acceptor& acceptor,
@@ -17,4 +21,13 @@
   return error;
 }
 
+int queued(asio::ip::tcp::acceptor& acceptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int failed = ::getsockopt(acceptor.native_handle(), IPPROTO_TCP,
+                                  TCP_INFO, &info, &size);
+  // Of a listening socket this field tells the length of the queue.
+  return failed != 0 ? 0 : static_cast<int>(info.tcpi_unacked);
+}
+
 }  // namespace boragehill::kernel
--- a/src/kernel/listen.hpp
+++ b/src/kernel/listen.hpp
@@ -14,6 +14,10 @@
 std::error_code listen(asio::ip::tcp::acceptor& acceptor,
                        const endpoint& address);
 
+/// \return How many connections wait to be accepted; 0 if the platform doesn't
+///     tell.
+int queued(asio::ip::tcp::acceptor& acceptor);
+
 }  // namespace boragehill::kernel
 
 #endif  // BORAGEHILL_KERNEL_LISTEN_HPP
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -8,6 +8,7 @@
 
 #include "fleet/caller_limits.hpp"
 #include "http/head_text.hpp"
+#include "kernel/link_bytes.hpp"
 #include "kernel/socket_options.hpp"
 #include "kernel/timer_support.hpp"
 #include "serve/caller_request.hpp"
@@ -83,6 +84,7 @@
 }
 
 void caller_session::on_bytes(std::size_t size) {
+  kernel::process_link_bytes.on_received(size);
   // What comes after the last answer is nobody's.
   if (this->lingering) return;
   this->incoming.append(this->buffer.data(), size);
@@ -226,6 +228,7 @@
   if (this->writing || this->outgoing.empty() || this->closed) return;
   this->writing = true;
   this->in_flight = std::exchange(this->outgoing, {});
+  kernel::process_link_bytes.on_sent(this->in_flight.size());
   asio::async_write(
       this->socket, asio::buffer(this->in_flight),
       [self = this->shared_from_this()](std::error_code failed, std::size_t) {
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -62,6 +62,7 @@
                                               : milliseconds(0))),
       keeper(this->loop, *this->store),
       acceptor(this->loop.context()),
+      load(this->acceptor, this->metrics, settings.link_mbps),
       report_timer(this->loop.context()),
       tidy_timer(this->loop.context()),
       accept_timer(this->loop.context()),
@@ -112,6 +113,7 @@
   this->loop.post([this] {
     this->accept_when_known(time_point::clock::now() + first_read_limit);
     this->finder->start();
+    this->load.start();
     this->report_in(report_interval);
     this->tidy();
   });
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -19,6 +19,7 @@
 #include "serve/dispatcher.hpp"
 #include "serve/entry_metrics.hpp"
 #include "serve/entry_settings.hpp"
+#include "serve/load_watch.hpp"
 #include "serve/planner_duty.hpp"
 #include "serve/planner_finder.hpp"
 #include "serve/quarantine_keeper.hpp"
@@ -83,6 +84,7 @@
   /// As last read from the store.
   fleet::quarantine_row quarantine;
   asio::ip::tcp::acceptor acceptor;
+  load_watch load;
   asio::steady_timer report_timer;
   asio::steady_timer tidy_timer;
   asio::steady_timer accept_timer;
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -72,6 +72,12 @@
                          "Term of the planner that is followed.")),
       lines_dropped(gauge(this->registry, "boragehill_log_lines_dropped",
                           "Log lines left out to bound the volume.")),
+      loop_delay(gauge(this->registry, "boragehill_loop_delay_seconds",
+                       "How late the traffic thread handles what is ready.")),
+      listen_queue(gauge(this->registry, "boragehill_listen_queue",
+                         "Callers' connections that wait to be accepted.")),
+      link_share(gauge(this->registry, "boragehill_link_share",
+                       "Share of the machine's link that is in use.")),
       store(this->registry) {}
 
 void entry_metrics::on_ended(result_code code) {
--- /dev/null
+++ b/src/serve/load_watch.cpp
@@ -0,0 +1,74 @@
+#include "serve/load_watch.hpp"
+
+#include <algorithm>
+
+#include "kernel/event_log.hpp"
+#include "kernel/link_bytes.hpp"
+#include "kernel/listen.hpp"
+#include "serve/entry_metrics.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+constexpr milliseconds sample_interval{50};
+
+const char* name_of(decide::overload_cause cause) {
+  return cause == decide::overload_cause::processor ? "processor" : "link";
+}
+
+}  // namespace
+
+load_watch::load_watch(asio::ip::tcp::acceptor& acceptor,
+                       entry_metrics& metrics, double link_mbps)
+    : acceptor(acceptor),
+      timer(acceptor.get_executor()),
+      metrics(metrics),
+      detector(link_mbps) {}
+
+void load_watch::start() {
+  this->measure_in(sample_interval);
+}
+
+void load_watch::measure_in(milliseconds wait) {
+  this->timer.expires_after(wait);
+  this->timer.async_wait([this](std::error_code cancelled) {
+    if (cancelled) return;
+    this->measure();
+    this->measure_in(sample_interval);
+  });
+}
+
+void load_watch::measure() {
+  const auto now = time_point::clock::now();
+  const bool was_overloaded = this->overloaded();
+  const auto& bytes = kernel::process_link_bytes;
+  const milliseconds late(ms_between(this->timer.expiry(), now));
+  this->detector.on_sample({.at = now,
+                            .delay = std::max(late, milliseconds(0)),
+                            .queued = kernel::queued(this->acceptor),
+                            .received = bytes.received,
+                            .sent = bytes.sent});
+  this->metrics.set_load(this->detector.standing_delay(),
+                         this->detector.standing_queue(),
+                         this->detector.link_share());
+  if (this->overloaded() != was_overloaded) {
+    this->log_change(was_overloaded, now);
+  }
+}
+
+void load_watch::log_change(bool was_overloaded, time_point now) {
+  if (was_overloaded) {
+    kernel::log_event(kernel::event::overload_ended,
+                      {{"lasted_ms", ms_between(this->began, now)}});
+    return;
+  }
+  this->began = now;
+  kernel::log_event(kernel::event::overload_began,
+                    {{"by", name_of(*this->detector.cause())},
+                     {"delay_ms", this->detector.standing_delay().count()},
+                     {"queued", this->detector.standing_queue()},
+                     {"link_share", this->detector.link_share()}});
+}
+
+}  // namespace boragehill::serve
--- a/src/serve/server_connection.cpp
+++ b/src/serve/server_connection.cpp
@@ -6,6 +6,7 @@
 #include <asio/write.hpp>
 #include <utility>
 
+#include "kernel/link_bytes.hpp"
 #include "kernel/socket_options.hpp"
 
 namespace boragehill::serve {
@@ -96,6 +97,7 @@
 }
 
 void server_connection::write() {
+  kernel::process_link_bytes.on_sent(this->request.size());
   asio::async_write(
       this->socket, asio::buffer(this->request),
       [self = this->shared_from_this()](std::error_code failed, std::size_t) {
@@ -122,6 +124,7 @@
 }
 
 void server_connection::on_bytes(std::string_view bytes) {
+  kernel::process_link_bytes.on_received(bytes.size());
   // Bytes that nobody asked for belong to no request.
   if (!this->busy) return this->close();
   while (!bytes.empty() && this->busy && !this->ended) {
--- /dev/null
+++ b/test/decide-test/overload_detector_test.cpp
@@ -0,0 +1,94 @@
+#include "decide/overload_detector.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehill::decide {
+namespace {
+
+constexpr double link_mbps = 10;
+constexpr std::uint64_t link_bytes_per_ms = 1250;
+constexpr milliseconds interval{50};
+
+class overload_detector_test : public testing::Test {
+ protected:
+  /// Takes the next sample; `used` is the share of the link in use.
+  void sample(milliseconds delay, int queued = 0, double received = 0,
+              double sent = 0) {
+    const auto time = interval + delay;
+    const auto bytes = static_cast<double>(link_bytes_per_ms * time.count());
+    this->last.at += time;
+    this->last.delay = delay;
+    this->last.queued = queued;
+    this->last.received += static_cast<std::uint64_t>(bytes * received);
+    this->last.sent += static_cast<std::uint64_t>(bytes * sent);
+    this->detector.on_sample(this->last);
+  }
+
+  overload_detector detector{link_mbps};
+  load_sample last;
+};
+
+TEST_F(overload_detector_test, takes_a_single_delay_for_a_burst_or_a_pause) {
+  this->sample(milliseconds(0));
+  this->sample(milliseconds(3000));
+  EXPECT_FALSE(this->detector.cause());
+  this->sample(milliseconds(0));
+  this->sample(milliseconds(60));
+  EXPECT_FALSE(this->detector.cause());
+}
+
+TEST_F(overload_detector_test, finds_a_delay_that_stands_until_it_is_gone) {
+  this->sample(milliseconds(60));
+  this->sample(milliseconds(70));
+  EXPECT_EQ(this->detector.cause(), overload_cause::processor);
+  EXPECT_EQ(this->detector.standing_delay(), milliseconds(60));
+  this->sample(milliseconds(40));
+  EXPECT_EQ(this->detector.cause(), overload_cause::processor);
+  this->sample(milliseconds(10));
+  EXPECT_FALSE(this->detector.cause());
+}
+
+TEST_F(overload_detector_test, finds_connections_that_wait_to_be_accepted) {
+  this->sample(milliseconds(0), 40);
+  EXPECT_FALSE(this->detector.cause());
+  this->sample(milliseconds(0), 20);
+  EXPECT_EQ(this->detector.cause(), overload_cause::processor);
+  this->sample(milliseconds(0), 1);
+  EXPECT_EQ(this->detector.cause(), overload_cause::processor);
+  this->sample(milliseconds(0), 0);
+  EXPECT_FALSE(this->detector.cause());
+}
+
+TEST_F(overload_detector_test, finds_a_link_that_is_full_in_either_direction) {
+  for (int each = 0; each < 4; ++each) this->sample(milliseconds(0));
+  EXPECT_FALSE(this->detector.cause());
+  for (int each = 0; each < 5; ++each) {
+    this->sample(milliseconds(0), 0, 0.1, 0.9);
+  }
+  EXPECT_EQ(this->detector.cause(), overload_cause::link);
+  EXPECT_NEAR(this->detector.link_share(), 0.9, 0.01);
+  for (int each = 0; each < 5; ++each) {
+    this->sample(milliseconds(0), 0, 0.1, 0.8);
+  }
+  EXPECT_EQ(this->detector.cause(), overload_cause::link);
+  for (int each = 0; each < 5; ++each) {
+    this->sample(milliseconds(0), 0, 0.1, 0.6);
+  }
+  EXPECT_FALSE(this->detector.cause());
+  for (int each = 0; each < 5; ++each) {
+    this->sample(milliseconds(0), 0, 0.9, 0.1);
+  }
+  EXPECT_EQ(this->detector.cause(), overload_cause::link);
+}
+
+TEST_F(overload_detector_test, leaves_out_a_pause_from_the_use_of_the_link) {
+  for (int each = 0; each < 5; ++each) {
+    this->sample(milliseconds(0), 0, 0.5, 0.5);
+  }
+  this->sample(milliseconds(5000));
+  EXPECT_LT(this->detector.link_share(), 0.1);
+  EXPECT_FALSE(this->detector.cause());
+}
+
+}  // namespace
+}  // namespace boragehill::decide
