Show that a crowded router reads requests that it can't serve

What callers saw: while most new connections go to one router, most of the requests that it reads are lost, though two others stand idle.

Callers leave after a second; one whose request wasn't read goes on to another router.

--- /dev/null
+++ b/test/fleet-test/caller_crowd.hpp
@@ -0,0 +1,62 @@
+#ifndef BORAGEHILL_FLEET_TEST_CALLER_CROWD_HPP
+#define BORAGEHILL_FLEET_TEST_CALLER_CROWD_HPP
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boragehill/endpoint.hpp>
+
+#include "fleet-test/call_outcome.hpp"
+
+namespace boragehill::fleet_test {
+
+/// Callers that come at a steady rate, each with a connection of its own, to
+/// one router; one whose request wasn't read goes on to the next router, once.
+class caller_crowd {
+ public:
+  /// What became of the requests.
+  struct tally {
+    int sent = 0;
+    /// Not known to be unread, at the first or the second try.
+    int read = 0;
+    /// Served at the first try that was read.
+    int served = 0;
+    /// Not read at the first router.
+    int unread = 0;
+    /// Requests that were not read at the first router, by their attempts.
+    std::vector<std::string> unread_attempts;
+
+    /// \return Of the requests that were read, the share that was served.
+    double served_share() const {
+      return this->read == 0 ? 0 : 1.0 * this->served / this->read;
+    }
+  };
+
+  /// \param target Of the requests.
+  /// \param routers The first one gets all callers.
+  caller_crowd(std::string target, std::vector<endpoint> routers)
+      : target(std::move(target)), routers(std::move(routers)) {}
+
+  /// Sends requests and waits until all have ended.
+  /// \param name Begins the names of the attempts.
+  tally send(const std::string& name, int per_second,
+             std::chrono::milliseconds time);
+
+ private:
+  void call(std::size_t router, const std::string& attempt);
+  void on_ended(std::size_t router, const std::string& attempt,
+                call_outcome outcome);
+
+  std::string target;
+  std::vector<endpoint> routers;
+  asio::io_context context{1};
+  tally counts;
+};
+
+}  // namespace boragehill::fleet_test
+
+#endif  // BORAGEHILL_FLEET_TEST_CALLER_CROWD_HPP
