Close connections unread while a router's processor is overloaded

What callers saw: while most new connections go to one router, most of the requests that it reads are lost, with all other routers idle.

Cause: a router took every connection, however far behind it was. Accepting had one turn in each round of the loop, so connections stood in the listen queue, up to 1,024 of them and first come first served, for longer than their callers wait; the processor went into reading requests whose callers had left. Nothing of it showed: the loop itself was on time. Class: work is taken on without regard to whether it can still be done.

Change: all connections that wait are accepted in one turn, so what waits, waits in the loop, where overload_detector sees it; while the processor is overloaded, they are closed without reading (src/decide/connection_admission), so that any request, non-idempotent ones too, may go to another router. Readiness stays: an unready router would pass the crowd on to the next one.

--- a/src/kernel/listen.cpp
+++ b/src/kernel/listen.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace boragehill::kernel {
 
@@ -30,4 +31,11 @@
   return failed != 0 ? 0 : static_cast<int>(info.tcpi_unacked);
 }
 
+bool reject_next(asio::ip::tcp::acceptor& acceptor) {
+  const int descriptor = ::accept(acceptor.native_handle(), nullptr, nullptr);
+  if (descriptor < 0) return false;
+  ::close(descriptor);
+  return true;
+}
+
 }  // namespace boragehill::kernel
--- a/src/kernel/listen.hpp
+++ b/src/kernel/listen.hpp
@@ -18,6 +18,12 @@
 ///     tell.
 int queued(asio::ip::tcp::acceptor& acceptor);
 
+/// Closes the next connection that waits to be accepted, without reading from
+/// it.
+/// \param acceptor Must not block.
+/// \return False if none waits.
+bool reject_next(asio::ip::tcp::acceptor& acceptor);
+
 }  // namespace boragehill::kernel
 
 #endif  // BORAGEHILL_KERNEL_LISTEN_HPP
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -36,6 +36,8 @@
 /// this, and refused.
 constexpr milliseconds first_read_limit{600};
 constexpr milliseconds first_read_poll{5};
+/// Taken before other work gets its turn.
+constexpr int most_accepted_at_once = 64;
 /// Left before the kill for the last bytes and the end of the threads.
 constexpr milliseconds stop_margin{500};
 constexpr milliseconds drain_poll{50};
@@ -87,6 +89,8 @@
           kernel::listen(this->acceptor, this->settings.listen)) {
     return error;
   }
+  std::error_code ignored;
+  this->acceptor.non_blocking(true, ignored);
   if (const auto error = this->planner.start()) return error;
   if (!this->readiness.start(this->settings.ready)) {
     return result_code::address_in_use;
@@ -168,12 +172,36 @@
 }
 
 void entry::accept() {
-  this->acceptor.async_accept(
-      [this](std::error_code failed, asio::ip::tcp::socket socket) {
-        if (failed == asio::error::operation_aborted) return;
-        if (!failed) this->on_accepted(std::move(socket));
-        this->accept();
-      });
+  this->acceptor.async_wait(asio::ip::tcp::acceptor::wait_read,
+                            [this](std::error_code ended) {
+                              if (ended) return;
+                              this->take_connections();
+                              this->accept();
+                            });
+}
+
+void entry::take_connections() {
+  for (int each = 0; each < most_accepted_at_once; ++each) {
+    if (!this->take_connection()) return;
+  }
+}
+
+bool entry::take_connection() {
+  const auto now = time_point::clock::now();
+  const bool overloaded =
+      this->load.overload() == decide::overload_cause::processor;
+  if (!this->admission.admits(overloaded, now)) {
+    if (!kernel::reject_next(this->acceptor)) return false;
+    this->load.on_rejected();
+    return true;
+  }
+  asio::ip::tcp::socket socket(this->loop.context());
+  std::error_code failed;
+  this->acceptor.accept(socket, failed);
+  if (failed) return false;
+  this->admission.on_admitted(now);
+  this->on_accepted(std::move(socket));
+  return true;
 }
 
 void entry::on_accepted(asio::ip::tcp::socket socket) {
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -11,6 +11,7 @@
 
 #include <boragehill/result.hpp>
 
+#include "decide/connection_admission.hpp"
 #include "fleet/caller_limits.hpp"
 #include "fleet/platform_store.hpp"
 #include "fleet/quarantine_row.hpp"
@@ -62,6 +63,11 @@
   void follow_store();
   void accept_when_known(time_point limit);
   void accept();
+  /// Takes all connections that wait, or closes them unread while the router is
+  /// overloaded.
+  void take_connections();
+  /// \return False if no connection waits.
+  bool take_connection();
   void on_accepted(asio::ip::tcp::socket socket);
   void report_in(milliseconds wait);
   void on_waiting();
@@ -85,6 +91,7 @@
   fleet::quarantine_row quarantine;
   asio::ip::tcp::acceptor acceptor;
   load_watch load;
+  decide::connection_admission admission;
   asio::steady_timer report_timer;
   asio::steady_timer tidy_timer;
   asio::steady_timer accept_timer;
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -36,6 +36,8 @@
                              "Sends that the retry budget forbade.")),
       bad_input(counter(this->registry, "boragehill_bad_input_total",
                         "Requests refused before they were routed.")),
+      rejected(counter(this->registry, "boragehill_connections_rejected_total",
+                       "Callers' connections closed unread, for load.")),
       retries_sent(prometheus::BuildCounter()
                        .Name("boragehill_retries_sent_total")
                        .Help("Retries that went to a server, by service.")
--- a/src/serve/entry_metrics.hpp
+++ b/src/serve/entry_metrics.hpp
@@ -37,6 +37,7 @@
   void set_retries_left(const std::string& service, double value);
   void on_repeat() { this->repeats.Increment(); }
   void on_repeat_denied() { this->repeats_denied.Increment(); }
+  void on_connection_rejected() { this->rejected.Increment(); }
   void on_bad_input() { this->bad_input.Increment(); }
   void set_waiting(double value) { this->waiting.Set(value); }
   void set_connections(double value) { this->connections.Set(value); }
@@ -62,6 +63,7 @@
   prometheus::Counter& repeats;
   prometheus::Counter& repeats_denied;
   prometheus::Counter& bad_input;
+  prometheus::Counter& rejected;
   prometheus::Family<prometheus::Counter>& retries_sent;
   prometheus::Gauge& budget_routers;
   prometheus::Family<prometheus::Gauge>& retries_left;
--- a/src/serve/load_watch.cpp
+++ b/src/serve/load_watch.cpp
@@ -30,6 +30,11 @@
   this->measure_in(sample_interval);
 }
 
+void load_watch::on_rejected() {
+  ++this->rejected;
+  this->metrics.on_connection_rejected();
+}
+
 void load_watch::measure_in(milliseconds wait) {
   this->timer.expires_after(wait);
   this->timer.async_wait([this](std::error_code cancelled) {
@@ -41,7 +46,7 @@
 
 void load_watch::measure() {
   const auto now = time_point::clock::now();
-  const bool was_overloaded = this->overloaded();
+  const bool was_overloaded = this->overload().has_value();
   const auto& bytes = kernel::process_link_bytes;
   const milliseconds late(ms_between(this->timer.expiry(), now));
   this->detector.on_sample({.at = now,
@@ -52,7 +57,7 @@
   this->metrics.set_load(this->detector.standing_delay(),
                          this->detector.standing_queue(),
                          this->detector.link_share());
-  if (this->overloaded() != was_overloaded) {
+  if (this->overload().has_value() != was_overloaded) {
     this->log_change(was_overloaded, now);
   }
 }
@@ -60,10 +65,12 @@
 void load_watch::log_change(bool was_overloaded, time_point now) {
   if (was_overloaded) {
     kernel::log_event(kernel::event::overload_ended,
-                      {{"lasted_ms", ms_between(this->began, now)}});
+                      {{"lasted_ms", ms_between(this->began, now)},
+                       {"rejected", this->rejected}});
     return;
   }
   this->began = now;
+  this->rejected = 0;
   kernel::log_event(kernel::event::overload_began,
                     {{"by", name_of(*this->detector.cause())},
                      {"delay_ms", this->detector.standing_delay().count()},
--- a/src/serve/load_watch.hpp
+++ b/src/serve/load_watch.hpp
@@ -3,6 +3,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <optional>
 
 #include <boragehill/time_point.hpp>
 
@@ -24,8 +25,14 @@
   /// Begins to measure.
   void start();
 
-  /// \return True while the router has more load than it can bear.
-  bool overloaded() const { return this->detector.cause().has_value(); }
+  /// \return What the router has too little of for its load; nothing if it can
+  ///     bear it.
+  std::optional<decide::overload_cause> overload() const {
+    return this->detector.cause();
+  }
+
+  /// Counts a connection that was closed unread because of the load.
+  void on_rejected();
 
  private:
   void measure_in(milliseconds wait);
@@ -38,6 +45,8 @@
   decide::overload_detector detector;
   /// When the overload began, while there is one.
   time_point began;
+  /// Connections that were closed unread since then.
+  int rejected = 0;
 };
 
 }  // namespace boragehill::serve
