Take no new connections while most of a router's link is in use

What callers saw: at a router on a thin link that gets most new connections, responses wait in front of the link, and callers leave. Beyond the link's capacity nobody is served in time, though the processor is idle.

Change: while more than 0.65 of the link is in use, in either direction, new connections are closed unread, until less than 0.55 is. Counted are the bytes of callers and servers with the headers of each piece; streams that have begun go on to need more for about a second. 0 for a link that isn't known is never overloaded.

--- a/src/decide/overload_detector.cpp
+++ b/src/decide/overload_detector.cpp
@@ -13,13 +13,14 @@
   }
   const auto delay_limit = this->delayed ? end_delay : max_delay;
   this->delayed = this->standing_delay() > delay_limit;
-  const double link_limit = this->link_full ? end_link_share : max_link_share;
-  this->link_full = this->link_share() > link_limit;
+  const double link_limit =
+      this->link_overloaded ? end_link_share : max_link_share;
+  this->link_overloaded = this->link_share() > link_limit;
 }
 
 std::optional<overload_cause> overload_detector::cause() const {
   if (this->delayed || this->queue_stands()) return overload_cause::processor;
-  if (this->link_full) return overload_cause::link;
+  if (this->link_overloaded) return overload_cause::link;
   return std::nullopt;
 }
 
@@ -41,9 +42,9 @@
   const auto& first = this->samples.front();
   const auto& last = this->samples.back();
   const std::chrono::duration<double> time = last.at - first.at;
-  if (time.count() <= 0) return 0;
   constexpr double bytes_per_megabit = 125000;
   const double carried = time.count() * this->link_mbps * bytes_per_megabit;
+  if (carried <= 0) return 0;
   const auto used =
       std::max(last.received - first.received, last.sent - first.sent);
   return static_cast<double>(used) / carried;
--- a/src/decide/overload_detector.hpp
+++ b/src/decide/overload_detector.hpp
@@ -17,20 +17,24 @@
 /// The processor is overloaded while work waits for it all the time, in the
 /// loop or in the listen queue: a delay that only some samples show is a burst,
 /// or a pause of the process. A link is
-/// overloaded while nearly all that it carries is in use, in either direction.
+/// overloaded while more than `max_link_share` of it is in use, in either
+/// direction.
 class overload_detector {
  public:
   /// A request meets it on its way there and on its way back.
   static constexpr milliseconds max_delay{50};
+  /// Streams that have begun go on to need more, and the rest of the link is
+  /// for what isn't counted: the platform's feeds, the planner, packets sent
+  /// again.
+  static constexpr double max_link_share = 0.65;
   /// Overload ends below these, so that it isn't left at the first gap.
   static constexpr milliseconds end_delay{25};
-  static constexpr double max_link_share = 0.85;
-  static constexpr double end_link_share = 0.7;
+  static constexpr double end_link_share = 0.55;
   /// The time over which the use of the link is measured.
   static constexpr milliseconds link_window{200};
 
   /// \param link_mbps What the link carries in each direction, in megabits a
-  ///     second.
+  ///     second; 0 if that isn't known, which is never overloaded.
   explicit overload_detector(double link_mbps) : link_mbps(link_mbps) {}
 
   /// Takes the next sample, some times within `link_window`.
@@ -46,6 +50,10 @@
   ///     `max_delay`.
   bool delay_stands() const { return this->delayed; }
 
+  /// \return True if the link has been overloaded since its use passed
+  ///     `max_link_share`.
+  bool link_full() const { return this->link_overloaded; }
+
   /// \return True if connections wait to be accepted in all of the last
   /// samples.
   bool queue_stands() const;
@@ -58,7 +66,7 @@
   std::deque<load_sample> samples;
   double link_mbps;
   bool delayed = false;
-  bool link_full = false;
+  bool link_overloaded = false;
 };
 
 }  // namespace boragehill::decide
--- a/src/serve/load_watch.hpp
+++ b/src/serve/load_watch.hpp
@@ -23,9 +23,10 @@
   load_watch(asio::io_context& context, entry_metrics& metrics,
              double link_mbps);
 
-  /// \return True if what is under way is late already, so that no new
-  ///     connection is to be taken.
-  bool rejects_new() const { return this->detector.delay_stands(); }
+  /// \return True if a new connection would make late what is under way.
+  bool rejects_new() const {
+    return this->detector.delay_stands() || this->detector.link_full();
+  }
 
   /// Sets what is called when connections wait to be accepted all the time.
   void on_standing_queue(std::function<void()> told) {
