--- a/src/decide/load_sample.hpp
+++ b/src/decide/load_sample.hpp
@@ -12,8 +12,8 @@
   time_point at;
   /// How late the traffic thread handles what is ready.
   milliseconds delay{0};
-  /// True if callers' connections waited to be accepted since the sample before,
-  /// without a gap.
+  /// True if callers' connections waited to be accepted since the sample
+  /// before, without a gap.
   bool queued = false;
   /// Bytes that have come over the link since the start, and that have left.
   std::uint64_t received = 0;
