Log a router's overload once, not at each turn of it

Overload comes and goes several times a second as connections are rejected: event 820 stood 17 times in 8 s of a play. It is logged as one now until there was none for a second.

--- a/src/serve/load_watch.cpp
+++ b/src/serve/load_watch.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr milliseconds sample_interval{50};
+/// Overload comes and goes as connections are rejected; what is less far apart
+/// is logged as one.
+constexpr milliseconds overload_gap{1000};
 
 const char* name_of(decide::overload_cause cause) {
   return cause == decide::overload_cause::processor ? "processor" : "link";
@@ -42,7 +45,6 @@
 
 void load_watch::measure() {
   const auto now = time_point::clock::now();
-  const bool was_overloaded = this->overload().has_value();
   const auto& bytes = kernel::process_link_bytes;
   const milliseconds late(ms_between(this->timer.expiry(), now));
   this->detector.on_sample({.at = now,
@@ -54,23 +56,29 @@
   this->queue_empty = false;
   this->metrics.set_load(this->detector.standing_delay(),
                          this->detector.link_share());
-  if (this->overload().has_value() != was_overloaded) {
-    this->log_change(was_overloaded, now);
-  }
+  this->log_overload(now);
   if (this->detector.queue_stands()) this->queue_stands();
 }
 
-void load_watch::log_change(bool was_overloaded, time_point now) {
-  if (was_overloaded) {
-    kernel::log_event(kernel::event::overload_ended,
-                      {{"lasted_ms", ms_between(this->began, now)},
-                       {"rejected", this->rejected}});
+void load_watch::log_overload(time_point now) {
+  if (const auto cause = this->overload()) {
+    if (!this->began) this->log_began(*cause, now);
+    this->last_overloaded = now;
     return;
   }
+  if (!this->began || now - this->last_overloaded < overload_gap) return;
+  kernel::log_event(
+      kernel::event::overload_ended,
+      {{"lasted_ms", ms_between(*this->began, this->last_overloaded)},
+       {"rejected", this->rejected}});
+  this->began.reset();
+}
+
+void load_watch::log_began(decide::overload_cause cause, time_point now) {
   this->began = now;
   this->rejected = 0;
   kernel::log_event(kernel::event::overload_began,
-                    {{"by", name_of(*this->detector.cause())},
+                    {{"by", name_of(cause)},
                      {"delay_ms", this->detector.standing_delay().count()},
                      {"queued", this->detector.queue_stands()},
                      {"link_share", this->detector.link_share()}});
--- a/src/serve/load_watch.hpp
+++ b/src/serve/load_watch.hpp
@@ -53,7 +53,8 @@
  private:
   void measure_in(milliseconds wait);
   void measure();
-  void log_change(bool was_overloaded, time_point now);
+  void log_overload(time_point now);
+  void log_began(decide::overload_cause cause, time_point now);
 
   asio::steady_timer timer;
   entry_metrics& metrics;
@@ -62,8 +63,9 @@
   /// Since the last sample.
   bool queue_left = false;
   bool queue_empty = false;
-  /// When the overload began, while there is one.
-  time_point began;
+  /// When the overload began, until its end is logged.
+  std::optional<time_point> began;
+  time_point last_overloaded;
   /// Connections that were closed unread since then.
   int rejected = 0;
 };
