--- a/test/decide-test/overload_detector_test.cpp
+++ b/test/decide-test/overload_detector_test.cpp
@@ -11,7 +11,7 @@
 
 class overload_detector_test : public testing::Test {
  protected:
-  /// Takes the next sample; `used` is the share of the link in use.
+  /// Takes the next sample; `received` and `sent` are shares of the link.
   void sample(milliseconds delay, bool queued = false, double received = 0,
               double sent = 0) {
     const auto time = interval + delay;
