Log the software version of servers, and which stream a caller takes up

What callers saw: streams out of order.

An entry without a version stays a server; one with a list or an object there names none. No decision rests on it yet.

Evidence: server_decoder_test.reads_the_version_of_a_servers_software, header_codec_test.reads_which_stream_a_caller_takes_up; adapter, decide and docs tests.

--- a/src/fleet/request_fields.hpp
+++ b/src/fleet/request_fields.hpp
@@ -24,6 +24,11 @@
   /// The parts of the prompt that other requests may share, in their order; the
   /// last one, which is the request's own, isn't among them.
   std::vector<std::string> prompt_parts;
+  /// The last event that the caller has of a stream that it takes up again.
+  std::optional<std::string> last_event;
+  /// The attempt that brought the first event of that stream; empty if it names
+  /// none.
+  std::string resumed_attempt;
   /// The caller's estimate of what it generates, if it gives one.
   std::optional<int> output_hint;
 
--- a/src/fleet/server.hpp
+++ b/src/fleet/server.hpp
@@ -24,6 +24,8 @@
   std::int64_t version = 0;
   endpoint address;
   std::string failure_domain;
+  /// The version of the server's software; empty if it doesn't tell.
+  std::string software;
   /// It leaves and must get no new requests.
   bool draining = false;
   int slots = 0;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -75,6 +75,7 @@
                         {{"server", id},
                          {"service", entry.service},
                          {"address", entry.address.to_string()},
+                         {"software", entry.software},
                          {"version", list.version}});
     }
     if (leaves) {
@@ -308,6 +309,7 @@
                     {{"request", request.fields().attempt},
                      {"service", request.service()},
                      {"server", server.entry.id},
+                     {"software", server.entry.software},
                      {"sends", request.sends().attempt_count()},
                      {"waited_ms", ms_between(request.retry_granted(), now)}});
 }
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -43,6 +43,7 @@
       kernel::event::attempt_refused,
       {{"request", request.fields().attempt},
        {"server", request.server()},
+       {"software", request.last_software()},
        {"reason", reached ? "answer broke off" : "connection failed"},
        {"unframed", response.unframed},
        {"events", response.events},
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -151,6 +151,7 @@
   this->connection = taken;
   this->at = server.id;
   this->last = server.id;
+  this->software = server.software;
   this->unread = true;
   this->retry_held = false;
   this->record.on_attempt(server.id);
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -81,6 +81,8 @@
   const std::string& server() const { return this->at; }
   /// \return The server that had it last; empty if none had.
   const std::string& last_server() const { return this->last; }
+  /// \return The software version of that server.
+  const std::string& last_software() const { return this->software; }
   const decide::attempt_history& sends() const { return this->record; }
   const exchange_result& result() const { return this->ended; }
   /// \return What is known of the end of the last server's response.
@@ -158,6 +160,7 @@
   std::string target;
   std::string at;
   std::string last;
+  std::string software;
   decide::attempt_history record;
   asio::steady_timer timer;
   time_point limit;
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -1,5 +1,6 @@
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
+#include <map>
 
 #include <boragehill/result_code.hpp>
 
@@ -86,6 +87,7 @@
   EXPECT_EQ(server.address.port, 8080);
   EXPECT_EQ(server.models.front().adapters.front(), "a1");
   EXPECT_EQ(server.on_disk.size(), 2U);
+  EXPECT_EQ(server.software, "");
   EXPECT_FALSE(decode_server("i-1", R"({"addr":"nowhere"})"));
   EXPECT_FALSE(decode_server("i-1", "7"));
 }
@@ -99,6 +101,7 @@
       {"slots", "64"},
       {"state", R"("ready")"},
       {"seq", "2"},
+      {"version", R"("1.4.2")"},
       {"born", "1764721718000"},
       {"models", R"([{"name":"m","adapters":["a1"]}])"},
       {"atHand", R"({"inMemory":["m"],"onDisk":["m"]})"}};
@@ -111,6 +114,17 @@
   return text + "}";
 }
 
+TEST(server_decoder_test, reads_the_version_of_a_servers_software) {
+  const std::map<std::string, std::string> cases{
+      {R"("1.4.2")", "1.4.2"}, {"7", "7"}, {R"("")", ""}, {"", ""}};
+  for (const auto& [written, software] : cases) {
+    const auto decoded = decode_server("i-1", entry_with("version", written));
+    ASSERT_TRUE(decoded) << written;
+    EXPECT_EQ(decoded.value().software, software) << written;
+  }
+  EXPECT_FALSE(decode_server("i-1", entry_with("version", "[]")));
+}
+
 TEST(server_decoder_test, an_entry_of_another_writer_is_no_server) {
   // Fields are missing or of another type: a number as a text, null, a list for
   // an object. Read loosely they named a server with no slots, or one that was
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -38,6 +38,14 @@
                                           .output_tokens = 80}));
 }
 
+TEST(header_codec_test, reads_which_stream_a_caller_takes_up) {
+  const auto read = codec()->read_request(
+      headers({{"Last-Event-Id", "7"}, {"Resumes", "9c41"}}));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read.value(),
+            (request_fields{.last_event = "7", .resumed_attempt = "9c41"}));
+}
+
 TEST(header_codec_test, reads_the_shared_parts_of_a_prompt) {
   const std::map<std::string, std::vector<std::string>> cases{
       {"5c1e07a2:800,91BD3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
