Show streams that are joined from two versions, end early or repeat events

What callers saw: a resumable stream held events from workers of two software versions, in one response or over the caller's tries; a stream without a length or chunks whose worker was killed ended as complete; events came twice.

--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -126,6 +126,14 @@
   this->add_own(name, "router", name, mbps);
 }
 
+void small_fleet::set_worker(int number, const std::string& software,
+                             const std::string& held) {
+  const auto name = numbered("worker", number);
+  this->add_worker(
+      name, "i-" + name,
+      {this->disk_flag(), "--software=" + software, "--cached_memory=" + held});
+}
+
 void small_fleet::add_own(const std::string& name, const std::string& role,
                           const std::string& machine, double link_mbps) {
   const std::string ip = this->address_of(machine);
@@ -488,6 +496,7 @@
       invariants::service_event event;
       std::int64_t at_ms = 0;
       if (!(fields >> event.attempt >> at_ms >> event.service)) continue;
+      fields >> event.software;
       event.at = time_point(milliseconds(at_ms));
       events.push_back(std::move(event));
     }
@@ -509,6 +518,15 @@
   return runs;
 }
 
+std::map<std::string, std::set<std::string>> small_fleet::event_writers()
+    const {
+  std::map<std::string, std::set<std::string>> writers;
+  for (const auto& each : this->logged("began")) {
+    writers[each.attempt].insert(each.software);
+  }
+  return writers;
+}
+
 void small_fleet::replace_plain(int number, const std::string& id) {
   const auto name = numbered("plain", number);
   (*this)[name].kill();
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,12 @@
   /// Sets what a router's settings say of its link, before it starts.
   void set_link(int router, double mbps);
 
+  /// Sets what a model worker is before it starts.
+  /// \param software The version of its software.
+  /// \param held The model that it holds; none if empty.
+  void set_worker(int number, const std::string& software,
+                  const std::string& held);
+
   /// Starts all; returns when every router is ready.
   bool start();
 
@@ -122,6 +129,9 @@
   std::vector<invariants::service_event> logged_arrivals() const;
   /// \return How often each attempt ran, by the logs of all servers.
   std::map<std::string, int> all_runs() const;
+  /// \return The versions of the servers that wrote events for each attempt, by
+  ///     the logs of all servers.
+  std::map<std::string, std::set<std::string>> event_writers() const;
   /// Kills a plain server and starts another lifetime at its address; the
   /// store goes on listing the first one, too.
   void replace_plain(int number, const std::string& id);
--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <future>
 #include <gtest/gtest.h>
 #include <string>
 #include <sys/socket.h>
@@ -26,6 +27,12 @@
 const std::string two_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const std::string unfinished = two_events + "id: 3\nda";
 
+const std::string resumable_request =
+    "POST " + resumable +
+    " HTTP/1.1\r\nHost: valves.example\r\nConnection: close\r\n"
+    "Boragehill-Attempt-Id: asks\r\nBoragehill-Deadline-Ms: 3000\r\n"
+    "Content-Length: 0\r\n\r\n";
+
 std::string without_frame(const std::string& body) {
   return stream_head + "\r\n" + body;
 }
@@ -121,6 +128,46 @@
   EXPECT_TRUE(call_by_http10(this->fleet).reset);
 }
 
+/// A fleet whose first worker is killed under a stream without a frame. The
+/// kernel ends its connections in order.
+class killed_worker_test : public testing::Test {
+ protected:
+  killed_worker_test() : fleet(1, 2, 1, 1) {}
+
+  void SetUp() override {
+    ASSERT_TRUE(this->fleet.start());
+    ASSERT_TRUE(this->fleet.wait_for_retries(1, 1, "assist"));
+    for (const char* worker : {"worker-1", "worker-2"}) {
+      this->fleet.fault(worker, no_frame);
+      this->fleet.fault(worker, R"({"kind":"slow_events","ms":150})");
+    }
+  }
+
+  httplib::Result call(const std::string& path) {
+    auto answer = std::async(std::launch::async, [this, path] {
+      return this->fleet.call(1, "asks", "model-1", path);
+    });
+    constexpr std::chrono::milliseconds between_events{600};
+    std::this_thread::sleep_for(between_events);
+    this->fleet["worker-1"].kill();
+    return answer.get();
+  }
+
+  small_fleet fleet;
+};
+
+// Guards against a stream without a frame that passes for complete when its
+// server is killed between two events.
+TEST_F(killed_worker_test, an_unframed_stream_goes_on_elsewhere) {
+  expect_whole_stream(this->call(resumable), "asks");
+}
+
+// Guards against the same where the stream may not go on.
+TEST_F(killed_worker_test, an_unframed_stream_that_runs_once_breaks_off) {
+  const auto answer = this->call(run_once);
+  EXPECT_FALSE(answer) << answer->body;
+}
+
 /// A server that sends certain bytes and closes the connection, and what a
 /// caller gets of them.
 class scripted_stream_test : public testing::Test {
@@ -129,13 +176,17 @@
 
   void SetUp() override { ASSERT_TRUE(this->fleet.start()); }
 
-  httplib::Result call(const std::string& bytes,
-                       test::after_bytes then = test::after_bytes::cut) {
-    test::scripted_server server({.bytes = bytes, .then = then});
+  void list(const test::scripted_server& server) {
     this->fleet.write_entry("i-scripted",
                             R"({"service":"assist","zone":"zone-1","slots":8,)"
                             R"("state":"ready","seq":0,"models":[],"addr":")" +
                                 server.address().to_string() + R"("})");
+  }
+
+  httplib::Result call(const std::string& bytes,
+                       test::after_bytes then = test::after_bytes::cut) {
+    test::scripted_server server({.bytes = bytes, .then = then});
+    this->list(server);
     for (int tries = 0; tries < 250; ++tries) {
       auto answer = this->fleet.call(1, "asks", {}, run_once);
       // The router doesn't know the server's address yet.
@@ -181,6 +232,19 @@
   EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(3));
 }
 
+// Guards against events that come twice: a run that should go on behind the
+// last event begins anew.
+TEST_F(scripted_stream_test, passes_on_no_event_twice) {
+  ASSERT_TRUE(this->fleet.wait_for_retries(1, 1, "assist"));
+  const test::scripted_server server(
+      {.bytes = in_chunks(unfinished), .then = test::after_bytes::cut});
+  this->list(server);
+  const auto bytes = this->fleet.raw(1, resumable_request);
+  const std::string first = "id: 1\n";
+  EXPECT_NE(bytes.find(first), std::string::npos) << bytes;
+  EXPECT_EQ(bytes.find(first), bytes.rfind(first)) << bytes;
+}
+
 TEST_F(scripted_stream_test, passes_on_complete_streams) {
   for (const std::string& body : {two_events, two_events + ": comment"}) {
     for (const auto& bytes :
--- a/test/invariants/retries_within_budget.hpp
+++ b/test/invariants/retries_within_budget.hpp
@@ -17,6 +17,8 @@
   std::string service;
   std::string attempt;
   time_point at;
+  /// The version of the server's software, where a server tells the event.
+  std::string software;
 
   bool operator==(const service_event&) const = default;
 };
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -46,6 +46,7 @@
 ABSL_FLAG(std::vector<std::string>, cached_disk, {}, "engine: at the start");
 ABSL_FLAG(std::string, id, "i-1", "worker: its lifetime");
 ABSL_FLAG(std::string, service_name, "", "worker: its service");
+ABSL_FLAG(std::string, software, "v1", "worker: the version of its software");
 ABSL_FLAG(std::string, advertise, "",
           "worker: IP:port that it registers; empty for its own");
 ABSL_FLAG(std::string, store, "", "worker: IP:port of the rows");
@@ -89,6 +90,7 @@
           .cached_disk = absl::GetFlag(FLAGS_cached_disk),
           .id = absl::GetFlag(FLAGS_id),
           .service_name = absl::GetFlag(FLAGS_service_name),
+          .software = absl::GetFlag(FLAGS_software),
           .advertise = absl::GetFlag(FLAGS_advertise),
           .store = absl::GetFlag(FLAGS_store),
           .crash_marker = absl::GetFlag(FLAGS_crash_on)};
--- a/test/standin/standin_settings.hpp
+++ b/test/standin/standin_settings.hpp
@@ -39,6 +39,7 @@
   /// The worker's lifetime, its service and the store it registers with.
   std::string id;
   std::string service_name;
+  std::string software;
   /// Where it says that it is, if not where it listens.
   std::string advertise;
   std::string store;
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <utility>
 
 #include "kernel/json_text.hpp"
@@ -38,14 +39,16 @@
   /// \param most How many events are written at most.
   /// \param cut Half of one more follows.
   /// \param crashes The process ends in place of the first one.
+  /// \param on_begun Called when the first event is written.
   event_writer(std::string attempt, int last, int most, bool cut, bool crashes,
-               std::chrono::milliseconds gap)
+               std::chrono::milliseconds gap, std::function<void()> on_begun)
       : attempt(std::move(attempt)),
         made(last),
         left(most),
         cut(cut),
         crashes(crashes),
-        gap(gap) {}
+        gap(gap),
+        on_begun(std::move(on_begun)) {}
 
   /// Writes one event.
   /// \return False if the stream is over.
@@ -59,7 +62,11 @@
     if (over) event.resize(event.size() / 2);
     std::this_thread::sleep_for(this->gap);
     if (this->crashes) std::_Exit(crash_status);
-    return sink.write(event.data(), event.size()) && !over;
+    const bool written = sink.write(event.data(), event.size());
+    if (written && !over && this->on_begun) {
+      std::exchange(this->on_begun, nullptr)();
+    }
+    return written && !over;
   }
 
  private:
@@ -69,6 +76,7 @@
   bool cut;
   bool crashes;
   std::chrono::milliseconds gap;
+  std::function<void()> on_begun;
 };
 
 }  // namespace
@@ -78,6 +86,7 @@
     : faults(server.faults()),
       id(settings.id),
       service(settings.service_name),
+      software(settings.software),
       address(settings.advertise.empty()
                   ? settings.address + ":" + std::to_string(settings.port)
                   : settings.advertise),
@@ -144,7 +153,7 @@
     entry["service"] = this->service;
     entry["addr"] = this->address;
     entry["zone"] = "zone-1";
-    entry["version"] = "v1";
+    entry["version"] = this->software;
     entry["slots"] = 8;
     entry["state"] = this->draining ? "draining" : "ready";
     entry["seq"] = Json::Int64(this->sequence);
@@ -192,10 +201,10 @@
   // In the log it outlives this process.
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
   std::printf(
-      "%s %s %lld %s\n", what, attempt.c_str(),
+      "%s %s %lld %s %s\n", what, attempt.c_str(),
       static_cast<long long>(
           std::chrono::duration_cast<std::chrono::milliseconds>(now).count()),
-      this->service.c_str());
+      this->service.c_str(), this->software.c_str());
   std::fflush(stdout);
 }
 
@@ -250,7 +259,8 @@
   const int most = empty ? 0 : cut ? events_before_cut : events_of_a_stream;
   const bool crashes = this->faults.crashes_on(
       request.get_header_value("Boragehill-Prompt-Prefix"));
-  event_writer writer(attempt, last, most, cut, crashes, gap);
+  event_writer writer(attempt, last, most, cut, crashes, gap,
+                      [this, attempt] { this->note("began", attempt); });
   const std::string type = "text/event-stream";
   if (this->faults.unframes()) {
     // The library closes the connection of a provider that fails.
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -42,6 +42,7 @@
   fault_switch& faults;
   std::string id;
   std::string service;
+  std::string software;
   std::string address;
   std::string store;
   std::int64_t load_ms;
