Let the second worker of a test hold a model of the configuration

killed_worker_test's second worker held a model that no configuration names, and the planner loaded nothing beside it, so the test would have failed for another reason than the one that it is for. passes_on_no_event_twice called before the router had heard of its server.

--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -132,7 +132,7 @@
 /// kernel ends its connections in order.
 class killed_worker_test : public testing::Test {
  protected:
-  killed_worker_test() : fleet(1, 2, 1, 1) {}
+  killed_worker_test() : fleet(1, 2, 1, 2) {}
 
   void SetUp() override {
     ASSERT_TRUE(this->fleet.start());
@@ -236,10 +236,13 @@
 // last event begins anew.
 TEST_F(scripted_stream_test, passes_on_no_event_twice) {
   ASSERT_TRUE(this->fleet.wait_for_retries(1, 1, "assist"));
-  const test::scripted_server server(
+  test::scripted_server server(
       {.bytes = in_chunks(unfinished), .then = test::after_bytes::cut});
   this->list(server);
-  const auto bytes = this->fleet.raw(1, resumable_request);
+  std::string bytes;
+  while (server.requests().empty()) {
+    bytes = this->fleet.raw(1, resumable_request);
+  }
   const std::string first = "id: 1\n";
   EXPECT_NE(bytes.find(first), std::string::npos) << bytes;
   EXPECT_EQ(bytes.find(first), bytes.rfind(first)) << bytes;
