Let a stream go on only at the software version that began it

What callers saw: a resumable stream whose worker was lost went on, in the same response, at a worker of another software version. What two versions write doesn't fit together, and workers don't check.

Cause: whoever held the model could take the rest of a stream. Where a response goes on was decided by what a server holds, not by whose work is continued.

Change: once the head of a resumable stream was passed on, its request is bound to the version of the server that sent it (src/decide/version_binding, a variant). A bound request is sent only to servers of that version, at first, as a retry, from a silent server and with a slot that the planner granted; it needs no grant, and it holds up nobody behind it in its line.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -228,6 +228,7 @@
                                      const exchange& request) const {
   if (server.entry.service != request.service()) return false;
   if (!this->takes_new(server)) return false;
+  if (!decide::allows(request.versions(), server.entry.software)) return false;
   const auto& asked = request.fields();
   if (asked.model.empty()) return true;
   return server.serves(asked.model, asked.adapter, this->planner_linked);
@@ -241,6 +242,8 @@
                        const auto& server = each.second;
                        return server.entry.service == request.service() &&
                               this->takes_new(server) &&
+                              decide::allows(request.versions(),
+                                             server.entry.software) &&
                               !request.sends().has_tried(each.first);
                      });
 }
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -41,8 +41,10 @@
 bool dispatcher::is_awaited(const server_state& server) const {
   return std::any_of(
       this->lines.begin(), this->lines.end(), [&](const auto& line) {
-        return !line.second.empty() &&
-               this->holds_what_it_needs(server, *line.second.front());
+        return std::any_of(line.second.begin(), line.second.end(),
+                           [&](const std::shared_ptr<exchange>& each) {
+                             return this->holds_what_it_needs(server, *each);
+                           });
       });
 }
 
@@ -115,8 +117,11 @@
       each = line.erase(each);
       continue;
     }
-    // One that was refused before may lack a server where others have one.
-    if (!request->sends().was_attempted()) return;
+    // One that was refused before, or is bound to a software version, may lack
+    // a server where others have one.
+    const bool like_others = !request->sends().was_attempted() &&
+                             !decide::is_bound(request->versions());
+    if (like_others) return;
     ++each;
   }
 }
@@ -126,7 +131,8 @@
   // a rate limit has tokens of its own.
   const bool is_granted =
       this->planner_linked && !request.fields().model.empty() &&
-      !request.sends().was_attempted() && this->rate_limited.empty();
+      !request.sends().was_attempted() && this->rate_limited.empty() &&
+      !decide::is_bound(request.versions());
   if (!is_granted) return false;
   const auto seen = this->room_seen.try_emplace(key_of(request), now).first;
   return now < seen->second + grant_patience;
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -218,6 +218,11 @@
   this->host.place(this->shared_from_this());
 }
 
+bool exchange::takes_up_stream() const {
+  return this->way->rule == fleet::repeat_rule::stream &&
+         this->way->resumable && this->asked.last_event;
+}
+
 bool exchange::may_move() const {
   return this->can_go_on() && !this->done && this->record.may_reassign() &&
          time_point::clock::now() < this->limit;
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -7,11 +7,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boragehill/time_point.hpp>
 
 #include "decide/attempt_history.hpp"
 #include "decide/response_end.hpp"
+#include "decide/version_binding.hpp"
 #include "fleet/request_fields.hpp"
 #include "fleet/route.hpp"
 #include "http/event_splitter.hpp"
@@ -51,6 +53,13 @@
 
   /// \return True if another server may take it from the one that has it.
   bool may_move() const;
+  /// \return True if its response is the rest of a stream that its caller has
+  ///     begun to receive by another attempt.
+  bool takes_up_stream() const;
+  /// \return Which servers may write the next event of its response.
+  const decide::version_binding& versions() const { return this->binding; }
+  /// Sets at which version a stream that its caller takes up goes on.
+  void bind(decide::version_binding bound) { this->binding = std::move(bound); }
   /// Leaves a silent server and goes to another one.
   void move_from_silent();
   /// Leaves its server; its caller is told that the outcome is unknown, or, if
@@ -162,6 +171,7 @@
   std::string last;
   std::string software;
   decide::attempt_history record;
+  decide::version_binding binding;
   asio::steady_timer timer;
   time_point limit;
   std::shared_ptr<server_connection> connection;
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -93,6 +93,9 @@
     if (!dropped) headers.add(each.name, each.value);
   }
   this->head_passed = true;
+  if (this->can_go_on()) {
+    this->binding = decide::only_version{this->software};
+  }
   if (!this->first_byte) this->first_byte = time_point::clock::now();
   this->ended.status = head.status;
   // A resumable stream may end otherwise than its first server said.
