Load the model of a stream at the software version that it is bound to

What callers saw, with the commit before: a stream whose worker was lost was cut off, though another worker of its version could have loaded the model: the planner saw the model at a worker of the other version and loaded it nowhere.

Change: a router reports requests that are bound to a version by that version (`software` of a demand); the planner loads the model, and the adapter, at a worker of it where none has them (residency_bound). It never does so from the weight store, which takes longer than such streams last, and grants no slots for bound requests, since a grant names no version.

--- a/src/decide/model_demand.hpp
+++ b/src/decide/model_demand.hpp
@@ -14,6 +14,9 @@
   std::string model;
   /// Empty for the model without an adapter.
   std::string adapter;
+  /// The software version of the only servers that may take the waiting
+  /// requests, whose streams have begun there; empty if any may.
+  std::string software;
   int arrivals = 0;
   /// Requests that wait now because the model is not loaded on any worker.
   int waiting = 0;
--- a/src/decide/residency_adapters.cpp
+++ b/src/decide/residency_adapters.cpp
@@ -17,20 +17,26 @@
     if (found == this->demand_by_model.end()) continue;
     const auto waiting = found->second.adapter_waiting;
     for (const auto& [adapter, count] : waiting) {
-      this->place_adapter(service, model.name, adapter, now);
+      this->place_adapter(service, model.name, adapter, {}, now);
     }
   }
+  for (const auto& [model, adapter, software] : this->bound_models) {
+    if (adapter.empty() || !service.find_model(model)) continue;
+    this->place_adapter(service, model, adapter, software, now);
+  }
 }
 
 void residency_planner::place_adapter(const fleet::service& service,
                                       const std::string& model,
                                       const std::string& adapter,
+                                      const std::string& software,
                                       time_point now) {
   const std::string qualified_name = model + '/' + adapter;
   planned_worker* best = nullptr;
   std::size_t fewest = 0;
   for (auto& [id, worker] : this->workers_by_id) {
     if (!worker.serves(model) || worker.is_draining()) continue;
+    if (!software.empty() && worker.list_entry.software != software) continue;
     if (worker.list_entry.service != service.name ||
         !this->is_responsive(worker, now)) {
       continue;
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -152,6 +152,7 @@
     total.adapter_waiting.clear();
   }
   this->update_unresponsive_workers(now);
+  this->bound_models.clear();
   this->replica_counts.clear();
   this->loaded_models.clear();
   this->holder_loads.clear();
@@ -166,6 +167,11 @@
   }
   for (const auto& [router, report] : this->demand_by_router) {
     for (const auto& demand : report.demands) {
+      if (!demand.software.empty()) {
+        this->bound_models.emplace(demand.model, demand.adapter,
+                                   demand.software);
+        continue;
+      }
       auto& total = this->demand_by_model[demand.model];
       total.waiting += demand.waiting;
       total.waiting_weight += demand.weight;
@@ -211,6 +217,7 @@
     this->update_eviction_candidates(service, now);
     this->wanted_store_loads.clear();
     const auto not_started = this->load_waiting_models(service, now);
+    this->load_bound_models(service, now);
     this->scale_out_busy_models(service, now);
     this->start_store_loads(service, now);
     this->estimate_delayed_loads(service, not_started, now);
@@ -311,7 +318,7 @@
 
 std::optional<residency_planner::load_choice> residency_planner::choose_worker(
     const fleet::service& service, const fleet::model& model,
-    double max_in_flight, time_point now) {
+    double max_in_flight, time_point now, const std::string& software) {
   std::optional<load_choice> best;
   const bool may_use_store =
       this->active_store_loads() < this->store_limit.limit() &&
@@ -320,6 +327,7 @@
     if (worker.list_entry.service != service.name || worker.is_draining() ||
         worker.is_rate_limited)
       continue;
+    if (!software.empty() && worker.list_entry.software != software) continue;
     if (!this->is_responsive(worker, now) ||
         worker.total_in_flight > max_in_flight)
       continue;
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -130,6 +132,13 @@
   /// \return The models for which no load was started.
   std::vector<const fleet::model*> load_waiting_models(
       const fleet::service& service, time_point now);
+  /// Starts loads for streams that go on at one software version only, where no
+  /// worker of that version has their model. The store is too slow for them.
+  void load_bound_models(const fleet::service& service, time_point now);
+  /// \return True if a worker of that software version serves the model or is
+  ///     about to.
+  bool has_replica(const std::string& model, const std::string& software,
+                   time_point now) const;
   /// Starts the wanted store loads in the order of their request counts.
   ///
   /// After a restart of all routers and workers the first requests may be for
@@ -198,12 +207,15 @@
   void collect_local_copies();
   bool may_preload_from_store() const;
   void place_adapters(const fleet::service& service, time_point now);
+  /// \param software The software version of the worker; empty for any.
   void place_adapter(const fleet::service& service, const std::string& model,
-                     const std::string& adapter, time_point now);
+                     const std::string& adapter, const std::string& software,
+                     time_point now);
+  /// \param software The software version of the worker; empty for any.
   std::optional<load_choice> choose_worker(const fleet::service& service,
                                            const fleet::model& model,
-                                           double max_in_flight,
-                                           time_point now);
+                                           double max_in_flight, time_point now,
+                                           const std::string& software = {});
   std::optional<load_choice> evaluate_worker(const fleet::model& model,
                                              const std::string& id,
                                              const planned_worker& worker,
@@ -244,6 +256,9 @@
   std::map<std::string, demand_report> demand_by_router;
   std::unordered_map<std::string, const fleet::model*> models_by_name;
   std::map<std::string, aggregated_demand> demand_by_model;
+  /// Models that requests wait for at one software version only, each with the
+  /// adapter and that version, in this step.
+  std::set<std::tuple<std::string, std::string, std::string>> bound_models;
   /// Number of workers that serve each model or are about to, the models that
   /// at least one worker serves now, and the load of the workers by model. All
   /// are valid for one step.
--- a/src/decide/slot_allocator.cpp
+++ b/src/decide/slot_allocator.cpp
@@ -56,7 +56,10 @@
   waiting.clear();
   std::copy_if(report.demands.begin(), report.demands.end(),
                std::back_inserter(waiting),
-               [](const model_demand& each) { return each.waiting > 0; });
+               // Requests that are bound to a version need no grants.
+               [](const model_demand& each) {
+                 return each.waiting > 0 && each.software.empty();
+               });
 }
 
 void slot_allocator::on_router_removed(const std::string& router) {
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -81,14 +81,17 @@
 decide::demand_report dispatcher::take_report() {
   const auto now = time_point::clock::now();
   decide::demand_report report;
-  std::map<demand_key, decide::model_demand> demands;
+  // By the version that they are bound to, too.
+  std::map<std::pair<demand_key, std::string>, decide::model_demand> demands;
   for (const auto& [key, count] : this->arrivals) {
-    demands[key].arrivals = count;
+    demands[{key, {}}].arrivals = count;
   }
   for (const auto& [key, line] : this->lines) {
-    auto& demand = demands[key];
-    demand.waiting = static_cast<int>(line.size());
     for (const auto& each : line) {
+      const auto& versions = each->versions();
+      if (decide::is_awaited(versions)) continue;
+      auto& demand = demands[{key, decide::bound_software(versions)}];
+      ++demand.waiting;
       if (each->is_late(now)) ++demand.late;
       demand.oldest_wait =
           std::max(demand.oldest_wait,
@@ -97,7 +100,8 @@
     }
   }
   for (auto& [key, demand] : demands) {
-    std::tie(demand.service, demand.model, demand.adapter) = key;
+    std::tie(demand.service, demand.model, demand.adapter) = key.first;
+    demand.software = key.second;
     if (!demand.model.empty()) report.demands.push_back(std::move(demand));
   }
   for (const auto& [key, count] : this->flights) {
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -42,6 +42,7 @@
   value["service"] = demand.service;
   value["model"] = demand.model;
   if (!demand.adapter.empty()) value["adapter"] = demand.adapter;
+  if (!demand.software.empty()) value["software"] = demand.software;
   if (demand.arrivals > 0) value["arrivals"] = demand.arrivals;
   if (demand.waiting > 0) {
     value["waiting"] = demand.waiting;
@@ -56,6 +57,7 @@
   return {.service = value["service"].asString(),
           .model = value["model"].asString(),
           .adapter = value["adapter"].asString(),
+          .software = value["software"].asString(),
           .arrivals = value["arrivals"].asInt(),
           .waiting = value["waiting"].asInt(),
           .late = value["late"].asInt(),
