Let streams go on at their version wherever their callers take them up

What callers saw: a stream that its caller took up again at another router, since its own was killed, went on at a worker of another software version; `Resumes` names the attempt that brought its first event, and nothing read it.

Cause, as in: the rest of a stream went to whoever held its model. Here nobody could have known better: which version began a stream was known to one router alone.

Change: each router tells the planner where it sends resumable streams, before their first event comes, and the planner passes that on to two routers, which tell the next planner. A router that is asked for the rest of a stream looks it up, else asks the planner, for two seconds at the most. A stream that the planner doesn't know goes on if this router has known the servers for as long as a stream lasts and they had one version alone; else its request is refused with a 503, which is true: it hasn't run. A stream stays at its service where a route is split. While a service has one version, nothing else changes: such requests wait, are granted slots and have models loaded as before. Decisions: src/decide/stream_resumption, stream_origins, software_history; event 618.

Weighed: telling one or two routers by rendezvous hashing needs links between all routers; the store's calls are few and priced, and it would be on the way of requests; a list of servers alone is wrong at a router that is cut off or has just started. Cost: some 100 bytes to the planner a stream, and the same to two routers.

--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -77,6 +77,7 @@
   crash_counted = 615,
   request_cleared = 616,
   quarantine_stored = 617,
+  stream_taken_up = 618,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -86,6 +86,7 @@
     state.entry = entry;
   }
   this->servers_known = true;
+  this->software.on_listed(list, time_point::clock::now());
   this->metrics.set_servers(static_cast<double>(list.servers.size()));
   this->serve_waiting();
 }
@@ -116,6 +117,7 @@
     this->interruptions.report_again();
     this->tells_quarantined = true;
     this->rate_limited.announce_again(now);
+    this->new_streams = this->streams.all(now);
   }
   if (update.rate_limits) {
     this->rate_limited.on_planner_limits(*update.rate_limits, now);
@@ -124,6 +126,7 @@
     this->rate_limited.on_tokens(each, now);
   }
   this->on_crash_news(update, now);
+  this->on_stream_news(update, now);
   this->metrics.set_planner_term(static_cast<double>(update.term));
   if (update.grant_round > 0) {
     this->grant_round = update.grant_round;
@@ -136,6 +139,7 @@
 void dispatcher::on_planner_lost() {
   this->routers.on_planner_lost(time_point::clock::now());
   this->planner_linked = false;
+  this->settle_versions();
   this->crashing_requests.on_planner_lost();
   this->prompt_parts.on_planner_lost();
   this->grant_round = 0;
@@ -161,6 +165,11 @@
 
 std::optional<dispatcher::refusal> dispatcher::barred(const exchange& request,
                                                       time_point now) const {
+  if (decide::is_unknown(request.versions())) {
+    return refusal{result_code::no_server,
+                   "the software version that began the stream isn't known",
+                   milliseconds(0)};
+  }
   if (!this->knows_model(request)) {
     return refusal{result_code::unknown_model,
                    "no such model in the configuration", next_catalog};
@@ -178,16 +187,21 @@
 }
 
 void dispatcher::place(const std::shared_ptr<exchange>& request) {
+  const bool is_new = !request->sends().was_attempted();
+  if (is_new && request->takes_up_stream()) this->bind_version(*request);
   const auto barred = this->barred(*request, time_point::clock::now());
   if (barred) {
     return request->refuse(barred->code, barred->reason, barred->retry_after);
   }
-  const bool first = !request->sends().was_attempted();
-  if (first) {
+  if (is_new) {
     this->metrics.on_accepted();
     this->budget_of(request->service()).on_request(request->request().received);
     ++this->arrivals[key_of(*request)];
   }
+  this->seek_server(request);
+}
+
+void dispatcher::seek_server(const std::shared_ptr<exchange>& request) {
   if (this->try_send(request)) return;
   const auto vain = this->in_vain(*request, time_point::clock::now());
   if (vain && vain->code != result_code::deadline_unreachable) {
@@ -237,15 +251,14 @@
 bool dispatcher::may_get_server(const exchange& request) const {
   // Which models a worker will hold changes; that it serves the service and
   // hasn't failed this request doesn't.
-  return std::any_of(this->servers.begin(), this->servers.end(),
-                     [&](const auto& each) {
-                       const auto& server = each.second;
-                       return server.entry.service == request.service() &&
-                              this->takes_new(server) &&
-                              decide::allows(request.versions(),
-                                             server.entry.software) &&
-                              !request.sends().has_tried(each.first);
-                     });
+  return std::any_of(
+      this->servers.begin(), this->servers.end(), [&](const auto& each) {
+        const auto& server = each.second;
+        return server.entry.service == request.service() &&
+               this->takes_new(server) &&
+               decide::allows(request.versions(), server.entry.software) &&
+               !request.sends().has_tried(each.first);
+      });
 }
 
 bool dispatcher::takes_new(const server_state& server) const {
@@ -294,6 +307,7 @@
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{server.entry.id, request->fields().model,
                    request->fields().adapter}];
+  this->note_stream(*request, server.entry.software, now);
   request->send_to(server.entry, connection);
   return true;
 }
@@ -446,6 +460,7 @@
 }
 
 void dispatcher::tidy() {
+  this->streams.drop_expired(time_point::clock::now());
   this->pool.drop_old();
   this->drop_unlisted();
   this->metrics.set_connections(static_cast<double>(this->pool.open()));
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -26,6 +27,9 @@
 #include "decide/router_count.hpp"
 #include "decide/shutdown_gate.hpp"
 #include "decide/slot_grant.hpp"
+#include "decide/software_history.hpp"
+#include "decide/stream_origins.hpp"
+#include "decide/stream_resumption.hpp"
 #include "decide/suspect_guard.hpp"
 #include "decide/windowed_retry_budget.hpp"
 #include "fleet/catalog.hpp"
@@ -65,6 +69,9 @@
 
   /// \return The demand since the last call, and the requests out now.
   decide::demand_report take_report();
+  /// Adds what is to be told of streams that began, and asked of those that
+  /// callers take up again.
+  void add_streams(wire::router_report& report);
   /// Adds what is to be told of crashes since the last call.
   void add_crashes(wire::router_report& report);
   /// \return What servers said of rate limits since the last call, and the
@@ -134,6 +141,23 @@
     milliseconds retry_after;
   };
 
+  /// Decides at which software version a stream that its caller takes up again
+  /// goes on.
+  void bind_version(exchange& request);
+  decide::version_binding binding_of(const exchange& request,
+                                     time_point now) const;
+  decide::planner_word planner_word_on(const std::string& stream) const;
+  /// Decides it anew for the waiting requests that await the planner's word.
+  void settle_versions();
+  void on_stream_news(const wire::view_update& update, time_point now);
+  /// \return True if not all servers of its service may get the request: it is
+  ///     bound to a software version, and there are others.
+  bool is_restricted(const exchange& request) const;
+  /// Remembers at which software version a stream begins or goes on.
+  void note_stream(const exchange& request, const std::string& software,
+                   time_point now);
+  /// Sends a request to a server, lets it wait for one, or refuses it.
+  void seek_server(const std::shared_ptr<exchange>& request);
   /// Takes up what the planner says of requests and parts of prompts that crash
   /// servers.
   void on_crash_news(const wire::view_update& update, time_point now);
@@ -299,6 +323,13 @@
   decide::shutdown_gate gate;
   /// By service.
   std::map<std::string, decide::response_time_estimate> paces;
+  decide::software_history software;
+  decide::stream_origins streams;
+  /// Those that the planner hasn't been told of.
+  std::map<std::string, decide::stream_origin> new_streams;
+  /// Streams that the planner said it doesn't know, while requests take them
+  /// up.
+  std::set<std::string> unknown_streams;
   decide::draining_servers leaving;
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -101,7 +101,9 @@
       continue;
     }
     auto* server = this->find_server(*request, now);
-    if (!server) this->room_seen.erase(key_of(*request));
+    // One that may not go to all servers may lack one where others have one.
+    const bool is_restricted = this->is_restricted(*request);
+    if (!server && !is_restricted) this->room_seen.erase(key_of(*request));
     if (server && this->awaits_grant(*request, now)) {
       if (this->own_free_slots == 0) return;
       --this->own_free_slots;
@@ -117,11 +119,8 @@
       each = line.erase(each);
       continue;
     }
-    // One that was refused before, or is bound to a software version, may lack
-    // a server where others have one.
-    const bool like_others = !request->sends().was_attempted() &&
-                             !decide::is_bound(request->versions());
-    if (like_others) return;
+    // The same is true of one that was refused before.
+    if (!request->sends().was_attempted() && !is_restricted) return;
     ++each;
   }
 }
@@ -132,7 +131,7 @@
   const bool is_granted =
       this->planner_linked && !request.fields().model.empty() &&
       !request.sends().was_attempted() && this->rate_limited.empty() &&
-      !decide::is_bound(request.versions());
+      !this->is_restricted(request);
   if (!is_granted) return false;
   const auto seen = this->room_seen.try_emplace(key_of(request), now).first;
   return now < seen->second + grant_patience;
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -90,7 +90,9 @@
     for (const auto& each : line) {
       const auto& versions = each->versions();
       if (decide::is_awaited(versions)) continue;
-      auto& demand = demands[{key, decide::bound_software(versions)}];
+      auto& demand = demands[{key, this->is_restricted(*each)
+                                       ? decide::bound_software(versions)
+                                       : std::string()}];
       ++demand.waiting;
       if (each->is_late(now)) ++demand.late;
       demand.oldest_wait =
--- a/src/serve/dispatcher_waiting.cpp
+++ b/src/serve/dispatcher_waiting.cpp
@@ -70,12 +70,14 @@
 std::optional<dispatcher::refusal> dispatcher::in_vain(const exchange& request,
                                                        time_point now) const {
   if (auto why = this->barred(request, now)) return why;
-  const bool listed = this->may_get_server(request);
+  const bool listed =
+      decide::is_awaited(request.versions()) || this->may_get_server(request);
   auto waiting = this->waiting_of(request, now);
   // A stream that broke off goes on as soon as there is a server.
   waiting.has_server = listed || request.answered();
   const auto known = this->expected.find(request.fields().model);
-  if (known != this->expected.end()) {
+  // The planner speaks of servers of any version.
+  if (known != this->expected.end() && !this->is_restricted(request)) {
     waiting.ready_in =
         milliseconds(std::max<std::int64_t>(ms_between(now, known->second), 0));
   }
@@ -112,6 +114,7 @@
 
 void dispatcher::judge_waiting() {
   const auto now = time_point::clock::now();
+  this->settle_versions();
   std::vector<std::pair<std::shared_ptr<exchange>, refusal>> refused;
   for (const auto& [key, line] : this->lines) {
     for (const auto& each : line) {
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -280,7 +280,9 @@
                               .demand = report,
                               .rate_limits = std::move(limits)};
   this->requests.add_crashes(message);
+  this->requests.add_streams(message);
   const bool nothing_else = !message.tells_of_crashes() &&
+                            !message.tells_of_streams() &&
                             message.rate_limits.empty() && !needed_tokens;
   if (same && nothing_else) return;
   this->finder->send(wire::encode(message));
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -223,6 +223,12 @@
          this->way->resumable && this->asked.last_event;
 }
 
+bool exchange::may_use(const std::string& service) const {
+  const auto& targets = this->way->targets;
+  return std::any_of(targets.begin(), targets.end(),
+                     [&](const auto& each) { return each.service == service; });
+}
+
 bool exchange::may_move() const {
   return this->can_go_on() && !this->done && this->record.may_reassign() &&
          time_point::clock::now() < this->limit;
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -58,6 +58,10 @@
   bool takes_up_stream() const;
   /// \return Which servers may write the next event of its response.
   const decide::version_binding& versions() const { return this->binding; }
+  /// \return True if its route leads to the service.
+  bool may_use(const std::string& service) const;
+  /// Chooses one of the services that its route leads to.
+  void use_service(const std::string& service) { this->target = service; }
   /// Sets at which version a stream that its caller takes up goes on.
   void bind(decide::version_binding bound) { this->binding = std::move(bound); }
   /// Leaves a silent server and goes to another one.
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -69,7 +69,8 @@
   this->loop.post([this, new_term, quarantine] {
     kernel::log_event(kernel::event::planner_leads, {{"term", new_term}});
     this->term = new_term;
-    this->planner.start(time_point::clock::now());
+    this->leads_since = time_point::clock::now();
+    this->planner.start(this->leads_since);
     // What an earlier term knew may be over; routers announce what holds.
     this->rate_limits = {};
     this->slots.clear();
@@ -139,6 +140,7 @@
   this->rate_limits.on_report(report.router, report.rate_limits,
                               time_point::clock::now());
   this->note_crashes(report);
+  this->note_streams(report, found->second);
   this->plan_soon();
 }
 
@@ -382,6 +384,7 @@
   this->view.update(this->planner.workers(), this->slots.unconfirmed());
   const auto crashing_requests = state_of(this->crashing_requests, now);
   const auto crashing_parts = state_of(this->crashing_parts, now);
+  this->choose_keepers();
   for (auto& [number, each] : this->routers) {
     if (each.router.empty()) continue;
     const auto own = this->requests_of(each.router);
@@ -400,12 +403,14 @@
         !add_suspects(crashing_parts, each.crashing_parts,
                       {update.quarantined_parts, update.suspected_parts}, now);
     // A router may have two links for a moment; one of them gets its tokens.
+    this->answer_streams(each, update, now);
+    this->share_streams(each, update, now);
     update.tokens = std::exchange(tokens[each.router], {});
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
     if (update.servers.empty() && update.tokens.empty() &&
-        update.grants.empty() && each.greeted && same && same_limits &&
-        same_count && same_requests && same_parts) {
+        update.grants.empty() && !update.tells_of_streams() && each.greeted &&
+        same && same_limits && same_count && same_requests && same_parts) {
       continue;
     }
     if (!same_limits) {
@@ -421,6 +426,7 @@
     each.greeted = true;
     each.link->send(wire::encode(update));
   }
+  this->new_streams.clear();
 }
 
 }  // namespace boragehill::serve
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -20,6 +20,7 @@
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "decide/slot_allocator.hpp"
+#include "decide/stream_origins.hpp"
 #include "fleet/quarantine_row.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
@@ -82,6 +83,11 @@
     told_suspects crashing_requests;
     told_suspects crashing_parts;
     std::map<std::string, decide::rate_limit> rate_limits;
+    /// Streams that it asked for and wasn't answered.
+    std::set<std::string> wanted_streams;
+    /// It keeps all streams for the next planner.
+    bool keeps_streams = false;
+    bool knows_streams = false;
     int told_routers = 0;
     bool greeted = false;
   };
@@ -111,6 +117,16 @@
   /// \return True if anything did.
   static bool add_suspects(const told_suspects& current, told_suspects& told,
                            const suspect_news& news, time_point now);
+  /// Takes up the streams that a router tells of and those that it asks for.
+  void note_streams(const wire::router_report& report, router_link& router);
+  /// Adds what is known of the streams that the router asked for.
+  void answer_streams(router_link& router, wire::view_update& update,
+                      time_point now) const;
+  /// Chooses the routers that keep all streams for the next planner.
+  void choose_keepers();
+  /// Adds the streams that a router which keeps them hasn't been told of.
+  void share_streams(router_link& router, wire::view_update& update,
+                     time_point now) const;
   void link_agents();
   void connect_agent(const endpoint& address);
   void on_agent_message(const endpoint& address, const Json::Value& message);
@@ -153,6 +169,11 @@
   /// Workers that their agents don't reach, or of another lifetime.
   std::set<std::string> lost_workers;
   decide::rate_limit_allocator rate_limits;
+  decide::stream_origins streams;
+  /// Those that the routers that keep them haven't been told of.
+  std::map<std::string, decide::stream_origin> new_streams;
+  time_point leads_since;
+  time_point streams_dropped_at;
   decide::slot_allocator slots;
   decide::fleet_view view;
   time_point last_plan;
--- /dev/null
+++ b/src/serve/planner_streams.cpp
@@ -0,0 +1,75 @@
+// What the planner knows of the streams that began at all routers.
+
+#include <utility>
+
+#include "kernel/event_log.hpp"
+#include "serve/planner_duty.hpp"
+
+namespace boragehill::serve {
+
+namespace {
+
+/// All routers have told a new planner of their streams within this.
+constexpr milliseconds report_time{1000};
+constexpr milliseconds drop_interval{1000};
+/// Routers that keep all streams beside the planner; one may be lost with it.
+constexpr int most_keepers = 2;
+
+}  // namespace
+
+void planner_duty::note_streams(const wire::router_report& report,
+                                router_link& router) {
+  const auto now = time_point::clock::now();
+  if (now >= this->streams_dropped_at + drop_interval) {
+    this->streams_dropped_at = now;
+    this->streams.drop_expired(now);
+  }
+  std::size_t left_out = 0;
+  for (const auto& [stream, origin] : report.streams) {
+    if (!this->streams.record(stream, origin, now)) ++left_out;
+    this->new_streams[stream] = origin;
+  }
+  if (left_out > 0) {
+    kernel::log_event(
+        kernel::event::ring_full,
+        {{"ring", "streams"}, {"capacity", decide::stream_origins::capacity}});
+  }
+  router.wanted_streams.insert(report.wanted_streams.begin(),
+                               report.wanted_streams.end());
+}
+
+void planner_duty::answer_streams(router_link& router,
+                                  wire::view_update& update,
+                                  time_point now) const {
+  const bool knows_all = now >= this->leads_since + report_time;
+  std::erase_if(router.wanted_streams, [&](const std::string& stream) {
+    const auto origin = this->streams.find(stream, now);
+    if (origin) update.streams[stream] = *origin;
+    if (!origin && knows_all) update.unknown_streams.push_back(stream);
+    return origin || knows_all;
+  });
+}
+
+void planner_duty::choose_keepers() {
+  int keepers = 0;
+  for (auto& [number, each] : this->routers) {
+    if (each.router.empty() || each.router == this->settings.id) continue;
+    if (++keepers > most_keepers) {
+      each.keeps_streams = each.knows_streams = false;
+    } else {
+      each.keeps_streams = true;
+    }
+  }
+}
+
+void planner_duty::share_streams(router_link& router, wire::view_update& update,
+                                 time_point now) const {
+  if (!router.keeps_streams) return;
+  const bool is_told = std::exchange(router.knows_streams, true);
+  for (const auto& [stream, origin] :
+       is_told ? this->new_streams : this->streams.all(now)) {
+    update.streams[stream] = origin;
+  }
+}
+
+}  // namespace boragehill::serve
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -220,6 +220,28 @@
   return found;
 }
 
+Json::Value encode_streams(
+    const std::map<std::string, decide::stream_origin>& streams) {
+  Json::Value list(Json::objectValue);
+  for (const auto& [stream, origin] : streams) {
+    list[stream]["service"] = origin.service;
+    list[stream]["software"] = origin.software;
+    list[stream]["ms"] = Json::Int64(origin.lifetime.count());
+  }
+  return list;
+}
+
+std::map<std::string, decide::stream_origin> decode_streams(
+    const Json::Value& list) {
+  std::map<std::string, decide::stream_origin> streams;
+  for (const auto& stream : list.getMemberNames()) {
+    streams[stream] = {.service = list[stream]["service"].asString(),
+                       .software = list[stream]["software"].asString(),
+                       .lifetime = milliseconds(list[stream]["ms"].asInt64())};
+  }
+  return streams;
+}
+
 }  // namespace
 
 Json::Value encode(const view_update& update) {
@@ -254,6 +276,12 @@
     message["rate_limits"] = encode_limits(*update.rate_limits);
   }
   if (!update.tokens.empty()) message["tokens"] = encode_tokens(update.tokens);
+  if (!update.streams.empty()) {
+    message["streams"] = encode_streams(update.streams);
+  }
+  if (!update.unknown_streams.empty()) {
+    message["unknown_streams"] = encode_texts(update.unknown_streams);
+  }
   if (!update.grants.empty()) {
     message["grants"] = encode_grants(update.grants);
     message["grant_round"] = Json::UInt64(update.grant_round);
@@ -292,6 +320,8 @@
     update.rate_limits = decode_limits(message["rate_limits"]);
   }
   update.tokens = decode_tokens(message["tokens"]);
+  update.streams = decode_streams(message["streams"]);
+  update.unknown_streams = kernel::texts_of(message["unknown_streams"]);
   update.grants = decode_grants(message["grants"]);
   update.grant_round = message["grant_round"].asUInt64();
   return update;
@@ -394,6 +424,10 @@
     message["rate_limits"] = encode_announcements(limits.announcements);
   }
   if (!limits.needed.empty()) message["tokens"] = encode_tokens(limits.needed);
+  if (!report.streams.empty()) {
+    message["streams"] = encode_streams(report.streams);
+  }
+  add("wanted_streams", report.wanted_streams);
   return message;
 }
 
@@ -417,6 +451,8 @@
   report.quarantined_parts = kernel::texts_of(message["quarantined_parts"]);
   report.cleared_parts = kernel::texts_of(message["cleared_parts"]);
   report.completed_parts = kernel::texts_of(message["completed_parts"]);
+  report.streams = decode_streams(message["streams"]);
+  report.wanted_streams = kernel::texts_of(message["wanted_streams"]);
   report.rate_limits = {
       .announcements = decode_announcements(message["rate_limits"]),
       .needed = decode_tokens(message["tokens"])};
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -1,12 +1,14 @@
 #ifndef BORAGEHILL_WIRE_ROUTER_REPORT_HPP
 #define BORAGEHILL_WIRE_ROUTER_REPORT_HPP
 
+#include <map>
 #include <string>
 #include <vector>
 
 #include "decide/demand_report.hpp"
 #include "decide/interruption.hpp"
 #include "decide/rate_limit_report.hpp"
+#include "decide/stream_origin.hpp"
 
 namespace boragehill::wire {
 
@@ -29,6 +31,15 @@
   /// Suspected parts with a complete response before it.
   std::vector<std::string> completed_parts;
   decide::rate_limit_report rate_limits;
+  /// Streams that were sent to a server since the last report, each by the
+  /// attempt that brings its first event.
+  std::map<std::string, decide::stream_origin> streams;
+  /// Streams that callers take up again and that this router doesn't know.
+  std::vector<std::string> wanted_streams;
+
+  bool tells_of_streams() const {
+    return !this->streams.empty() || !this->wanted_streams.empty();
+  }
 
   /// \return True if it holds news of crashes.
   bool tells_of_crashes() const {
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -12,6 +12,7 @@
 #include "decide/rate_limit.hpp"
 #include "decide/rate_limit_tokens.hpp"
 #include "decide/slot_grant.hpp"
+#include "decide/stream_origin.hpp"
 #include "wire/expected_model.hpp"
 #include "wire/server_view.hpp"
 
@@ -43,10 +44,18 @@
   std::optional<std::map<std::string, decide::rate_limit>> rate_limits;
   /// Tokens granted to this router since the last update.
   std::vector<decide::rate_limit_tokens> tokens;
+  /// Streams that this router asked for or keeps for the next planner.
+  std::map<std::string, decide::stream_origin> streams;
+  /// Streams that it asked for and that the planner doesn't know.
+  std::vector<std::string> unknown_streams;
   /// Slots granted to this router, and their round; 0 if there are none.
   std::vector<decide::slot_grant> grants;
   std::uint64_t grant_round = 0;
 
+  bool tells_of_streams() const {
+    return !this->streams.empty() || !this->unknown_streams.empty();
+  }
+
   bool operator==(const view_update&) const = default;
 };
 
