Confirm the end of a stream without a frame with its server

What callers saw: a stream without a length or chunks whose worker was killed between two events ended as complete, with three of its eight events.

Cause: the kernel ends the connections of a process that is killed as the process would have ended them.

Change: when such a stream ends, its server is probed before its caller hears of the end (src/decide/end_confirmation): it is complete if the server responds or is silent, as one without a free slot, and broken if another lifetime responds or the port is closed. A port that takes connections and resets them is probed again for half a second, the time in which that of a killed process may be open. One probe serves all ends at a server that came before it was sent. A broken stream goes on elsewhere where it may. `call_failure::refused` is told apart from a connection that came too late; the store's reasons stay as they were.

--- /dev/null
+++ b/src/decide/end_confirmation.cpp
@@ -0,0 +1,26 @@
+#include "decide/end_confirmation.hpp"
+
+namespace boragehill::decide {
+
+namespace {
+
+/// The port of a process that was killed is closed within this.
+constexpr milliseconds max_port_closing_time{500};
+
+}  // namespace
+
+confirmation_step judge_probe(probe_outcome outcome, milliseconds waited) {
+  switch (outcome) {
+    case probe_outcome::gone:
+      return confirmation_step::broken;
+    case probe_outcome::reset:
+      return waited < max_port_closing_time ? confirmation_step::probe_again
+                                            : confirmation_step::complete;
+    case probe_outcome::alive:
+    case probe_outcome::silent:
+      break;
+  }
+  return confirmation_step::complete;
+}
+
+}  // namespace boragehill::decide
--- a/src/decide/response_end.cpp
+++ b/src/decide/response_end.cpp
@@ -2,10 +2,12 @@
 
 namespace boragehill::decide {
 
-bool is_complete(const response_end& end) {
-  if (!end.is_event_stream) return true;
-  if (end.inside_event) return false;
-  return !end.unframed || end.events > 0;
+response_verdict judge_end(const response_end& end) {
+  if (!end.is_event_stream) return response_verdict::complete;
+  if (end.inside_event) return response_verdict::broken;
+  if (!end.unframed) return response_verdict::complete;
+  return end.events > 0 ? response_verdict::unconfirmed
+                        : response_verdict::broken;
 }
 
 }  // namespace boragehill::decide
--- a/src/decide/response_end.hpp
+++ b/src/decide/response_end.hpp
@@ -19,11 +19,20 @@
   bool operator==(const response_end&) const = default;
 };
 
-/// \return True if a response that ended in order is complete. An event stream
-///     that ends inside an event isn't, whatever its frame says, and neither is
-///     one without a frame that ends before its first event: nothing tells it
-///     from one whose server was lost.
-bool is_complete(const response_end& end);
+/// What the end of a response that ended in order says of it.
+enum class response_verdict {
+  complete,
+  /// The server broke it off.
+  broken,
+  /// It is complete if its server is alive: the kernel ends the connections of
+  /// a process that is killed in the same order.
+  unconfirmed,
+};
+
+/// Judges the end of a response. An event stream that ends inside an event is
+/// broken, whatever its frame says, and so is one without a frame that ends
+/// before its first event.
+response_verdict judge_end(const response_end& end);
 
 }  // namespace boragehill::decide
 
--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -79,7 +79,11 @@
       {address, this->peer.port},
       [self = this->shared_from_this(), mine](std::error_code failed) {
         if (mine != self->generation) return;
-        if (failed) return self->fail(call_failure::not_sent);
+        if (failed) {
+          const bool refused = failed == asio::error::connection_refused;
+          return self->fail(refused ? call_failure::refused
+                                    : call_failure::not_sent);
+        }
         self->connected = true;
         kernel::set_socket_options(self->socket);
         self->write();
--- a/src/http/call_failure.hpp
+++ b/src/http/call_failure.hpp
@@ -8,6 +8,8 @@
   none,
   /// Nothing was sent.
   not_sent,
+  /// Nobody listens at the peer's port.
+  refused,
   /// Not a byte came.
   no_response,
   /// The connection ended in the middle of the response.
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -78,6 +78,7 @@
   request_cleared = 616,
   quarantine_stored = 617,
   stream_taken_up = 618,
+  end_judged = 619,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -19,6 +19,7 @@
 
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
+#include "decide/end_confirmation.hpp"
 #include "decide/interruption_log.hpp"
 #include "decide/rate_limit_report.hpp"
 #include "decide/rate_limited_servers.hpp"
@@ -35,6 +36,7 @@
 #include "fleet/catalog.hpp"
 #include "fleet/quarantine_row.hpp"
 #include "fleet/server_list.hpp"
+#include "http/call_failure.hpp"
 #include "http/whole_answer.hpp"
 #include "serve/entry_metrics.hpp"
 #include "serve/entry_settings.hpp"
@@ -120,6 +122,7 @@
   void on_resumed(const exchange& request) override;
   bool lies_unread(const exchange& request) const override;
   void on_left(const exchange& request) override;
+  void confirm_end(const std::shared_ptr<exchange>& request) override;
   void on_server_failed(const exchange& request, bool reached) override;
   void on_model_missing(const exchange& request) override;
   void on_server_replaced(const exchange& request) override;
@@ -158,6 +161,17 @@
                    time_point now);
   /// Sends a request to a server, lets it wait for one, or refuses it.
   void seek_server(const std::shared_ptr<exchange>& request);
+  /// Responses of a server whose ends have to be confirmed.
+  struct end_probe {
+    /// Since the first of them ended.
+    time_point since;
+    /// Those that the probe under way is for.
+    std::vector<std::shared_ptr<exchange>> probed;
+    /// Those that ended since it was sent.
+    std::vector<std::shared_ptr<exchange>> next;
+    bool is_under_way = false;
+  };
+
   /// Takes up what the planner says of requests and parts of prompts that crash
   /// servers.
   void on_crash_news(const wire::view_update& update, time_point now);
@@ -251,6 +265,13 @@
   void take_rate_limit(const std::string& server,
                        const fleet::answer_fields& answer,
                        const std::string& by);
+  /// Probes a server whose responses have ended.
+  void probe_ends(const std::string& server);
+  void probe_ends_later(const std::string& server);
+  void on_ends_probed(const std::string& server, decide::probe_outcome outcome);
+  decide::probe_outcome outcome_of(const std::string& server,
+                                   const result<http::whole_answer>& answer,
+                                   http::call_failure failure);
   void on_question_ended(const std::string& server,
                          const result<http::whole_answer>& answer,
                          time_point asked);
@@ -330,6 +351,7 @@
   /// Streams that the planner said it doesn't know, while requests take them
   /// up.
   std::set<std::string> unknown_streams;
+  std::map<std::string, end_probe> end_probes;
   decide::draining_servers leaving;
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -230,8 +230,8 @@
 }
 
 bool exchange::may_move() const {
-  return this->can_go_on() && !this->done && this->record.may_reassign() &&
-         time_point::clock::now() < this->limit;
+  return this->can_go_on() && !this->done && !this->unconfirmed &&
+         this->record.may_reassign() && time_point::clock::now() < this->limit;
 }
 
 void exchange::move_from_silent() {
@@ -245,7 +245,7 @@
 }
 
 void exchange::leave_running() {
-  if (!this->connection) return;
+  if (!this->connection && !this->unconfirmed) return;
   this->record.on_possible_run();
   this->drop_server();
 }
@@ -287,6 +287,7 @@
 }
 
 void exchange::drop_server() {
+  if (std::exchange(this->unconfirmed, false)) return this->leave_server();
   if (!this->connection) return;
   // The server sees the close and stops.
   if (this->host.lies_unread(*this)) {
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -70,6 +70,9 @@
   /// an answer has begun, sees it break off.
   void give_up(const char* reason);
 
+  /// The end of its response was judged, as it had asked for.
+  void on_end_judged(bool is_complete);
+
   /// The caller hung up.
   void on_caller_gone();
 
@@ -147,6 +150,8 @@
   /// Passes on the failure that was kept, if one was.
   bool pass_kept_failure();
   void pass_small_answer();
+  /// Passes on the end of the response.
+  void complete();
   void end_answer();
   void leave_server();
   /// Breaks the connection to the server off, if there is one.
@@ -200,6 +205,8 @@
   bool unframed = false;
   /// What is passed on to the caller is one.
   bool is_event_stream = false;
+  /// Its response ended, and its server is asked whether it lives.
+  bool unconfirmed = false;
   bool retry_held = false;
   bool was_held_up = false;
   bool head_passed = false;
--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -57,6 +57,10 @@
   ///     been silent since before they were sent.
   virtual bool lies_unread(const exchange& request) const = 0;
 
+  /// Finds out whether a response without a frame that ended in order is
+  /// complete; calls `on_end_judged` of the request.
+  virtual void confirm_end(const std::shared_ptr<exchange>& request) = 0;
+
   /// A server failed it: it couldn't be reached, or broke an answer off.
   virtual void on_server_failed(const exchange& request, bool reached) = 0;
 
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -179,7 +179,24 @@
     return this->again("server did not run it");
   }
   if (this->repeat_failure()) return;
-  if (!decide::is_complete(this->response_end())) return this->on_broken();
+  switch (decide::judge_end(this->response_end())) {
+    case decide::response_verdict::broken:
+      return this->on_broken();
+    case decide::response_verdict::unconfirmed:
+      this->unconfirmed = true;
+      return this->host.confirm_end(this->shared_from_this());
+    case decide::response_verdict::complete:
+      break;
+  }
+  this->complete();
+}
+
+void exchange::on_end_judged(bool is_complete) {
+  if (!std::exchange(this->unconfirmed, false) || this->done) return;
+  is_complete ? this->complete() : this->on_broken();
+}
+
+void exchange::complete() {
   this->leave_server();
   if (this->small_head) return this->pass_small_answer();
   if (this->is_event_stream) this->pass(this->events.incomplete());
--- a/test/fleet-test/stream_end_test.cpp
+++ b/test/fleet-test/stream_end_test.cpp
@@ -240,7 +240,8 @@
       {.bytes = in_chunks(unfinished), .then = test::after_bytes::cut});
   this->list(server);
   std::string bytes;
-  while (server.requests().empty()) {
+  // The router may not know the server's address yet.
+  for (int tries = 0; tries < 250 && server.requests().empty(); ++tries) {
     bytes = this->fleet.raw(1, resumable_request);
   }
   const std::string first = "id: 1\n";
