Pass on no event that a caller has already

What callers saw, in a test: a run that should have gone on behind the last event began anew, and its events came twice: numbers went back. Ids were read only to resume; nobody compared them.

Change: where a stream goes on, in one response or as its caller takes it up, an event whose number isn't above that of the last one the caller has isn't passed on, nor is what follows: the response counts as broken off. Ids that are no numbers can't be compared. Missing events can't be known, since ids increase by no fixed step.

--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -1,6 +1,8 @@
 #include "http/event_splitter.hpp"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <utility>
 
 namespace boragehill::http {
 
@@ -46,6 +48,25 @@
   return 0;
 }
 
+/// \return The last id in an event, if it has one.
+std::optional<std::string> id_of(std::string_view event) {
+  std::optional<std::string> id;
+  while (!event.empty()) {
+    auto line = take_line(event);
+    if (!line.starts_with(id_field)) continue;
+    line.remove_prefix(id_field.size());
+    const auto bare = absl::StripAsciiWhitespace({line.data(), line.size()});
+    id = std::string(bare.data(), bare.size());
+  }
+  return id;
+}
+
+std::optional<std::uint64_t> number_of(const std::string& id) {
+  std::uint64_t number = 0;
+  if (!absl::SimpleAtoi(id, &number)) return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
 std::string event_splitter::feed(std::string_view bytes) {
@@ -55,6 +76,10 @@
     const auto left = std::string_view(this->rest).substr(end);
     const auto size = first_event_size(left);
     if (size == 0) break;
+    if (this->is_repeated(left.substr(0, size))) {
+      this->repeated = true;
+      break;
+    }
     this->note_event(left.substr(0, size));
     end += size;
   }
@@ -66,6 +91,19 @@
 void event_splitter::restart() {
   this->rest.clear();
   this->count = 0;
+  this->behind = this->id ? number_of(*this->id) : std::nullopt;
+  this->repeated = false;
+}
+
+void event_splitter::begin_after(std::string_view last_id) {
+  this->id = std::string(last_id);
+}
+
+bool event_splitter::is_repeated(std::string_view event) const {
+  if (!this->behind) return false;
+  const auto id = id_of(event);
+  const auto number = id ? number_of(*id) : std::nullopt;
+  return number && *number <= *this->behind;
 }
 
 bool event_splitter::inside_event() const {
@@ -75,13 +113,7 @@
 void event_splitter::note_event(std::string_view event) {
   if (!has_field(event)) return;
   ++this->count;
-  while (!event.empty()) {
-    auto line = take_line(event);
-    if (!line.starts_with(id_field)) continue;
-    line.remove_prefix(id_field.size());
-    const auto bare = absl::StripAsciiWhitespace({line.data(), line.size()});
-    this->id = std::string(bare.data(), bare.size());
-  }
+  if (auto found = id_of(event)) this->id = std::move(found);
 }
 
 }  // namespace boragehill::http
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_HTTP_EVENT_SPLITTER_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,14 @@
   /// Forgets the incomplete event, as the stream goes on elsewhere.
   void restart();
 
+  /// Makes the stream go on behind an event that the caller has.
+  void begin_after(std::string_view last_id);
+
+  /// \return True if an event came that the caller has, by its number, since
+  ///     the stream was to go on behind it. It and what follows isn't passed
+  ///     on.
+  bool repeats() const { return this->repeated; }
+
   /// \return What came behind the last complete event.
   const std::string& incomplete() const { return this->rest; }
 
@@ -34,10 +43,14 @@
 
  private:
   void note_event(std::string_view event);
+  bool is_repeated(std::string_view event) const;
 
   std::string rest;
   std::optional<std::string> id;
   std::size_t count = 0;
+  /// The number of the last event before the last `restart`.
+  std::optional<std::uint64_t> behind;
+  bool repeated = false;
 };
 
 }  // namespace boragehill::http
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -85,6 +85,9 @@
 void exchange::start() {
   if (!this->read_fields() || !this->choose_route()) return;
   this->choose_service();
+  if (this->takes_up_stream()) {
+    this->events.begin_after(*this->asked.last_event);
+  }
   this->record = decide::attempt_history(this->way->rule, this->way->resumable,
                                          this->way->attempts);
   auto allowed = this->way->timeout;
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -113,7 +113,8 @@
   }
   if (!this->is_event_stream) return this->pass(bytes);
   this->pass(this->events.feed(bytes));
-  if (this->events.incomplete().size() <= longest_event) return;
+  const bool fits = this->events.incomplete().size() <= longest_event;
+  if (fits && !this->events.repeats()) return;
   this->connection->abort();
   this->on_broken();
 }
--- a/test/http-test/event_splitter_test.cpp
+++ b/test/http-test/event_splitter_test.cpp
@@ -25,6 +25,39 @@
   EXPECT_EQ(events.last_id(), "2");
 }
 
+// Guards against events that a caller gets twice from a run that should go on.
+TEST(event_splitter_test, passes_on_no_event_that_came_before_a_restart) {
+  event_splitter events;
+  events.feed("id: 8\ndata: a\n\nid: 9\ndata: b\n\nid: 10\nda");
+  events.restart();
+  EXPECT_EQ(events.feed("data: no id\n\nid: 9\ndata: b\n\nid: 10\n"),
+            "data: no id\n\n");
+  EXPECT_TRUE(events.repeats());
+  EXPECT_EQ(events.feed("data: c\n\n"), "");
+  EXPECT_EQ(events.last_id(), "9");
+  events.restart();
+  EXPECT_FALSE(events.repeats());
+  EXPECT_EQ(events.feed("id: 10\ndata: c\n\n"), "id: 10\ndata: c\n\n");
+  EXPECT_FALSE(events.repeats());
+}
+
+TEST(event_splitter_test, passes_on_no_event_that_its_caller_had_before) {
+  event_splitter events;
+  events.begin_after("4");
+  EXPECT_EQ(events.last_id(), "4");
+  events.restart();
+  EXPECT_EQ(events.feed("id: 4\ndata: a\n\n"), "");
+  EXPECT_TRUE(events.repeats());
+}
+
+TEST(event_splitter_test, compares_only_ids_that_are_numbers) {
+  event_splitter events;
+  events.feed("id: b\ndata: 1\n\n");
+  events.restart();
+  EXPECT_EQ(events.feed("id: a\ndata: 2\n\n"), "id: a\ndata: 2\n\n");
+  EXPECT_FALSE(events.repeats());
+}
+
 TEST(event_splitter_test, knows_both_ends_of_line) {
   event_splitter events;
   EXPECT_EQ(events.feed("id:7\r\n\r\nid:8"), "id:7\r\n\r\n");
