--- a/test/adapter-test/planner_duty_test.cpp
+++ b/test/adapter-test/planner_duty_test.cpp
@@ -4,8 +4,11 @@
 #include <functional>
 #include <gtest/gtest.h>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -33,6 +36,12 @@
             this->last_term = update.term;
             this->last_count = update.routers;
             if (update.whole) this->first_limits = update.rate_limits;
+            for (const auto& [stream, origin] : update.streams) {
+              this->known_streams[stream] = origin;
+              ++this->times_told[stream];
+            }
+            this->unknown_streams.insert(update.unknown_streams.begin(),
+                                         update.unknown_streams.end());
           },
           [this] {
             const std::lock_guard<std::mutex> lock(this->guard);
@@ -71,6 +80,53 @@
     });
   }
 
+  /// Tells the planner where a stream began.
+  void tell_stream(const std::string& stream, const std::string& software,
+                   milliseconds lifetime = milliseconds(60000)) {
+    this->loop.post([this, stream, software, lifetime] {
+      this->link->send(wire::encode(
+          wire::router_report{.router = this->id,
+                              .streams = {{stream,
+                                           {.service = "assist",
+                                            .software = software,
+                                            .lifetime = lifetime}}}}));
+    });
+  }
+
+  /// Asks the planner where a stream began.
+  void ask_for(const std::string& stream) {
+    this->loop.post([this, stream] {
+      this->link->send(wire::encode(
+          wire::router_report{.router = this->id, .wanted_streams = {stream}}));
+    });
+  }
+
+  /// \return What it was told last of a stream, if anything.
+  std::optional<decide::stream_origin> stream(const std::string& name) {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    const auto found = this->known_streams.find(name);
+    if (found == this->known_streams.end()) return std::nullopt;
+    return found->second;
+  }
+
+  /// \return The version that it was told of a stream; empty before.
+  std::string version_of(const std::string& stream) {
+    const auto origin = this->stream(stream);
+    return origin ? origin->software : std::string();
+  }
+
+  /// \return How often it was told of a stream.
+  int told_of(const std::string& stream) {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    return this->times_told[stream];
+  }
+
+  /// \return True if the planner said that it doesn't know a stream.
+  bool is_unknown(const std::string& stream) {
+    const std::lock_guard<std::mutex> lock(this->guard);
+    return this->unknown_streams.contains(stream);
+  }
+
   /// \return The rate limits in the first update; nothing if there were none.
   std::optional<std::map<std::string, decide::rate_limit>> told_at_first() {
     const std::lock_guard<std::mutex> lock(this->guard);
@@ -92,6 +148,9 @@
   std::int64_t last_term = 0;
   int last_count = 0;
   std::optional<std::map<std::string, decide::rate_limit>> first_limits;
+  std::map<std::string, decide::stream_origin> known_streams;
+  std::map<std::string, int> times_told;
+  std::set<std::string> unknown_streams;
 };
 
 entry_settings planner_settings_of_test() {
@@ -179,5 +238,213 @@
   planner.stop();
 }
 
+/// Longer than a plan's interval, so that what is due has been told.
+constexpr std::chrono::milliseconds settle_time{350};
+
+/// A planner that leads, and the router in its process, which keeps no streams
+/// for the next one.
+class stream_planner {
+ public:
+  stream_planner() : planner(this->settings) {
+    if (this->planner.start()) throw std::runtime_error("address in use");
+    this->led_at = std::chrono::steady_clock::now();
+    this->planner.lead(1, {});
+    this->own.emplace(this->address(), this->settings.id);
+    this->expect_count(*this->own, 1);
+  }
+  ~stream_planner() { this->planner.stop(); }
+  stream_planner(const stream_planner&) = delete;
+  stream_planner& operator=(const stream_planner&) = delete;
+
+  endpoint address() const { return this->settings.link_address(); }
+
+  /// Links a router and waits until the planner has heard of it.
+  std::unique_ptr<router_side> link(const std::string& id, int count) {
+    auto router = std::make_unique<router_side>(this->address(), id);
+    this->expect_count(*router, count);
+    return router;
+  }
+
+  entry_settings settings = planner_settings_of_test();
+  planner_duty planner;
+  std::chrono::steady_clock::time_point led_at;
+  std::optional<router_side> own;
+
+ private:
+  static void expect_count(router_side& router, int count) {
+    EXPECT_TRUE(becomes_true([&] { return router.count() == count; }));
+  }
+};
+
+// Guards against streams that their callers take up at another router, which
+// then goes on anywhere.
+TEST(planner_duty_test, tells_a_router_that_asks_of_anothers_stream) {
+  stream_planner fleet;
+  const auto teller = fleet.link("r-1", 2);
+  teller->tell_stream("s-1", "1.2");
+  EXPECT_TRUE(becomes_true([&] { return !teller->version_of("s-1").empty(); }));
+  EXPECT_FALSE(fleet.own->stream("s-1"));
+  fleet.own->ask_for("s-1");
+  ASSERT_TRUE(
+      becomes_true([&] { return fleet.own->stream("s-1").has_value(); }));
+  const auto told = *fleet.own->stream("s-1");
+  EXPECT_EQ(told.service, "assist");
+  EXPECT_EQ(told.software, "1.2");
+  EXPECT_LE(told.lifetime, milliseconds(60000));
+  EXPECT_GT(told.lifetime, milliseconds(50000));
+  // Each question is answered, and once.
+  std::this_thread::sleep_for(settle_time);
+  EXPECT_EQ(fleet.own->told_of("s-1"), 1);
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(becomes_true([&] { return fleet.own->told_of("s-1") == 2; }));
+  EXPECT_FALSE(fleet.own->is_unknown("s-1"));
+}
+
+TEST(planner_duty_test, answers_each_router_that_asks) {
+  stream_planner fleet;
+  const auto first = fleet.link("r-1", 2);
+  const auto second = fleet.link("r-2", 3);
+  const auto third = fleet.link("r-3", 4);
+  const auto fourth = fleet.link("r-4", 5);
+  for (const auto& each : {std::ref(*third), std::ref(*fourth)}) {
+    each.get().ask_for("s-1");
+  }
+  {
+    // One that asks and goes is in nobody's way.
+    const auto gone = fleet.link("r-5", 6);
+    gone->ask_for("s-1");
+  }
+  fleet.own->tell_stream("s-1", "1.2");
+  for (const auto& each : {std::ref(*third), std::ref(*fourth)}) {
+    EXPECT_TRUE(
+        becomes_true([&] { return each.get().version_of("s-1") == "1.2"; }));
+    EXPECT_FALSE(each.get().is_unknown("s-1"));
+  }
+}
+
+// Guards against a new planner that disowns streams of routers which haven't
+// linked yet.
+TEST(planner_duty_test, answers_a_question_that_crosses_the_streams_news) {
+  stream_planner fleet;
+  fleet.own->ask_for("s-1");
+  std::this_thread::sleep_for(settle_time);
+  EXPECT_FALSE(fleet.own->is_unknown("s-1"));
+  const auto teller = fleet.link("r-1", 2);
+  teller->tell_stream("s-1", "1.2");
+  EXPECT_TRUE(
+      becomes_true([&] { return fleet.own->version_of("s-1") == "1.2"; }));
+  EXPECT_FALSE(fleet.own->is_unknown("s-1"));
+}
+
+TEST(planner_duty_test, disowns_a_stream_once_all_routers_have_told_theirs) {
+  stream_planner fleet;
+  fleet.own->ask_for("s-1");
+  std::chrono::steady_clock::time_point at;
+  EXPECT_TRUE(becomes_true([&] {
+    at = std::chrono::steady_clock::now();
+    return fleet.own->is_unknown("s-1");
+  }));
+  EXPECT_GE(at - fleet.led_at, std::chrono::milliseconds(1000));
+  EXPECT_FALSE(fleet.own->stream("s-1"));
+  // It is answered at once from then on, and a later record still counts.
+  fleet.own->ask_for("s-2");
+  const auto asked_at = std::chrono::steady_clock::now();
+  EXPECT_TRUE(becomes_true([&] { return fleet.own->is_unknown("s-2"); }));
+  EXPECT_LT(std::chrono::steady_clock::now() - asked_at,
+            std::chrono::milliseconds(900));
+  fleet.own->tell_stream("s-1", "1.2");
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(
+      becomes_true([&] { return fleet.own->version_of("s-1") == "1.2"; }));
+}
+
+TEST(planner_duty_test, disowns_a_stream_whose_time_is_over) {
+  stream_planner fleet;
+  fleet.own->tell_stream("s-1", "1.2", milliseconds(20));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(becomes_true([&] { return fleet.own->is_unknown("s-1"); }));
+  EXPECT_FALSE(fleet.own->stream("s-1"));
+}
+
+// Guards against a first record that outlives the send of the request to a
+// server of another version.
+TEST(planner_duty_test, tells_the_last_version_of_a_stream) {
+  stream_planner fleet;
+  const auto keeper = fleet.link("r-1", 2);
+  fleet.own->tell_stream("s-1", "1.2");
+  fleet.own->tell_stream("s-1", "1.3");
+  fleet.own->tell_stream("s-1", "1.3");
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(
+      becomes_true([&] { return fleet.own->version_of("s-1") == "1.3"; }));
+  EXPECT_TRUE(becomes_true([&] { return keeper->version_of("s-1") == "1.3"; }));
+}
+
+TEST(planner_duty_test, knows_its_streams_in_a_later_term) {
+  stream_planner fleet;
+  fleet.own->tell_stream("s-1", "1.2");
+  std::this_thread::sleep_for(settle_time);
+  fleet.planner.lead(2, {});
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(
+      becomes_true([&] { return fleet.own->version_of("s-1") == "1.2"; }));
+  // It doesn't know yet what the routers have to tell.
+  fleet.own->ask_for("s-2");
+  std::this_thread::sleep_for(settle_time);
+  EXPECT_FALSE(fleet.own->is_unknown("s-2"));
+}
+
+// Guards against streams that are lost with their router and the planner.
+TEST(planner_duty_test, tells_two_other_routers_of_all_streams) {
+  stream_planner fleet;
+  fleet.own->tell_stream("s-1", "1.2");
+  fleet.own->tell_stream("s-old", "1.2", milliseconds(1));
+  std::this_thread::sleep_for(settle_time);
+  const auto first = fleet.link("r-1", 2);
+  const auto second = fleet.link("r-2", 3);
+  const auto third = fleet.link("r-3", 4);
+  third->tell_stream("s-2", "1.3");
+  for (const auto& keeper : {std::ref(*first), std::ref(*second)}) {
+    EXPECT_TRUE(becomes_true([&] {
+      return keeper.get().version_of("s-1") == "1.2" &&
+             keeper.get().version_of("s-2") == "1.3";
+    }));
+  }
+  std::this_thread::sleep_for(settle_time);
+  for (const char* stream : {"s-1", "s-2"}) {
+    EXPECT_EQ(first->told_of(stream), 1) << stream;
+    EXPECT_EQ(second->told_of(stream), 1) << stream;
+    EXPECT_EQ(third->told_of(stream), 0) << stream;
+    EXPECT_EQ(fleet.own->told_of(stream), 0) << stream;
+  }
+  EXPECT_EQ(first->told_of("s-old"), 0);
+}
+
+// Guards against streams that one router is left with.
+TEST(planner_duty_test, tells_another_router_of_all_streams_if_one_goes) {
+  stream_planner fleet;
+  auto first = fleet.link("r-1", 2);
+  const auto second = fleet.link("r-2", 3);
+  const auto third = fleet.link("r-3", 4);
+  fleet.own->tell_stream("s-1", "1.2");
+  fleet.own->tell_stream("s-2", "1.3");
+  EXPECT_TRUE(becomes_true([&] { return second->told_of("s-2") == 1; }));
+  EXPECT_EQ(third->told_of("s-1"), 0);
+  first.reset();
+  EXPECT_TRUE(becomes_true([&] {
+    return third->version_of("s-1") == "1.2" &&
+           third->version_of("s-2") == "1.3";
+  }));
+  fleet.own->tell_stream("s-3", "1.2");
+  EXPECT_TRUE(becomes_true([&] { return third->told_of("s-3") == 1; }));
+  EXPECT_TRUE(becomes_true([&] { return second->told_of("s-3") == 1; }));
+  EXPECT_EQ(second->told_of("s-1"), 1);
+  // If the router that went comes back, it is the third.
+  first = fleet.link("r-1", 4);
+  std::this_thread::sleep_for(settle_time);
+  EXPECT_EQ(first->told_of("s-1"), 0);
+}
+
 }  // namespace
 }  // namespace boragehill::serve
--- a/test/decide-test/slot_allocator_test.cpp
+++ b/test/decide-test/slot_allocator_test.cpp
@@ -191,5 +191,42 @@
   EXPECT_EQ(grants.at("r0").front().adapter, "a1");
 }
 
+// Guards against grants at workers of other versions, which the router can't
+// use and others then lack.
+TEST(slot_allocator_test, grants_nothing_to_requests_bound_to_a_version) {
+  waiting_fleet fleet;
+  fleet.add_worker("w0", 0);
+  const model_demand bound{
+      .service = "assist", .model = "m0", .software = "b", .waiting = 3};
+  fleet.reports["r0"].demands = {bound};
+  fleet.report_of("r0");
+  fleet.report_of("r0");
+  EXPECT_EQ(count_slots(fleet.grant()), 0);
+  EXPECT_TRUE(fleet.allocator.unconfirmed().empty());
+  // Others at the same router get theirs.
+  model_demand unbound = bound;
+  unbound.software.clear();
+  unbound.waiting = 2;
+  fleet.reports["r0"].demands = {bound, unbound};
+  fleet.report_of("r0");
+  EXPECT_EQ(count_slots(fleet.grant()), 2);
+  EXPECT_EQ(count_slots(fleet.grant()), 0);
+}
+
+TEST(slot_allocator_test, grants_nothing_more_once_the_requests_are_bound) {
+  waiting_fleet fleet;
+  fleet.add_worker("w0", 0);
+  fleet.wait_at("r0", 2);
+  EXPECT_EQ(count_slots(fleet.grant()), 2);
+  // Crosses the grant, which stays unconfirmed.
+  fleet.reports["r0"].demands[0].software = "b";
+  fleet.report_of("r0");
+  EXPECT_EQ(count_slots(fleet.grant()), 0);
+  EXPECT_EQ(fleet.allocator.unconfirmed_of("w0", "r0"), 2);
+  fleet.confirm("r0");
+  EXPECT_EQ(count_slots(fleet.grant()), 0);
+  EXPECT_EQ(fleet.allocator.unconfirmed_of("w0", "r0"), 0);
+}
+
 }  // namespace
 }  // namespace boragehill::decide
