Keep the latest record of where a stream began

A router that keeps streams for the next planner may tell it an older record than the stream's own router, and later: the request was sent elsewhere before its first event, and the planner was lost meanwhile. The last one to arrive counted; now the one that ends last does, which is the one that was made last.

--- a/src/decide/stream_origins.cpp
+++ b/src/decide/stream_origins.cpp
@@ -7,7 +7,9 @@
   const bool has_room =
       this->streams.size() < capacity || this->streams.contains(stream);
   if (!has_room) return false;
-  this->streams[stream] = {.origin = origin, .until = now + origin.lifetime};
+  const auto until = now + origin.lifetime;
+  auto& known = this->streams[stream];
+  if (known.until <= until) known = {.origin = origin, .until = until};
   return true;
 }
 
--- a/src/decide/stream_origins.hpp
+++ b/src/decide/stream_origins.hpp
@@ -24,7 +24,8 @@
   static constexpr std::size_t capacity = 16384;
 
   /// Records where a stream's request was sent. Until an event comes it may be
-  /// sent elsewhere, so the last record counts.
+  /// sent elsewhere, so the latest record counts, which is the one that ends
+  /// last: it may come from the stream's router after an older one from others.
   /// \return False if there is no room.
   bool record(const std::string& stream, const stream_origin& origin,
               time_point now);
--- a/test/adapter-test/planner_duty_test.cpp
+++ b/test/adapter-test/planner_duty_test.cpp
@@ -446,5 +446,32 @@
   EXPECT_EQ(first->told_of("s-1"), 0);
 }
 
+// Guards against a version that the request's router has replaced meanwhile,
+// and that comes back with the streams which another router kept.
+TEST(planner_duty_test, keeps_the_last_version_though_an_older_one_comes) {
+  stream_planner fleet;
+  fleet.own->tell_stream("s-1", "1.3", milliseconds(60000));
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(
+      becomes_true([&] { return fleet.own->version_of("s-1") == "1.3"; }));
+  // Recorded a second earlier, so less of its time is left.
+  const auto keeper = fleet.link("r-1", 2);
+  keeper->tell_stream("s-1", "1.2", milliseconds(59000));
+  std::this_thread::sleep_for(settle_time);
+  fleet.own->ask_for("s-1");
+  EXPECT_TRUE(becomes_true([&] { return fleet.own->told_of("s-1") == 2; }));
+  EXPECT_EQ(fleet.own->version_of("s-1"), "1.3");
+}
+
+// Guards against a link that hasn't ended yet and counts as a second keeper.
+TEST(planner_duty_test, a_router_with_two_links_keeps_streams_once) {
+  stream_planner fleet;
+  const auto old_link = fleet.link("r-1", 2);
+  const auto new_link = fleet.link("r-1", 2);
+  const auto other = fleet.link("r-2", 3);
+  fleet.own->tell_stream("s-1", "1.2");
+  EXPECT_TRUE(becomes_true([&] { return other->version_of("s-1") == "1.2"; }));
+}
+
 }  // namespace
 }  // namespace boragehill::serve
--- a/test/decide-test/stream_resumption_test.cpp
+++ b/test/decide-test/stream_resumption_test.cpp
@@ -21,30 +21,35 @@
   planner_word planner;
   bool has_sole;
   bool is_named;
+  bool is_history_known;
   /// Before the longest wait, and from then on.
   version_binding in_time;
   version_binding late;
 };
 
 const std::vector<known_case> cases{
-    {unlinked, false, false, nowhere, nowhere},
-    {unlinked, false, true, asked, nowhere},
-    {unlinked, true, false, bound_to_sole, bound_to_sole},
-    {unlinked, true, true, bound_to_sole, bound_to_sole},
-    {awaited, false, false, nowhere, nowhere},
-    {awaited, false, true, asked, nowhere},
-    {awaited, true, false, bound_to_sole, bound_to_sole},
-    // The planner may know of a second version.
-    {awaited, true, true, asked, bound_to_sole},
-    {unknown, false, false, nowhere, nowhere},
-    {unknown, false, true, nowhere, nowhere},
-    {unknown, true, false, bound_to_sole, bound_to_sole},
-    {unknown, true, true, bound_to_sole, bound_to_sole},
+    {unlinked, false, false, true, nowhere, nowhere},
+    {unlinked, false, true, true, asked, nowhere},
+    {unlinked, true, false, false, bound_to_sole, bound_to_sole},
+    // The planner may know of a second version, and this router be cut off.
+    {unlinked, true, true, true, asked, nowhere},
+    {awaited, false, false, true, nowhere, nowhere},
+    {awaited, false, true, true, asked, nowhere},
+    {awaited, true, false, false, bound_to_sole, bound_to_sole},
+    {awaited, true, true, true, asked, nowhere},
+    {unknown, false, false, true, nowhere, nowhere},
+    {unknown, false, true, true, nowhere, nowhere},
+    {unknown, true, false, false, bound_to_sole, bound_to_sole},
+    {unknown, true, true, true, bound_to_sole, bound_to_sole},
+    // A second version may have left before this router started.
+    {unknown, true, true, false, nowhere, nowhere},
 };
 
 stream_resumption stream_of(const known_case& known, milliseconds waited) {
-  stream_resumption stream{
-      .is_named = known.is_named, .planner = known.planner, .waited = waited};
+  stream_resumption stream{.is_history_known = known.is_history_known,
+                           .is_named = known.is_named,
+                           .planner = known.planner,
+                           .waited = waited};
   if (known.has_sole) stream.sole_version = "sole";
   return stream;
 }
