Count routers that keep streams, not their links

A router whose old link to the planner hasn't ended yet took the places of both routers that keep streams for the next planner, so one alone kept them.

--- a/src/serve/planner_streams.cpp
+++ b/src/serve/planner_streams.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds report_time{1000};
 constexpr milliseconds drop_interval{1000};
 /// Routers that keep all streams beside the planner; one may be lost with it.
-constexpr int most_keepers = 2;
+constexpr std::size_t most_keepers = 2;
 
 }  // namespace
 
@@ -26,8 +26,11 @@
   }
   std::size_t left_out = 0;
   for (const auto& [stream, origin] : report.streams) {
-    if (!this->streams.record(stream, origin, now)) ++left_out;
-    this->new_streams[stream] = origin;
+    if (this->streams.record(stream, origin, now)) {
+      this->new_streams[stream] = origin;
+    } else {
+      ++left_out;
+    }
   }
   if (left_out > 0) {
     kernel::log_event(
@@ -51,14 +54,14 @@
 }
 
 void planner_duty::choose_keepers() {
-  int keepers = 0;
+  std::set<std::string> keepers;
   for (auto& [number, each] : this->routers) {
     if (each.router.empty() || each.router == this->settings.id) continue;
-    if (++keepers > most_keepers) {
-      each.keeps_streams = each.knows_streams = false;
-    } else {
-      each.keeps_streams = true;
-    }
+    // A router may have two links for a moment; both are told.
+    each.keeps_streams =
+        keepers.size() < most_keepers || keepers.contains(each.router);
+    if (each.keeps_streams) keepers.insert(each.router);
+    if (!each.keeps_streams) each.knows_streams = false;
   }
 }
 
