Load models for bound streams from local copies only

The cheapest worker of a stream's version might need the weight store, and the load was then left out although another worker had a copy on its disk. Two adapters of one model counted its load twice in a worker's queue.

--- a/src/decide/residency_bound.cpp
+++ b/src/decide/residency_bound.cpp
@@ -3,6 +3,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
+#include <string>
+#include <utility>
 
 #include "decide/residency_load_choice.hpp"
 #include "decide/residency_planner.hpp"
@@ -11,12 +14,14 @@
 
 void residency_planner::load_bound_models(const fleet::service& service,
                                           time_point now) {
+  std::set<std::pair<std::string, std::string>> seen;
   for (const auto& [name, adapter, software] : this->bound_models) {
     const auto* model = service.find_model(name);
-    if (!model || this->has_replica(name, software, now)) continue;
+    const bool is_new = seen.emplace(name, software).second;
+    if (!model || !is_new || this->has_replica(name, software, now)) continue;
     const auto chosen = this->choose_worker(
         service, *model, std::numeric_limits<double>::max(), now, software);
-    if (chosen && !chosen->from_store) this->start_load(*chosen, "wake", now);
+    if (chosen) this->start_load(*chosen, "wake", now);
   }
 }
 
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -320,7 +320,9 @@
     const fleet::service& service, const fleet::model& model,
     double max_in_flight, time_point now, const std::string& software) {
   std::optional<load_choice> best;
+  // Streams that are bound to a version don't last as long as the store takes.
   const bool may_use_store =
+      software.empty() &&
       this->active_store_loads() < this->store_limit.limit() &&
       !this->is_awaiting_first_reports(service, now);
   for (const auto& [id, worker] : this->workers_by_id) {
--- a/src/decide/residency_planner.hpp
+++ b/src/decide/residency_planner.hpp
@@ -211,7 +211,8 @@
   void place_adapter(const fleet::service& service, const std::string& model,
                      const std::string& adapter, const std::string& software,
                      time_point now);
-  /// \param software The software version of the worker; empty for any.
+  /// \param software The software version of the worker, which then needs a
+  ///     local copy; empty for any.
   std::optional<load_choice> choose_worker(const fleet::service& service,
                                            const fleet::model& model,
                                            double max_in_flight, time_point now,
