Let processes of tests inherit no sockets

A process that a test started held copies of the sockets that the test had open.

Children are started with the three standard streams alone.

--- a/test/process-test/process.cpp
+++ b/test/process-test/process.cpp
@@ -40,6 +40,8 @@
                                    this->log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket of ours that a child held would go on after we closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error = posix_spawn(&this->child, texts[0], &actions, nullptr,
                                 texts.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
