Soak workers of two versions and streams that are taken up again

The soak had one software version and nobody who takes a stream up again, so streams joined from two versions and ones that pass for complete though their worker was killed never showed.

--versions=N gives the workers N versions in turn, over all their lives, slows their streams to 0.64 s and lets them write without a frame in every other life. Eight callers ask for resumable streams and take a broken or refused one up at another router, three more times at most. Events below /stream/r/signed/ name the software that wrote them, so only what reached a caller counts. Two checks, which nothing excuses: no stream has events of two versions; events come once each and in order, and all eight if the stream passes for complete.

"ran and was cut off" no longer counts a try of a caller that has all events already. A router's log shows the case (last_event=8, unframed, events=0, "answer broke off"): such a stream without a frame has to count as broken.

stream_caller names the try that brought the first event in Resumes, if an earlier one was refused.

--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -105,9 +105,11 @@
   void crash_on(const std::string& worker, const std::string& marker);
   /// Sets a fault of a stand-in, "store" among them.
   void fault(const std::string& standin, const std::string& json);
-  /// Kills a model worker and starts another lifetime at its address, empty
-  /// but for its disk.
+  /// Kills a model worker and starts another lifetime at its address, of the
+  /// same software, empty but for its disk.
   void replace_worker(int number, const std::string& id);
+  /// Waits until a stand-in answers, five seconds at most.
+  void await_standin(const std::string& name) const;
   /// Writes bytes among the servers' entries, as another program might.
   void write_entry(const std::string& key, const std::string& bytes);
   /// \return The bytes of a server's entry; empty if the store has none.
@@ -147,7 +149,6 @@
   std::string row(const std::string& table, const std::string& key);
   /// \return The names of all backend servers, model workers first.
   std::vector<std::string> servers() const;
-  void await_standin(const std::string& name) const;
   void add(const std::string& name, const std::vector<std::string>& arguments);
   void add_standin(const std::string& name, const std::string& kind,
                    const std::vector<std::string>& flags);
@@ -173,6 +174,8 @@
   std::string folder;
   int port_base;
   std::map<std::string, std::string> addresses;
+  /// Of the workers that have one that was set.
+  std::map<int, std::string> versions;
   std::map<std::string, std::unique_ptr<process_test::process>> processes;
 };
 
--- a/test/soak/call_record.hpp
+++ b/test/soak/call_record.hpp
@@ -26,6 +26,9 @@
   bool connected = true;
   /// Servers end when they get it.
   bool crashes_servers = false;
+  /// The caller had all events before, so that a server writes none: without a
+  /// frame that is like a stream which breaks off.
+  bool had_all = false;
 
   bool operator==(const call_record&) const = default;
 };
--- a/test/soak/checks.hpp
+++ b/test/soak/checks.hpp
@@ -9,6 +9,7 @@
 #include "invariants/retries_within_budget.hpp"
 #include "soak/call_record.hpp"
 #include "soak/fault_span.hpp"
+#include "soak/stream_record.hpp"
 
 namespace boragehill::soak {
 
@@ -61,6 +62,21 @@
     const std::vector<std::chrono::steady_clock::time_point>& ends,
     const std::vector<fault_span>& faults);
 
+/// Checks that no caller has events of one stream from servers of two versions.
+/// Nothing excuses it.
+///
+/// \return A line for each stream that it has.
+std::vector<std::string> joined_versions(
+    const std::vector<stream_record>& streams);
+
+/// Checks that the events of a stream come once each and in order, from the
+/// first one on, and that all are there if its caller takes it for complete.
+/// Nothing excuses it.
+///
+/// \return A line for each stream that breaks it.
+std::vector<std::string> streams_out_of_order(
+    const std::vector<stream_record>& streams);
+
 }  // namespace boragehill::soak
 
 #endif  // BORAGEHILL_SOAK_CHECKS_HPP
--- a/test/soak/fleet_size.hpp
+++ b/test/soak/fleet_size.hpp
@@ -23,6 +23,9 @@
   /// One more caller sends a request, always the same, that ends each plain
   /// server which gets it; they come back in another lifetime.
   bool crashing_request = false;
+  /// The versions that the model workers' software has, in turn. If there is
+  /// more than one, further callers ask for streams that may be resumed.
+  int versions = 1;
 
   bool operator==(const fleet_size&) const = default;
 };
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -14,6 +14,7 @@
 #include "soak/fault_span.hpp"
 #include "soak/fault_step.hpp"
 #include "soak/fleet_size.hpp"
+#include "soak/stream_record.hpp"
 
 namespace boragehill::soak {
 
@@ -37,6 +38,13 @@
   };
 
   bool start();
+  bool has_versions() const { return this->size.versions > 1; }
+  /// Lets the workers be of several versions.
+  void set_versions();
+  /// Lets a worker write slowly, and in some lifetimes without a frame, if the
+  /// workers are of several versions.
+  void set_writing(int worker);
+  void check_streams(const std::vector<stream_record>& streams);
   /// \return When each attempt began to run last.
   std::map<std::string, clock::time_point> run_begins() const;
   /// Lets all plain servers fail their runs, so that lookups want retries.
@@ -53,6 +61,8 @@
   void lift_all();
   void revive();
   void replace(const fault_step& step);
+  /// Kills a worker and starts another lifetime of it.
+  void renew_worker(int number);
   std::string process_of(const fault_step& step) const;
   std::vector<std::string> recover();
   bool answers(int router, const std::string& model);
@@ -72,6 +82,8 @@
   /// When those that have not been started again ended.
   std::map<int, clock::time_point> crashed;
   int replaced = 0;
+  /// How many lifetimes each worker has had before.
+  std::map<int, int> lifetimes;
   /// What each worker registers under.
   std::map<int, std::string> worker_ids;
   std::int64_t version = 1;
--- a/test/soak_checks-test/checks_test.cpp
+++ b/test/soak_checks-test/checks_test.cpp
@@ -113,6 +113,16 @@
   EXPECT_EQ(broken(gone, 1), 0U);
 }
 
+TEST(checks_test, only_a_caller_that_had_all_events_may_be_cut_off) {
+  auto rest = answered();
+  rest.status = 0;
+  EXPECT_EQ(broken(rest, 1), 1U);
+  rest.had_all = true;
+  EXPECT_EQ(broken(rest, 1), 0U);
+  rest.repeatable = true;
+  EXPECT_EQ(broken(rest, 3), 1U);
+}
+
 TEST(fault_plan_test, a_seed_draws_the_same_faults) {
   const auto one = draw_faults(7, milliseconds(20000), {});
   EXPECT_EQ(one, draw_faults(7, milliseconds(20000), {}));
@@ -186,5 +196,57 @@
   EXPECT_TRUE(crashes_beyond_limit(calls, ends, {killed}).empty());
 }
 
+stream_record whole_stream() {
+  return {.attempt = "s",
+          .events = {1, 2, 3, 4, 5, 6, 7, 8},
+          .versions = {"v1"},
+          .tries = 2,
+          .complete = true};
+}
+
+// Guards against a stream whose events come from servers of two versions.
+TEST(checks_test, a_stream_of_two_versions_is_found) {
+  auto stream = whole_stream();
+  EXPECT_TRUE(joined_versions({stream}).empty());
+  stream.versions = {};
+  EXPECT_TRUE(joined_versions({stream}).empty());
+  stream.versions = {"v1", "v2"};
+  EXPECT_EQ(joined_versions({whole_stream(), stream}),
+            std::vector<std::string>{"s: events of versions v1 v2"});
+  stream.complete = false;
+  EXPECT_EQ(joined_versions({stream}).size(), 1U);
+}
+
+/// \return The lines for a stream with these events.
+std::vector<std::string> disorder(const std::vector<int>& events,
+                                  bool complete) {
+  auto stream = whole_stream();
+  stream.events = events;
+  stream.complete = complete;
+  return streams_out_of_order({stream});
+}
+
+// Guards against a stream that passes for complete before its last event.
+TEST(checks_test, a_complete_stream_that_lacks_its_end_is_found) {
+  EXPECT_TRUE(streams_out_of_order({whole_stream()}).empty());
+  EXPECT_EQ(disorder({1, 2, 3}, true),
+            std::vector<std::string>{"s: complete with events 1 2 3"});
+  EXPECT_EQ(disorder({}, true).size(), 1U);
+  EXPECT_TRUE(disorder({1, 2, 3}, false).empty());
+  EXPECT_TRUE(disorder({}, false).empty());
+}
+
+// Guards against events that are missing, or come twice or out of order.
+TEST(checks_test, events_out_of_order_are_found_though_a_stream_ends_early) {
+  for (const bool complete : {false, true}) {
+    EXPECT_EQ(disorder({1, 2, 3, 1, 2, 3, 4, 5, 6, 7, 8}, complete).size(), 1U);
+    EXPECT_EQ(disorder({1, 2, 2, 3}, complete).size(), 1U);
+    EXPECT_EQ(disorder({1, 2, 4, 5, 6, 7, 8}, complete).size(), 1U);
+    EXPECT_EQ(disorder({2, 3}, complete).size(), 1U);
+    EXPECT_EQ(disorder({1, 3, 2}, complete).size(), 1U);
+    EXPECT_EQ(disorder({1, 2, 3, 4, 5, 6, 7, 8, 9}, complete).size(), 1U);
+  }
+}
+
 }  // namespace
 }  // namespace boragehill::soak
