Tell a restarted server from the one whose stream ended

What callers saw, in the soak: streams without a frame passed for complete though their worker was killed. It was back under its id before the router asked whether it was alive, and a status check names the id alone. At a port that was being closed a connection could also fail at once without being refused, and counted as silence.

Change: a model worker is asked for its report, which tells when it started, and takes no slot, so that the end of a stream doesn't wait for one either. A connection that fails otherwise than refused is tried again, as one that is reset.

--- a/src/fleet/request_codec.hpp
+++ b/src/fleet/request_codec.hpp
@@ -1,11 +1,14 @@
 #ifndef BORAGEHILL_FLEET_REQUEST_CODEC_HPP
 #define BORAGEHILL_FLEET_REQUEST_CODEC_HPP
 
+#include <string>
+
 #include <boragehill/result.hpp>
 
 #include "fleet/answer_fields.hpp"
 #include "fleet/request_fields.hpp"
 #include "fleet/send_fields.hpp"
+#include "fleet/worker_report.hpp"
 #include "http/header_list.hpp"
 
 namespace boragehill::fleet {
@@ -38,6 +41,13 @@
   virtual bool is_server(const std::string& answered,
                          const std::string& lifetime) const = 0;
 
+  /// \return The target of a call that a model worker answers with its report,
+  ///     without a slot.
+  virtual std::string report_target() const = 0;
+
+  /// Reads such an answer.
+  virtual result<worker_report> read_report(const std::string& body) const = 0;
+
   /// Adds the caller's attempt to an answer that the system makes itself.
   virtual void name_attempt(http::header_list& headers,
                             const request_fields& request) const = 0;
--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -82,7 +82,7 @@
         if (failed) {
           const bool refused = failed == asio::error::connection_refused;
           return self->fail(refused ? call_failure::refused
-                                    : call_failure::not_sent);
+                                    : call_failure::unconnected);
         }
         self->connected = true;
         kernel::set_socket_options(self->socket);
--- a/src/http/call_failure.hpp
+++ b/src/http/call_failure.hpp
@@ -10,6 +10,8 @@
   not_sent,
   /// Nobody listens at the peer's port.
   refused,
+  /// The connection failed otherwise, as at a port that is being closed.
+  unconnected,
   /// Not a byte came.
   no_response,
   /// The connection ended in the middle of the response.
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -269,6 +269,9 @@
   void probe_ends(const std::string& server);
   void probe_ends_later(const std::string& server);
   void on_ends_probed(const std::string& server, decide::probe_outcome outcome);
+  /// Marks a server as replaced if another lifetime answered, by the id or by
+  /// the start that the answer tells.
+  bool is_answer_of(server_state& server, const http::whole_answer& answer);
   decide::probe_outcome outcome_of(const std::string& server,
                                    const result<http::whole_answer>& answer,
                                    http::call_failure failure);
--- a/src/serve/dispatcher_ends.cpp
+++ b/src/serve/dispatcher_ends.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "fleet/request_codec.hpp"
 #include "http/call_connection.hpp"
 #include "http/head_text.hpp"
 #include "kernel/event_log.hpp"
@@ -60,7 +61,11 @@
       found == this->servers.end()
           ? nullptr
           : this->known_catalog->find_service(found->second.entry.service);
-  if (!service || service->health_path.empty()) {
+  // A report tells when its server started, and needs no slot.
+  const auto target = !service              ? std::string()
+                      : service->has_engine ? this->headers.report_target()
+                                            : service->health_path;
+  if (target.empty()) {
     return this->on_ends_probed(server, decide::probe_outcome::alive);
   }
   const auto& address = found->second.entry.address;
@@ -69,13 +74,13 @@
   headers.add("Connection", "close");
   const auto call =
       std::make_shared<http::call_connection>(this->context, address);
-  call->call(
-      http::request_head("GET", service->health_path, headers), probe_limit,
-      [this, call, server](const result<http::whole_answer>& answer) {
-        const auto outcome = this->outcome_of(server, answer, call->failure());
-        call->close();
-        this->on_ends_probed(server, outcome);
-      });
+  call->call(http::request_head("GET", target, headers), probe_limit,
+             [this, call, server](const result<http::whole_answer>& answer) {
+               const auto outcome =
+                   this->outcome_of(server, answer, call->failure());
+               call->close();
+               this->on_ends_probed(server, outcome);
+             });
 }
 
 decide::probe_outcome dispatcher::outcome_of(
@@ -84,19 +89,30 @@
   const auto found = this->servers.find(server);
   if (answer) {
     const bool same = found == this->servers.end() ||
-                      this->check_lifetime(found->second, answer.value().head);
+                      this->is_answer_of(found->second, answer.value());
     return same ? decide::probe_outcome::alive : decide::probe_outcome::gone;
   }
   switch (failure) {
     case http::call_failure::refused:
       return decide::probe_outcome::gone;
     case http::call_failure::cut_off:
+    case http::call_failure::unconnected:
       return decide::probe_outcome::reset;
     default:
       return decide::probe_outcome::silent;
   }
 }
 
+bool dispatcher::is_answer_of(server_state& server,
+                              const http::whole_answer& answer) {
+  if (!this->check_lifetime(server, answer.head)) return false;
+  // A status check holds no report.
+  const auto report = this->headers.read_report(answer.body);
+  if (!report || server.entry.may_have_sent(report.value())) return true;
+  this->mark_replaced(server, "report");
+  return false;
+}
+
 void dispatcher::on_ends_probed(const std::string& server,
                                 decide::probe_outcome outcome) {
   auto& probe = this->end_probes[server];
