Leave a server that asked for rest alone when its streams end

The probe that confirms the end of a stream without a frame went to servers that want nothing from this router for a while, which other probes respect. By reading; no test shows it.

Evidence: killed_worker_test and resting_server_test pass.

--- a/src/serve/dispatcher_ends.cpp
+++ b/src/serve/dispatcher_ends.cpp
@@ -65,7 +65,10 @@
   const auto target = !service              ? std::string()
                       : service->has_engine ? this->headers.report_target()
                                             : service->health_path;
-  if (target.empty()) {
+  // A server that asked for rest is left alone.
+  const bool rests =
+      this->resting.until(server, time_point::clock::now()).has_value();
+  if (target.empty() || rests) {
     return this->on_ends_probed(server, decide::probe_outcome::alive);
   }
   const auto& address = found->second.entry.address;
