--- a/src/decide/end_confirmation.cpp
+++ b/src/decide/end_confirmation.cpp
@@ -1,13 +1,8 @@
 #include "decide/end_confirmation.hpp"
 
-namespace boragehill::decide {
-
-namespace {
+#include "decide/port_closing_time.hpp"
 
-/// The port of a process that was killed is closed within this.
-constexpr milliseconds max_port_closing_time{500};
-
-}  // namespace
+namespace boragehill::decide {
 
 confirmation_step judge_probe(probe_outcome outcome, milliseconds waited) {
   switch (outcome) {
--- a/src/decide/planned_worker.hpp
+++ b/src/decide/planned_worker.hpp
@@ -58,6 +58,11 @@
     return this->list_entry.draining || (this->report && this->report->leaving);
   }
 
+  /// \param software The version that is asked for; empty for any.
+  bool has_software(const std::string& software) const {
+    return software.empty() || this->list_entry.software == software;
+  }
+
   /// \return True if the model is loaded and is in the target.
   bool serves(const std::string& model) const;
 
--- a/src/decide/residency_adapters.cpp
+++ b/src/decide/residency_adapters.cpp
@@ -36,7 +36,7 @@
   std::size_t fewest = 0;
   for (auto& [id, worker] : this->workers_by_id) {
     if (!worker.serves(model) || worker.is_draining()) continue;
-    if (!software.empty() && worker.list_entry.software != software) continue;
+    if (!worker.has_software(software)) continue;
     if (worker.list_entry.service != service.name ||
         !this->is_responsive(worker, now)) {
       continue;
--- a/src/decide/residency_bound.cpp
+++ b/src/decide/residency_bound.cpp
@@ -31,7 +31,7 @@
   return std::any_of(this->workers_by_id.begin(), this->workers_by_id.end(),
                      [&](const auto& item) {
                        const auto& worker = item.second;
-                       return worker.list_entry.software == software &&
+                       return worker.has_software(software) &&
                               !worker.is_draining() &&
                               this->is_responsive(worker, now) &&
                               worker.has_target_model(model);
--- a/src/decide/residency_planner.cpp
+++ b/src/decide/residency_planner.cpp
@@ -329,7 +329,7 @@
     if (worker.list_entry.service != service.name || worker.is_draining() ||
         worker.is_rate_limited)
       continue;
-    if (!software.empty() && worker.list_entry.software != software) continue;
+    if (!worker.has_software(software)) continue;
     if (!this->is_responsive(worker, now) ||
         worker.total_in_flight > max_in_flight)
       continue;
--- a/src/decide/stall_detector.cpp
+++ b/src/decide/stall_detector.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "decide/port_closing_time.hpp"
+
 namespace boragehill::decide {
 
 namespace {
@@ -15,10 +17,6 @@
 /// A server that responds to probes but not to requests is probed at growing
 /// intervals, up to 200 ms * 2^4, so that it is in use for a tenth of the time.
 constexpr int max_doublings = 4;
-/// Upper bound of the time from the end of a killed process's connections to
-/// the end of its listening socket. A scheduler that is overloaded takes some
-/// tens of milliseconds.
-constexpr milliseconds max_port_closing_time{500};
 
 }  // namespace
 
--- a/src/fleet/route.hpp
+++ b/src/fleet/route.hpp
@@ -33,6 +33,11 @@
   std::vector<route_target> targets;
 
   bool operator==(const route&) const = default;
+
+  /// \return True if its responses are event streams that may be resumed.
+  bool is_resumable_stream() const {
+    return this->rule == repeat_rule::stream && this->resumable;
+  }
 };
 
 }  // namespace boragehill::fleet
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -188,8 +188,11 @@
 
 void dispatcher::place(const std::shared_ptr<exchange>& request) {
   const bool is_new = !request->sends().was_attempted();
-  if (is_new && request->takes_up_stream()) this->bind_version(*request);
-  const auto barred = this->barred(*request, time_point::clock::now());
+  const auto now = time_point::clock::now();
+  if (is_new && request->takes_up_stream()) {
+    this->bind_version(*request, this->binding_of(*request, now), now);
+  }
+  const auto barred = this->barred(*request, now);
   if (barred) {
     return request->refuse(barred->code, barred->reason, barred->retry_after);
   }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -144,11 +144,12 @@
     milliseconds retry_after;
   };
 
-  /// Decides at which software version a stream that its caller takes up again
-  /// goes on.
-  void bind_version(exchange& request);
+  /// \return At which software version a stream that its caller takes up again
+  ///     goes on.
   decide::version_binding binding_of(const exchange& request,
                                      time_point now) const;
+  void bind_version(exchange& request, const decide::version_binding& bound,
+                    time_point now);
   decide::planner_word planner_word_on(const std::string& stream) const;
   /// Decides it anew for the waiting requests that await the planner's word.
   void settle_versions();
@@ -253,6 +254,11 @@
   bool is_movable(const exchange& request, time_point now);
   /// \return The request as the judge of its waiting sees it.
   decide::wait_state waiting_of(const exchange& request, time_point now) const;
+  using server_call_receiver = std::function<void(
+      const result<http::whole_answer>&, http::call_failure)>;
+  /// Makes a call to a server on a connection of its own.
+  void call_server(const endpoint& address, const std::string& target,
+                   milliseconds limit, server_call_receiver receive);
   void ask(server_state& server);
   /// Marks a server as replaced if another lifetime answered.
   /// \return False if one did.
--- a/src/serve/dispatcher_ends.cpp
+++ b/src/serve/dispatcher_ends.cpp
@@ -6,9 +6,8 @@
 #include <memory>
 #include <utility>
 
+#include "decide/port_closing_time.hpp"
 #include "fleet/request_codec.hpp"
-#include "http/call_connection.hpp"
-#include "http/head_text.hpp"
 #include "kernel/event_log.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
@@ -17,9 +16,10 @@
 
 namespace {
 
-/// The port of a process that was killed takes connections for half a second at
-/// most, and resets them.
-constexpr milliseconds probe_limit{600};
+/// The port of a process that was killed resets what it takes until it closes;
+/// this is longer.
+constexpr milliseconds probe_limit =
+    decide::max_port_closing_time + milliseconds(100);
 /// Between two probes of a port that may be closing.
 constexpr milliseconds probe_pause{50};
 
@@ -71,19 +71,12 @@
   if (target.empty() || rests) {
     return this->on_ends_probed(server, decide::probe_outcome::alive);
   }
-  const auto& address = found->second.entry.address;
-  http::header_list headers;
-  headers.add("Host", address.to_string());
-  headers.add("Connection", "close");
-  const auto call =
-      std::make_shared<http::call_connection>(this->context, address);
-  call->call(http::request_head("GET", target, headers), probe_limit,
-             [this, call, server](const result<http::whole_answer>& answer) {
-               const auto outcome =
-                   this->outcome_of(server, answer, call->failure());
-               call->close();
-               this->on_ends_probed(server, outcome);
-             });
+  this->call_server(found->second.entry.address, target, probe_limit,
+                    [this, server](const result<http::whole_answer>& answer,
+                                   http::call_failure failure) {
+                      this->on_ends_probed(
+                          server, this->outcome_of(server, answer, failure));
+                    });
 }
 
 decide::probe_outcome dispatcher::outcome_of(
--- a/src/serve/dispatcher_silence.cpp
+++ b/src/serve/dispatcher_silence.cpp
@@ -193,17 +193,26 @@
     return;
   }
   server.silence.on_probe_sent();
+  const auto asked = time_point::clock::now();
+  this->call_server(
+      server.entry.address, service->health_path, question_limit,
+      [this, id = server.entry.id, asked](
+          const result<http::whole_answer>& answer, http::call_failure) {
+        this->on_question_ended(id, answer, asked);
+      });
+}
+
+void dispatcher::call_server(const endpoint& address, const std::string& target,
+                             milliseconds limit, server_call_receiver receive) {
   http::header_list headers;
-  headers.add("Host", server.entry.address.to_string());
+  headers.add("Host", address.to_string());
   headers.add("Connection", "close");
-  const auto asked = time_point::clock::now();
-  const auto call = std::make_shared<http::call_connection>(
-      this->context, server.entry.address);
-  call->call(http::request_head("GET", service->health_path, headers),
-             question_limit,
-             [this, call, id = server.entry.id,
-              asked](const result<http::whole_answer>& answer) {
-               this->on_question_ended(id, answer, asked);
+  const auto call =
+      std::make_shared<http::call_connection>(this->context, address);
+  call->call(http::request_head("GET", target, headers), limit,
+             [call, receive = std::move(receive)](
+                 const result<http::whole_answer>& answer) {
+               receive(answer, call->failure());
                call->close();
              });
 }
--- a/src/serve/dispatcher_streams.cpp
+++ b/src/serve/dispatcher_streams.cpp
@@ -59,11 +59,11 @@
   return decide::bind_version(known);
 }
 
-void dispatcher::bind_version(exchange& request) {
-  const auto now = time_point::clock::now();
+void dispatcher::bind_version(exchange& request,
+                              const decide::version_binding& bound,
+                              time_point now) {
   const auto& stream = request.fields().resumed_attempt;
   const auto origin = this->streams.find(stream, now);
-  const auto bound = this->binding_of(request, now);
   if (origin && !decide::is_unknown(bound)) {
     request.use_service(origin->service);
   }
@@ -97,10 +97,11 @@
   }
   const auto now = time_point::clock::now();
   for (const auto& each : awaiting) {
-    if (decide::is_awaited(this->binding_of(*each, now))) continue;
+    const auto bound = this->binding_of(*each, now);
+    if (decide::is_awaited(bound)) continue;
     // It may go on at another service, and wait in that one's line.
     this->withdraw(*each);
-    this->bind_version(*each);
+    this->bind_version(*each, bound, now);
     this->seek_server(each);
   }
   this->unknown_streams.clear();
@@ -119,10 +120,9 @@
 void dispatcher::note_stream(const exchange& request,
                              const std::string& software, time_point now) {
   const auto& route = *request.route();
-  const bool may_resume =
-      route.rule == fleet::repeat_rule::stream && route.resumable;
   const auto& stream = stream_of(request);
-  if (!may_resume || stream.empty() || stream.size() > longest_name) return;
+  const bool has_name = !stream.empty() && stream.size() <= longest_name;
+  if (!route.is_resumable_stream() || !has_name) return;
   const decide::stream_origin origin{.service = request.service(),
                                      .software = software,
                                      .lifetime = lifetime_of_streams(route)};
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -222,8 +222,7 @@
 }
 
 bool exchange::takes_up_stream() const {
-  return this->way->rule == fleet::repeat_rule::stream &&
-         this->way->resumable && this->asked.last_event;
+  return this->way->is_resumable_stream() && this->asked.last_event;
 }
 
 bool exchange::may_use(const std::string& service) const {
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -402,9 +402,9 @@
     const bool same_parts =
         !add_suspects(crashing_parts, each.crashing_parts,
                       {update.quarantined_parts, update.suspected_parts}, now);
-    // A router may have two links for a moment; one of them gets its tokens.
     this->answer_streams(each, update, now);
     this->share_streams(each, update, now);
+    // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
