--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -5,7 +5,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <string_view>
 #include <sys/socket.h>
 #include <thread>
@@ -29,9 +28,6 @@
 constexpr int metrics_port_offset = 4;
 constexpr int worker_port_offset = 5;
 constexpr int proxy_port_offset = 6;
-/// A worker of the stand-in holds this many models.
-constexpr int places = 2;
-constexpr double weights_mb = 70000;
 
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
@@ -199,77 +195,6 @@
   }
 }
 
-void small_fleet::configure(std::int64_t version, const std::string& prefix,
-                            std::optional<int> models, std::size_t padding,
-                            bool status_check) {
-  Json::Value config;
-  if (padding > 0) config["padding"] = std::string(padding, 'x');
-  config["version"] = Json::Int64(version);
-  Json::Value stream;
-  stream["name"] = "r-stream";
-  stream["host"] = "valves.example";
-  stream["prefix"] = "/stream/";
-  stream["kind"] = "stream";
-  stream["timeoutMs"] = 10000;
-  stream["sloMs"] = 500;
-  stream["service"] = "assist";
-  stream["attempts"] = 1;
-  Json::Value plain = stream;
-  plain["name"] = "r-plain";
-  plain["prefix"] = prefix;
-  plain["kind"] = "non_idempotent";
-  plain["service"] = "sheets";
-  config["routes"].append(stream);
-  config["routes"].append(plain);
-  Json::Value resumable = stream;
-  resumable["name"] = "r-resumable";
-  resumable["prefix"] = "/stream/r/";
-  resumable["resumable"] = true;
-  resumable["attempts"] = 2;
-  config["routes"].append(resumable);
-  Json::Value lookup = plain;
-  lookup["name"] = "r-lookup";
-  lookup["prefix"] = "/lookup/";
-  lookup["kind"] = "idempotent";
-  lookup["attempts"] = 2;
-  config["routes"].append(lookup);
-  Json::Value assist;
-  assist["name"] = "assist";
-  assist["maxConns"] = 100;
-  auto& engine = assist["engine"];
-  engine["weightsMb"] = weights_mb * places + 1;
-  engine["adapterSlots"] = 2;
-  engine["slots"] = 8;
-  engine["loadsPerS"] = 10;
-  if (status_check) assist["healthPath"] = "/healthz";
-  for (int each = 1; each <= models.value_or(this->models); ++each) {
-    Json::Value model;
-    model["name"] = numbered("model", each);
-    model["weightsMb"] = weights_mb;
-    model["adapterMb"] = 0.1;
-    model["adapters"] = 3;
-    model["loadS"] = 2;
-    model["diskS"] = 0.3;
-    model["warmS"] = 0.1;
-    engine["models"].append(model);
-  }
-  Json::Value sheets;
-  sheets["name"] = "sheets";
-  sheets["maxConns"] = 100;
-  config["services"].append(assist);
-  config["services"].append(sheets);
-  auto& limits = config["limits"];
-  limits["maxHeaderBytes"] = 2048;
-  limits["maxBodyBytes"] = 4096;
-  limits["headerTimeoutMs"] = 400;
-  limits["idleTimeoutMs"] = 1500;
-  Json::Value call;
-  call["table"] = "op";
-  call["key"] = "config";
-  call["value"] = absl::Base64Escape(kernel::write_json(config));
-  this->post("store", "/standin/put", kernel::write_json(call));
-}
-
 void small_fleet::post(const std::string& standin, const std::string& path,
                        const std::string& body) {
   const int offset =
@@ -480,57 +405,6 @@
   (*this)[name].start();
 }
 
-std::string small_fleet::keep_logs(const std::string& name) const {
-  auto kept = this->folder + "-" + name;
-  std::filesystem::copy(this->folder, kept,
-                        std::filesystem::copy_options::overwrite_existing |
-                            std::filesystem::copy_options::recursive);
-  return kept;
-}
-
-std::vector<invariants::service_event> small_fleet::logged(
-    const std::string& what) const {
-  std::vector<invariants::service_event> events;
-  for (const auto& each : std::filesystem::directory_iterator(this->folder)) {
-    std::ifstream log(each.path());
-    std::string line;
-    while (std::getline(log, line)) {
-      if (!line.starts_with(what + " ")) continue;
-      std::istringstream fields(line.substr(what.size() + 1));
-      invariants::service_event event;
-      std::int64_t at_ms = 0;
-      if (!(fields >> event.attempt >> at_ms >> event.service)) continue;
-      fields >> event.software;
-      event.at = time_point(milliseconds(at_ms));
-      events.push_back(std::move(event));
-    }
-  }
-  return events;
-}
-
-std::vector<invariants::service_event> small_fleet::logged_runs() const {
-  return this->logged("ran");
-}
-
-std::vector<invariants::service_event> small_fleet::logged_arrivals() const {
-  return this->logged("arrived");
-}
-
-std::map<std::string, int> small_fleet::all_runs() const {
-  std::map<std::string, int> runs;
-  for (const auto& each : this->logged_runs()) ++runs[each.attempt];
-  return runs;
-}
-
-std::map<std::string, std::set<std::string>> small_fleet::event_writers()
-    const {
-  std::map<std::string, std::set<std::string>> writers;
-  for (const auto& each : this->logged("began")) {
-    writers[each.attempt].insert(each.software);
-  }
-  return writers;
-}
-
 void small_fleet::replace_plain(int number, const std::string& id) {
   const auto name = numbered("plain", number);
   (*this)[name].kill();
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -141,6 +141,9 @@
   std::string planner();
 
  private:
+  /// Models that a worker of the stand-in holds.
+  static constexpr int places = 2;
+
   /// \return The lines of all servers' logs that tell so of an attempt.
   std::vector<invariants::service_event> logged(const std::string& what) const;
   /// \return A number among a router's metrics; nothing if it tells none.
--- a/test/fleet-test/software_version_test.cpp
+++ b/test/fleet-test/software_version_test.cpp
@@ -3,7 +3,6 @@
 #include <deque>
 #include <gtest/gtest.h>
 #include <set>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -53,19 +52,9 @@
   std::vector<std::thread> threads;
 };
 
-std::vector<int> event_ids(const std::string& events) {
-  std::vector<int> ids;
-  std::istringstream lines(events);
-  const std::string mark = "id: ";
-  for (std::string line; std::getline(lines, line);) {
-    if (line.starts_with(mark)) ids.push_back(std::stoi(line.substr(4)));
-  }
-  return ids;
-}
-
 bool is_whole(const stream_caller& caller) {
   static const std::vector<int> ids{1, 2, 3, 4, 5, 6, 7, 8};
-  return caller.is_complete() && event_ids(caller.events()) == ids;
+  return caller.is_complete() && caller.event_ids() == ids;
 }
 
 int count_whole(const stream_callers& callers) {
@@ -174,9 +163,8 @@
     slow_events(this->fleet, workers);
   }
 
-  /// Kills a router under the streams.
-  /// \param plans Whether it is the one that plans.
-  /// \param worker One that is killed as well; none if empty.
+  /// Kills the router that plans, or the other one, and a worker if one is
+  /// named, under the streams.
   void play(bool plans, const std::string& worker = {}) {
     const killed_router routers(this->fleet, plans);
     this->callers.call(this->fleet.caller_address(routers.killed));
--- a/test/fleet-test/stream_caller.cpp
+++ b/test/fleet-test/stream_caller.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <httplib.h>
+#include <sstream>
 #include <utility>
 
 namespace boragehill::fleet_test {
@@ -37,7 +38,8 @@
       {"Boragehill-Model", this->model},
       {"Boragehill-Deadline-Ms", std::to_string(this->deadline.count())}};
   if (!this->received.empty()) {
-    request.headers.emplace("Last-Event-Id", this->last_event());
+    request.headers.emplace("Last-Event-Id",
+                            std::to_string(this->event_ids().back()));
     request.headers.emplace("Resumes", this->begun_attempt);
   }
   std::string body;
@@ -63,10 +65,15 @@
   this->received += body.substr(0, end + event_end_size);
 }
 
-std::string stream_caller::last_event() const {
+std::vector<int> stream_caller::event_ids() const {
   const std::string mark = "id: ";
-  const auto begin = this->received.rfind(mark) + mark.size();
-  return this->received.substr(begin, this->received.find('\n', begin) - begin);
+  std::vector<int> ids;
+  std::istringstream lines(this->received);
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with(mark)) continue;
+    ids.push_back(std::stoi(line.substr(mark.size())));
+  }
+  return ids;
 }
 
 }  // namespace boragehill::fleet_test
--- a/test/fleet-test/stream_caller.hpp
+++ b/test/fleet-test/stream_caller.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include <boragehill/endpoint.hpp>
 
@@ -26,6 +27,8 @@
   const std::string& try_attempt() const { return this->last_attempt; }
   /// \return All complete events, over all tries.
   const std::string& events() const { return this->received; }
+  /// \return The ids of these events, as they came.
+  std::vector<int> event_ids() const;
   /// \return True if the last try's response was a success that ended in order.
   bool is_complete() const { return this->complete; }
   /// \return The status of the last try; 0 if none came.
@@ -34,8 +37,6 @@
   bool was_connected() const { return this->connected; }
 
  private:
-  std::string last_event() const;
-
   std::string first_attempt;
   std::string last_attempt;
   /// Of the try that brought the first event.
--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -81,12 +81,11 @@
 
 stream_record record_of(const fleet_test::stream_caller& caller, int tries) {
   stream_record seen{.attempt = caller.attempt(),
+                     .events = caller.event_ids(),
                      .tries = tries,
                      .complete = caller.is_complete()};
   std::istringstream lines(caller.events());
   for (std::string line; std::getline(lines, line);) {
-    if (line.starts_with("id: "))
-      seen.events.push_back(std::stoi(line.substr(4)));
     if (line.starts_with("data: ")) {
       seen.versions.insert(line.substr(line.rfind(' ') + 1));
     }
@@ -98,8 +97,7 @@
 call_record ask(fleet_test::stream_caller& caller, const endpoint& router) {
   const auto begin = steady_clock::now();
   const auto had = caller.events().size();
-  const bool had_all =
-      record_of(caller, 0).events.size() == stream_record::whole;
+  const bool had_all = caller.event_ids().size() == stream_record::whole;
   caller.call(router);
   constexpr int ok_status = 200;
   const bool broken_off = caller.status() == ok_status && !caller.is_complete();
