--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -6,6 +6,7 @@
 #include "decide/quarantine_ages.hpp"
 #include "fleet/quarantine_row.hpp"
 #include "kernel/event_log.hpp"
+#include "kernel/fingerprint.hpp"
 #include "kernel/wall_clock.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
@@ -19,6 +20,8 @@
 constexpr auto by_planner = "planner";
 constexpr auto by_own_count = "own count";
 constexpr auto by_store = "store";
+/// Of a target in a line of the log.
+constexpr std::size_t max_logged_target = 200;
 
 void log_requests(const std::vector<std::string>& quarantined, const char* by) {
   for (const auto& each : quarantined) {
@@ -62,11 +65,18 @@
       request.server(), {{request.fingerprint(), {.ran = ran}}}, now);
   this->prompt_parts.on_interrupted(request.server(),
                                     decide::sightings_of(parts), now);
+  const auto& what = request.request();
+  const auto* host = what.head.headers.find("Host");
   kernel::log_event(kernel::event::striked,
                     {{"request", request.fields().attempt},
                      {"server", request.server()},
                      {"fingerprint", request.fingerprint()},
-                     {"parts", absl::StrJoin(parts, ",")}});
+                     {"parts", absl::StrJoin(parts, ",")},
+                     {"caller", what.caller},
+                     {"method", what.head.method},
+                     {"host", host ? *host : std::string()},
+                     {"target", what.head.target.substr(0, max_logged_target)},
+                     {"body", kernel::fingerprint_of({what.body})}});
   this->judge_crashes(now);
 }
 
