Take back no crash of a server that is known to have ended

What callers saw: a request that ends workers was refused after the third crash only if they came within the seconds that a worker takes to be back.

Cause: a crash of a whole request counts at once, and is taken back when the server responds later, since its response may only have broken off. An agent reports for whatever worker stands at its address; until the store lists the next lifetime, its reports are taken for the one before. So each worker that was back took its crash off the count. Crashes of prompt parts aren't taken back once the end is confirmed by agent, list or a refused connection; the same holds for whole requests now.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -16,7 +16,7 @@
     known = this->servers
                 .emplace(server,
                          server_entry{.interrupted_at = now - age,
-                                      .ended = !this->settings.confirms_end})
+                                      .counted = !this->settings.confirms_end})
                 .first;
   }
   sighting_map added;
@@ -24,7 +24,7 @@
     if (known->second.suspects.size() >= max_suspects_of_server) break;
     if (known->second.suspects.insert(each).second) added.insert(each);
   }
-  if (!known->second.ended) return;
+  if (!known->second.counted) return;
   // One that runs on may interrupt others long before it crashes.
   const auto at =
       this->settings.confirms_end ? known->second.interrupted_at : now - age;
@@ -36,6 +36,7 @@
   const auto known = this->servers.find(server);
   if (known == this->servers.end() || known->second.ended) return;
   known->second.ended = true;
+  if (std::exchange(known->second.counted, true)) return;
   this->add_crash(server, known->second, known->second.suspects,
                   known->second.interrupted_at, now);
 }
@@ -43,10 +44,10 @@
 void crash_suspects::on_server_responded(const std::string& server,
                                          time_point now) {
   const auto known = this->servers.find(server);
-  if (known == this->servers.end()) return;
-  if (known->second.ended && this->settings.confirms_end) return;
+  // After its end another lifetime may respond in its name.
+  if (known == this->servers.end() || known->second.ended) return;
   if (now - known->second.interrupted_at < alive_after) return;
-  if (known->second.ended) this->forget_crash(server);
+  if (known->second.counted) this->forget_crash(server);
   this->servers.erase(known);
 }
 
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -59,7 +59,8 @@
   /// Records that a server's process has ended.
   void on_server_ended(const std::string& server, time_point now);
 
-  /// Records that a server's process still runs.
+  /// Records that a server's process still runs, unless it is known to have
+  /// ended.
   void on_server_responded(const std::string& server, time_point now);
 
   /// Records a complete response with the suspect after its first crash.
@@ -124,6 +125,9 @@
   struct server_entry {
     time_point interrupted_at;
     sighting_map suspects;
+    /// Its crash counts against the suspects.
+    bool counted = false;
+    /// Its process is known to have ended.
     bool ended = false;
   };
   using suspect_map = std::map<std::string, suspect_entry>;
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -72,9 +72,10 @@
 }
 
 void planner_duty::judge_crashes(time_point now) {
-  for (const auto& server : this->crashing_parts.unconfirmed()) {
-    if (!this->has_ended(server)) continue;
-    this->crashing_parts.on_server_ended(server, now);
+  for (auto* each : {&this->crashing_requests, &this->crashing_parts}) {
+    for (const auto& server : each->unconfirmed()) {
+      if (this->has_ended(server)) each->on_server_ended(server, now);
+    }
   }
   for (const auto& request : this->crashing_requests.update(now)) {
     const auto servers = this->crashing_requests.servers_of(request);
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -256,5 +256,19 @@
   EXPECT_EQ(this->first_router.quarantined(this->now), list{poison});
 }
 
+// Guards against crashes that are taken back because another lifetime responds
+// in the name of the server that ended.
+TEST_F(crashing_requests_test, counts_servers_that_ended_and_respond_again) {
+  for (const char* server : {"a", "b", "c"}) {
+    this->interrupt(this->first_router, server);
+    this->pass(milliseconds(100));
+    this->planner.on_server_ended(server, this->now);
+    this->pass(milliseconds(3000));
+    this->planner.on_server_responded(server, this->now);
+  }
+  this->pass(milliseconds(500));
+  EXPECT_TRUE(this->refuses(this->second_router));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
