--- a/test/fleet-test/crashing_request_test.cpp
+++ b/test/fleet-test/crashing_request_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "fleet-test/small_fleet.hpp"
 
@@ -16,6 +17,19 @@
 /// All routers refuse a request within this after its third crash.
 constexpr milliseconds known_everywhere{1000};
 constexpr milliseconds between_calls{150};
+/// So long after its third crash a request may be sent without a limit.
+constexpr milliseconds unlimited_for{3000};
+/// How often it may be sent to servers after that.
+constexpr int most_late_sends = 3;
+
+std::string send_to(small_fleet& fleet, int router, const std::string& attempt,
+                    const std::string& source) {
+  return fleet.raw(router,
+                   "POST /plain/x HTTP/1.1\r\nHost: valves.example\r\n"
+                   "Connection: close\r\nBoragehill-Attempt-Id: " +
+                       attempt + "\r\nContent-Length: 6\r\n\r\npoison",
+                   source);
+}
 
 /// A fleet whose plain servers may be told to end when they get a certain
 /// request, which comes again and again at any router.
@@ -40,12 +54,7 @@
   /// Sends the request once more.
   /// \param source The caller's address; any if empty.
   std::string send(int router, const std::string& source = {}) {
-    return this->fleet.raw(router,
-                           "POST /plain/x HTTP/1.1\r\nHost: valves.example\r\n"
-                           "Connection: close\r\nBoragehill-Attempt-Id: " +
-                               numbered("call", ++this->sent) +
-                               "\r\nContent-Length: 6\r\n\r\npoison",
-                           source);
+    return send_to(this->fleet, router, numbered("call", ++this->sent), source);
   }
 
   void send_everywhere(const std::string& status) {
@@ -143,5 +152,59 @@
   this->send_everywhere("200");
 }
 
+/// A fleet whose plain servers end when they get a certain request, which
+/// several callers send at the same moment.
+class crashing_copies_test : public testing::Test {
+ protected:
+  static constexpr int servers = 14;
+
+  crashing_copies_test()
+      : fleet(routers, 1, servers, 1, 0, false, 1, "poison") {}
+
+  void SetUp() override {
+    ASSERT_TRUE(this->fleet.start());
+    // All copies that are sent at once run when the first server ends.
+    for (int each = 1; each <= servers; ++each) {
+      this->fleet.fault(numbered("plain", each), R"({"kind":"slow","ms":200})");
+    }
+  }
+
+  /// Sends copies at once, each from another address; returns when all have
+  /// their responses.
+  void send_copies(int count) {
+    std::vector<std::thread> callers;
+    for (int each = 0; each < count; ++each) {
+      const auto attempt = numbered("copy", ++this->sent);
+      const auto source = "127.0.77." + std::to_string(this->sent);
+      callers.emplace_back([this, each, attempt, source] {
+        send_to(this->fleet, 1 + each % routers, attempt, source);
+      });
+    }
+    for (auto& each : callers) each.join();
+  }
+
+  int ended() {
+    int count = 0;
+    for (int each = 1; each <= servers; ++each) {
+      if (!this->fleet[numbered("plain", each)].is_running()) ++count;
+    }
+    return count;
+  }
+
+  small_fleet fleet;
+  int sent = 0;
+};
+
+// Guards against copies of a request that end a server each, as all of them are
+// sent before the crash of the first is known.
+TEST_F(crashing_copies_test, sends_few_copies_after_a_crash) {
+  this->send_copies(crash_limit);
+  std::this_thread::sleep_for(unlimited_for);
+  const int early = this->ended();
+  EXPECT_GE(early, 1);
+  this->send_copies(servers - crash_limit);
+  EXPECT_LE(this->ended() - early, most_late_sends);
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
