Send suspected requests one copy at a time

What callers saw: copies of one request waited together, for a model or for a server, and were sent together to the next server that could take them, again and again: many runs of a request that ends servers, though few servers.

Cause: until three crashes are counted a request is sent like any other, and several copies at one crash count once, so nothing holds the copies back.

Hypothesis: if copies of a request that was in flight at two crashes, or in two runs at one, go one after the other over all routers, at most two are sent after the third run has ended a server. Change: routers report how many runs broke off; the planner permits one send a second of each such request, until one completes.

--- a/src/decide/crash_suspect_settings.hpp
+++ b/src/decide/crash_suspect_settings.hpp
@@ -1,6 +1,8 @@
 #ifndef BORAGEHILL_DECIDE_CRASH_SUSPECT_SETTINGS_HPP
 #define BORAGEHILL_DECIDE_CRASH_SUSPECT_SETTINGS_HPP
 
+#include <limits>
+
 #include <boragehill/time_point.hpp>
 
 namespace boragehill::decide {
@@ -13,6 +15,8 @@
   /// Routers are asked for complete responses with a suspect after its second
   /// crash, and have so long to tell of one.
   milliseconds hearing{300};
+  /// They are asked after one crash, too, if it broke off so many runs.
+  int runs_to_ask = std::numeric_limits<int>::max();
 
   bool operator==(const crash_suspect_settings&) const = default;
 };
@@ -22,10 +26,11 @@
 constexpr crash_suspect_settings part_settings{};
 /// For whole requests: few are alike, and nobody may ask a server without a
 /// status check whether it has ended.
-constexpr crash_suspect_settings request_settings{.confirms_end = false};
+constexpr crash_suspect_settings request_settings{.confirms_end = false,
+                                                  .runs_to_ask = 2};
 /// For what one router counts of whole requests: it knows its own responses.
 constexpr crash_suspect_settings own_request_settings{
-    .confirms_end = false, .hearing = milliseconds(0)};
+    .confirms_end = false, .hearing = milliseconds(0), .runs_to_ask = 2};
 
 }  // namespace boragehill::decide
 
--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -7,7 +7,8 @@
 namespace boragehill::decide {
 
 void crash_suspects::on_interrupted(const std::string& server, milliseconds age,
-                                    const sighting_map& found, time_point now) {
+                                    const sighting_map& found, time_point now,
+                                    const std::string& router) {
   this->drop_expired(now);
   if (found.empty()) return;
   auto known = this->servers.find(server);
@@ -29,6 +30,7 @@
   const auto at =
       this->settings.confirms_end ? known->second.interrupted_at : now - age;
   this->add_crash(server, known->second, added, at, now);
+  this->note_runs(server, found, router);
 }
 
 void crash_suspects::on_server_ended(const std::string& server,
@@ -76,7 +78,8 @@
   this->drop_expired(now);
   for (auto& [suspect, known] : this->suspects) {
     if (known.quarantined || known.asked) continue;
-    known.asked = count(known) + 1 >= crash_limit;
+    known.asked = count(known) + 1 >= crash_limit ||
+                  count_runs(known) >= this->settings.runs_to_ask;
     known.asked_at = now;
   }
   std::vector<std::string> found;
@@ -151,6 +154,13 @@
   return found;
 }
 
+bool crash_suspects::is_suspected(const std::string& suspect,
+                                  time_point now) const {
+  const auto found = this->suspects.find(suspect);
+  return found != this->suspects.end() && holds(found->second, now) &&
+         (found->second.asked || found->second.quarantined);
+}
+
 bool crash_suspects::holds(const suspect_entry& known, time_point now) {
   return now - known.recorded_at <= retention;
 }
@@ -171,6 +181,28 @@
   return crashes;
 }
 
+int crash_suspects::count_runs(const suspect_entry& known) {
+  int runs = 0;
+  for (const auto& each : known.crashes) {
+    for (const auto& [router, broken_off] : each.runs) runs += broken_off;
+  }
+  return runs;
+}
+
+void crash_suspects::note_runs(const std::string& server,
+                               const sighting_map& found,
+                               const std::string& router) {
+  for (const auto& [suspect, sighting] : found) {
+    const auto known = this->suspects.find(suspect);
+    if (known == this->suspects.end()) continue;
+    for (auto& each : known->second.crashes) {
+      if (each.server != server) continue;
+      auto& runs = each.runs[router];
+      runs = std::max(runs, sighting.runs);
+    }
+  }
+}
+
 void crash_suspects::add_crash(const std::string& server,
                                const server_entry& known,
                                const sighting_map& found, time_point at,
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -53,8 +53,10 @@
   /// Records responses that a server interrupted. Several routers may report
   /// the same server.
   /// \param age Since the first of them broke off.
+  /// \param router Who reports all of them that it saw there so far.
   void on_interrupted(const std::string& server, milliseconds age,
-                      const sighting_map& found, time_point now);
+                      const sighting_map& found, time_point now,
+                      const std::string& router = {});
 
   /// Records that a server's process has ended.
   void on_server_ended(const std::string& server, time_point now);
@@ -91,6 +93,9 @@
 
   bool is_quarantined(const std::string& suspect, time_point now) const;
 
+  /// \return True if routers are asked about the suspect.
+  bool is_suspected(const std::string& suspect, time_point now) const;
+
   /// \return True if crashes are stored for the suspect.
   bool is_counted(const std::string& suspect) const {
     return this->suspects.contains(suspect);
@@ -112,6 +117,8 @@
     time_point at;
     /// When the first run with the suspect began there, if that is known.
     std::optional<time_point> began;
+    /// Runs with the suspect that broke off there, by router.
+    std::map<std::string, int> runs;
   };
   struct suspect_entry {
     std::vector<crash> crashes;
@@ -133,11 +140,14 @@
   using suspect_map = std::map<std::string, suspect_entry>;
 
   static std::size_t count(const suspect_entry& known);
+  static int count_runs(const suspect_entry& known);
   static bool is_same_crash(time_point last, const crash& next);
   static bool holds(const suspect_entry& known, time_point now);
   /// \param at When the first response broke off there.
   void add_crash(const std::string& server, const server_entry& known,
                  const sighting_map& found, time_point at, time_point now);
+  void note_runs(const std::string& server, const sighting_map& found,
+                 const std::string& router);
   /// \return True if a quarantined suspect was in flight at the server.
   bool is_explained(const server_entry& known) const;
   /// \return The suspects to blame next; several if nothing tells them apart.
--- a/src/decide/interruption_log.cpp
+++ b/src/decide/interruption_log.cpp
@@ -15,6 +15,7 @@
   const auto known = requests.find(request);
   if (known != requests.end()) {
     known->second.ran = std::max(known->second.ran, seen.ran);
+    ++known->second.runs;
   } else if (requests.size() < max_requests) {
     requests.emplace(request, seen);
   }
--- a/src/decide/suspect_guard.cpp
+++ b/src/decide/suspect_guard.cpp
@@ -101,6 +101,12 @@
                      });
 }
 
+bool suspect_guard::is_suspected(const std::string& suspect,
+                                 time_point now) const {
+  return this->linked ? this->suspected.contains(suspect)
+                      : this->own_counts.is_suspected(suspect, now);
+}
+
 std::vector<std::string> suspect_guard::quarantined(time_point now) const {
   auto found = this->own_counts.quarantined(now);
   for (const auto& [suspect, since] : this->refused) {
--- a/src/decide/suspect_guard.hpp
+++ b/src/decide/suspect_guard.hpp
@@ -66,6 +66,10 @@
   bool is_quarantined(const std::vector<std::string>& suspects,
                       time_point now) const;
 
+  /// \return True if the request may crash servers: by the planner, without
+  ///     one by own counts.
+  bool is_suspected(const std::string& suspect, time_point now) const;
+
   /// \return All quarantined suspects, for a new planner.
   std::vector<std::string> quarantined(time_point now) const;
 
--- a/src/decide/suspect_sighting.hpp
+++ b/src/decide/suspect_sighting.hpp
@@ -17,6 +17,8 @@
   std::optional<milliseconds> ran;
   /// How much later than the first response there it broke off.
   milliseconds delay{0};
+  /// How many runs with it broke off there.
+  int runs = 1;
 
   bool operator==(const suspect_sighting&) const = default;
 };
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -72,6 +72,7 @@
     row{event::quarantine_stored, "quarantine_stored", severity::info},
     row{event::stream_taken_up, "stream_taken_up", severity::info},
     row{event::end_judged, "end_judged", severity::info},
+    row{event::suspect_sent, "suspect_sent", severity::info},
     row{event::retry_sent, "retry_sent", severity::info},
     row{event::profile_published, "profile_published", severity::info},
     row{event::profile_conflict, "profile_conflict", severity::warning},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -79,6 +79,7 @@
   quarantine_stored = 617,
   stream_taken_up = 618,
   end_judged = 619,
+  suspect_sent = 620,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -305,6 +305,7 @@
       this->most_connections(request->service()));
   if (!connection) return false;
   if (request->holds_retry()) this->account_retry(*request, server, now);
+  this->account_trial(*request, server, now);
   this->rate_limited.on_sent(server.entry.id, now);
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -32,6 +32,7 @@
 #include "decide/stream_origins.hpp"
 #include "decide/stream_resumption.hpp"
 #include "decide/suspect_guard.hpp"
+#include "decide/trial_permits.hpp"
 #include "decide/windowed_retry_budget.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/quarantine_row.hpp"
@@ -178,6 +179,13 @@
   void on_crash_news(const wire::view_update& update, time_point now);
   /// Quarantines requests and parts of prompts by own counts.
   void judge_crashes(time_point now);
+  /// \return True if the request may crash servers, and other copies of it go
+  ///     first.
+  bool awaits_trial(const exchange& request, time_point now) const;
+  void account_trial(const exchange& request, const server_state& server,
+                     time_point now);
+  /// \return The suspected requests of which copies wait, by fingerprint.
+  std::vector<std::string> wanted_trials(time_point now) const;
   /// Clears a request with a complete response, and the parts of its prompt.
   void clear(const exchange& request);
   /// Forgets servers that are off the list once no request is there any more.
@@ -348,6 +356,7 @@
   decide::interruption_log interruptions;
   decide::suspect_guard crashing_requests{decide::own_request_settings};
   decide::suspect_guard prompt_parts;
+  decide::trial_permits trials;
   /// A new planner hears of what is quarantined with the next report.
   bool tells_quarantined = false;
   decide::shutdown_gate gate;
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -1,6 +1,7 @@
 // What the dispatcher does about requests that crash servers.
 
 #include <absl/strings/str_join.h>
+#include <set>
 #include <utility>
 
 #include "decide/quarantine_ages.hpp"
@@ -85,6 +86,7 @@
   report.interruptions = this->interruptions.take_unreported(now);
   report.cleared_requests = this->crashing_requests.take_cleared();
   report.completed_requests = this->crashing_requests.take_completed_before();
+  report.wanted_trials = this->wanted_trials(now);
   report.cleared_parts = this->prompt_parts.take_cleared();
   report.completed_parts = this->prompt_parts.take_completed_before();
   if (!std::exchange(this->tells_quarantined, false)) return;
@@ -92,6 +94,34 @@
   report.quarantined_parts = this->prompt_parts.quarantined(now);
 }
 
+bool dispatcher::awaits_trial(const exchange& request, time_point now) const {
+  const auto& print = request.fingerprint();
+  return this->crashing_requests.is_suspected(print, now) &&
+         !this->trials.may_send(print, this->planner_linked, now);
+}
+
+void dispatcher::account_trial(const exchange& request,
+                               const server_state& server, time_point now) {
+  const auto& print = request.fingerprint();
+  if (!this->crashing_requests.is_suspected(print, now)) return;
+  this->trials.on_sent(print, now);
+  kernel::log_event(kernel::event::suspect_sent,
+                    {{"request", request.fields().attempt},
+                     {"fingerprint", print},
+                     {"server", server.entry.id},
+                     {"planned", this->planner_linked}});
+}
+
+std::vector<std::string> dispatcher::wanted_trials(time_point now) const {
+  std::set<std::string> wanted;
+  for (const auto& [key, line] : this->lines) {
+    for (const auto& each : line) {
+      if (this->awaits_trial(*each, now)) wanted.insert(each->fingerprint());
+    }
+  }
+  return {wanted.begin(), wanted.end()};
+}
+
 void dispatcher::clear(const exchange& request) {
   const int status = request.result().status;
   if (status < ok_status || status >= first_failure_status) return;
@@ -114,6 +144,7 @@
   if (update.suspected_requests) {
     this->crashing_requests.on_suspected(*update.suspected_requests, now);
   }
+  this->trials.on_granted(update.trials, now);
   if (update.suspected_parts) {
     this->prompt_parts.on_suspected(*update.suspected_parts, now);
   }
--- a/src/serve/dispatcher_waiting.cpp
+++ b/src/serve/dispatcher_waiting.cpp
@@ -22,7 +22,7 @@
 
 bool dispatcher::may_start(const exchange& request, time_point now) const {
   return request.is_wanted(now) && !this->barred(request, now) &&
-         !this->would_be_cut(request, now);
+         !this->awaits_trial(request, now) && !this->would_be_cut(request, now);
 }
 
 bool dispatcher::would_be_cut(const exchange& request, time_point start) const {
@@ -127,6 +127,8 @@
     this->withdraw(*request);
     request->refuse(vain.code, vain.reason, vain.retry_after);
   }
+  // No news of a planner would let a suspected request go on.
+  if (!this->planner_linked) this->serve_waiting();
 }
 
 void dispatcher::begin_stop(time_point until) {
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -47,8 +47,8 @@
                                   const std::string& router, time_point now) {
   for (const auto& each : found.requests) {
     const auto known = this->crashing_requests.servers_of(each.first).size();
-    this->crashing_requests.on_interrupted(found.server, found.age, {each},
-                                           now);
+    this->crashing_requests.on_interrupted(found.server, found.age, {each}, now,
+                                           router);
     const auto servers = this->crashing_requests.servers_of(each.first).size();
     if (servers == known) continue;
     kernel::log_event(kernel::event::crash_counted,
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -140,6 +140,7 @@
   this->rate_limits.on_report(report.router, report.rate_limits,
                               time_point::clock::now());
   this->note_crashes(report);
+  found->second.wanted_trials = std::move(report.wanted_trials);
   this->note_streams(report, found->second);
   this->plan_soon();
 }
@@ -404,13 +405,16 @@
                       {update.quarantined_parts, update.suspected_parts}, now);
     this->answer_streams(each, update, now);
     this->share_streams(each, update, now);
+    update.trials =
+        this->trials.grant(std::exchange(each.wanted_trials, {}), now);
     // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
     if (update.servers.empty() && update.tokens.empty() &&
-        update.grants.empty() && !update.tells_of_streams() && each.greeted &&
-        same && same_limits && same_count && same_requests && same_parts) {
+        update.grants.empty() && update.trials.empty() &&
+        !update.tells_of_streams() && each.greeted && same && same_limits &&
+        same_count && same_requests && same_parts) {
       continue;
     }
     if (!same_limits) {
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -21,6 +21,7 @@
 #include "decide/residency_planner.hpp"
 #include "decide/slot_allocator.hpp"
 #include "decide/stream_origins.hpp"
+#include "decide/trial_grants.hpp"
 #include "fleet/quarantine_row.hpp"
 #include "kernel/event_loop.hpp"
 #include "serve/entry_settings.hpp"
@@ -82,6 +83,8 @@
     std::map<std::string, time_point> expected;
     told_suspects crashing_requests;
     told_suspects crashing_parts;
+    /// Suspected requests that wait there, by its last report.
+    std::vector<std::string> wanted_trials;
     std::map<std::string, decide::rate_limit> rate_limits;
     /// Streams that it asked for and wasn't answered.
     std::set<std::string> wanted_streams;
@@ -162,6 +165,7 @@
   std::map<endpoint, time_point> agent_retry;
   decide::crash_suspects crashing_requests{decide::request_settings};
   decide::crash_suspects crashing_parts;
+  decide::trial_grants trials;
   /// What the store was told last of both.
   std::map<std::string, time_point> stored_requests;
   std::map<std::string, time_point> stored_parts;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -191,6 +191,7 @@
     if (sighting.delay > milliseconds(0)) {
       value["delay_ms"][request] = Json::Int64(sighting.delay.count());
     }
+    if (sighting.runs > 1) value["runs"][request] = sighting.runs;
   }
   for (const auto& [part, sighting] : found.parts) {
     value["parts"][part] = sighting.position;
@@ -203,6 +204,7 @@
                              .age = milliseconds(value["age_ms"].asInt64())};
   const auto& ran = value["ran_ms"];
   const auto& delays = value["delay_ms"];
+  const auto& runs = value["runs"];
   for (const auto& request : kernel::texts_of(value["requests"])) {
     auto& sighting = found.requests[request];
     if (ran.isMember(request)) {
@@ -211,6 +213,7 @@
     if (delays.isMember(request)) {
       sighting.delay = milliseconds(delays[request].asInt64());
     }
+    if (runs.isMember(request)) sighting.runs = runs[request].asInt();
   }
   const auto& parts = value["parts"];
   for (const auto& part : parts.getMemberNames()) {
@@ -282,6 +285,7 @@
   if (!update.unknown_streams.empty()) {
     message["unknown_streams"] = encode_texts(update.unknown_streams);
   }
+  if (!update.trials.empty()) message["trials"] = encode_texts(update.trials);
   if (!update.grants.empty()) {
     message["grants"] = encode_grants(update.grants);
     message["grant_round"] = Json::UInt64(update.grant_round);
@@ -322,6 +326,7 @@
   update.tokens = decode_tokens(message["tokens"]);
   update.streams = decode_streams(message["streams"]);
   update.unknown_streams = kernel::texts_of(message["unknown_streams"]);
+  update.trials = kernel::texts_of(message["trials"]);
   update.grants = decode_grants(message["grants"]);
   update.grant_round = message["grant_round"].asUInt64();
   return update;
@@ -416,6 +421,7 @@
   add("quarantined", report.quarantined);
   add("cleared_requests", report.cleared_requests);
   add("completed_requests", report.completed_requests);
+  add("wanted_trials", report.wanted_trials);
   add("quarantined_parts", report.quarantined_parts);
   add("cleared_parts", report.cleared_parts);
   add("completed_parts", report.completed_parts);
@@ -448,6 +454,7 @@
   report.quarantined = kernel::texts_of(message["quarantined"]);
   report.cleared_requests = kernel::texts_of(message["cleared_requests"]);
   report.completed_requests = kernel::texts_of(message["completed_requests"]);
+  report.wanted_trials = kernel::texts_of(message["wanted_trials"]);
   report.quarantined_parts = kernel::texts_of(message["quarantined_parts"]);
   report.cleared_parts = kernel::texts_of(message["cleared_parts"]);
   report.completed_parts = kernel::texts_of(message["completed_parts"]);
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -24,6 +24,8 @@
   std::vector<std::string> cleared_requests;
   /// Suspected requests with a complete response before it.
   std::vector<std::string> completed_requests;
+  /// Suspected requests that wait here for a permit to be sent.
+  std::vector<std::string> wanted_trials;
   /// Parts of prompts that are quarantined; told as requests are.
   std::vector<std::string> quarantined_parts;
   /// Suspected parts with a complete response after their first crash.
@@ -45,7 +47,7 @@
   bool tells_of_crashes() const {
     return !this->interruptions.empty() || !this->quarantined.empty() ||
            !this->cleared_requests.empty() ||
-           !this->completed_requests.empty() ||
+           !this->completed_requests.empty() || !this->wanted_trials.empty() ||
            !this->quarantined_parts.empty() || !this->cleared_parts.empty() ||
            !this->completed_parts.empty();
   }
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -35,6 +35,8 @@
   /// All requests that may do so, each with the time since the first crash that
   /// counts against it; nothing if they are as last told.
   std::optional<std::map<std::string, milliseconds>> suspected_requests;
+  /// Suspected requests of which this router may send one copy each.
+  std::vector<std::string> trials;
   /// All parts of prompts that crash servers; nothing if they are as last told.
   std::optional<std::vector<std::string>> quarantined_parts;
   /// All parts that may do so, each with the time since the first crash that
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -270,5 +270,41 @@
   EXPECT_TRUE(this->refuses(this->second_router));
 }
 
+// Guards against copies of a request that are all sent after a crash that broke
+// off several of them.
+TEST_F(crashing_requests_test, suspects_a_request_by_copies_at_one_crash) {
+  this->interrupt(this->first_router, "a");
+  this->pass(milliseconds(100));
+  EXPECT_FALSE(this->second_router.is_suspected(poison, this->now));
+  const sighting_map seen{{poison, {.runs = 1}}};
+  this->planner.on_interrupted("a", milliseconds(0), seen, this->now, "second");
+  this->pass(milliseconds(100));
+  EXPECT_TRUE(this->second_router.is_suspected(poison, this->now));
+  EXPECT_FALSE(this->refuses(this->second_router));
+}
+
+// Guards against a sound request whose copies wait for each other for good.
+TEST_F(crashing_requests_test, suspects_no_request_that_completes) {
+  const sighting_map seen{{poison, {.runs = 2}}};
+  this->planner.on_interrupted("a", milliseconds(0), seen, this->now, "second");
+  this->pass(milliseconds(100));
+  EXPECT_TRUE(this->first_router.is_suspected(poison, this->now));
+  this->first_router.on_completed({poison}, this->now);
+  this->pass(milliseconds(200));
+  EXPECT_FALSE(this->first_router.is_suspected(poison, this->now));
+  EXPECT_FALSE(this->second_router.is_suspected(poison, this->now));
+}
+
+// Guards against one run that is reported again and counts as several.
+TEST_F(crashing_requests_test, counts_the_runs_of_each_router_once) {
+  const sighting_map seen{{poison, {.runs = 1}}};
+  for (int each = 0; each < 3; ++each) {
+    this->planner.on_interrupted("a", milliseconds(0), seen, this->now,
+                                 "first");
+    this->pass(milliseconds(100));
+  }
+  EXPECT_FALSE(this->first_router.is_suspected(poison, this->now));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
--- a/test/decide-test/interruption_log_test.cpp
+++ b/test/decide-test/interruption_log_test.cpp
@@ -23,7 +23,7 @@
   const std::vector<interruption> expected{
       {.server = "a",
        .age = milliseconds(25),
-       .requests = {{"one", {.ran = milliseconds(9)}},
+       .requests = {{"one", {.ran = milliseconds(9), .runs = 2}},
                     {"two",
                      {.ran = milliseconds(1), .delay = milliseconds(5)}}},
        .parts = {{"p", {0}}, {"q", {1}}, {"r", {1}}}},
