Break off bytes that belong to nothing and never end

A trailer, of a server's response or of a caller's request, grew in the router's memory until it stopped (540 MB of 400 MB sent; a router may have 160). A chunk extension, or the body of a rejection, was read on until the server stopped.

Cause: the parser counted what it read up to the end of the head only, and what is skipped was counted nowhere.

Change: line ends before a head, chunk extensions and trailers fail once they are twice as long as a head may be; interim responses and responses to other requests after a megabyte; the body of a rejection is left unread after 16 KiB, and its request goes on; responses to our own calls (reports, status checks, the store) after 4 MiB; what a caller sends after its last response after 16 MiB.

Unit tests for parser and calls.

--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -16,6 +16,8 @@
 
 /// The store's answers are at most a megabyte, their heads a few lines.
 constexpr std::size_t max_head_bytes = 16384;
+/// Above what the store's answers take with their values encoded.
+constexpr std::size_t max_body_bytes = 4U << 20U;
 
 }  // namespace
 
@@ -128,6 +130,9 @@
   if (this->progress) this->progress(size);
   if (this->parser.failed()) return this->fail(call_failure::malformed);
   this->body += this->parser.take_body();
+  if (this->body.size() > max_body_bytes) {
+    return this->fail(call_failure::malformed);
+  }
   if (!this->parser.complete()) return this->read();
   const bool too_long = used < size;
   if (too_long) this->why_failed = call_failure::too_long;
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -73,14 +73,26 @@
   static const http_parser_settings calls = make_callbacks();
   if (bytes.empty() || this->message_done || this->broken) return 0;
   this->any_byte = true;
+  const std::size_t held = this->body.size();
   const std::size_t used =
       http_parser_execute(&this->raw, &calls, bytes.data(), bytes.size());
   const auto error = HTTP_PARSER_ERRNO(&this->raw);
   if (this->message_done) return used;
   if (error != HPE_OK || this->raw.upgrade) this->broken = true;
+  this->count_framing(used, this->body.size() - held);
   return used;
 }
 
+void message_parser::count_framing(std::size_t bytes, std::size_t body_bytes) {
+  // Names and values are counted as they are read, separators only here.
+  constexpr std::size_t separator_share = 2;
+  this->framing_bytes = body_bytes > 0 ? 0 : this->framing_bytes + bytes;
+  if (this->framing_bytes > separator_share * this->max_head_bytes) {
+    this->broken = true;
+    this->oversized = !this->head_done;
+  }
+}
+
 bool message_parser::finish() {
   if (this->message_done || this->broken || !this->head_done) return false;
   if (!this->current.unframed) return false;
@@ -99,6 +111,7 @@
   this->value.clear();
   this->last_was_value = true;
   this->head_bytes = 0;
+  this->framing_bytes = 0;
   this->head_done = false;
   this->message_done = false;
   this->broken = false;
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -20,7 +20,9 @@
 ///     if (parser.complete()) parser.next();
 class message_parser {
  public:
-  /// \param max_head_bytes Longer heads fail with `head_too_large()`.
+  /// \param max_head_bytes Longer heads fail with `head_too_large()`. Line ends
+  ///     before a head, chunk extensions and trailers that are twice as long
+  ///     fail, too: nothing else would end them.
   message_parser(message_kind kind, std::size_t max_head_bytes);
 
   message_parser(const message_parser&) = delete;
@@ -64,6 +66,8 @@
   /// \return True for an answer without a length.
   bool has_open_end() const;
   void count_head(std::size_t bytes);
+  /// Counts bytes that were read and hold `body_bytes` of the body.
+  void count_framing(std::size_t bytes, std::size_t body_bytes);
 
   http_parser raw{};
   message_kind kind;
@@ -71,6 +75,8 @@
   message_head current;
   std::string body;
   std::size_t head_bytes = 0;
+  /// Bytes since the last one of the body.
+  std::size_t framing_bytes = 0;
   bool last_was_value = true;
   std::string field;
   std::string value;
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -25,6 +25,9 @@
 /// How long a closing connection still takes bytes, so that its last answer
 /// isn't lost to a reset.
 constexpr milliseconds linger_limit{1000};
+/// A caller that sends more after its last response isn't waited for: it may
+/// never end.
+constexpr std::size_t max_dropped_bytes = 16U << 20U;
 
 constexpr int bad_request_status = 400;
 constexpr int timeout_status = 408;
@@ -86,11 +89,16 @@
 void caller_session::on_bytes(std::size_t size) {
   kernel::process_link_bytes.on_received(size);
   // What comes after the last answer is nobody's.
-  if (this->lingering) return;
+  if (this->lingering) return this->drop_bytes(size);
   this->incoming.append(this->buffer.data(), size);
   this->process();
 }
 
+void caller_session::drop_bytes(std::size_t size) {
+  this->dropped_bytes += size;
+  if (this->dropped_bytes > max_dropped_bytes) this->close();
+}
+
 void caller_session::process() {
   while (!this->current && !this->lingering && !this->incoming.empty()) {
     const bool was_begun = this->parser.begun();
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -70,6 +70,8 @@
   void on_idle();
   void read();
   void on_bytes(std::size_t size);
+  /// Reads on so that the caller gets the last response whole.
+  void drop_bytes(std::size_t size);
   void process();
   bool check_size();
   /// Counts the body's bytes that were read against the memory of all.
@@ -106,6 +108,8 @@
   bool unframed = false;
   bool keep_alive = true;
   bool lingering = false;
+  /// Bytes since the last response.
+  std::size_t dropped_bytes = 0;
   bool closed = false;
 };
 
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -158,6 +158,8 @@
   void drop_server();
   /// Leaves a server that may run it.
   void leave_running();
+  /// Drops a piece of the body of a rejection.
+  void skip_body(std::size_t bytes);
   void note_piece();
   void go_on_reading();
   void answer_began();
@@ -211,6 +213,8 @@
   bool was_held_up = false;
   bool head_passed = false;
   bool not_run_answer = false;
+  /// Of that answer's body.
+  std::size_t skipped_bytes = 0;
   bool misdirected = false;
   bool asked_rest = false;
   bool replaced = false;
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -51,6 +51,7 @@
   this->answer_began();
   if (answer.not_run) {
     this->not_run_answer = true;
+    this->skipped_bytes = 0;
     this->misdirected = answer.misdirected;
     this->asked_rest = answer.rest && *answer.rest >= rest_to_wait_for;
     this->replaced = !answer.server.empty() &&
@@ -105,7 +106,8 @@
 }
 
 void exchange::on_body(const std::string& bytes) {
-  if (this->not_run_answer || this->done) return;
+  if (this->done) return;
+  if (this->not_run_answer) return this->skip_body(bytes.size());
   this->note_piece();
   if (this->small_head) {
     this->small_body += bytes;
@@ -119,6 +121,14 @@
   this->on_broken();
 }
 
+void exchange::skip_body(std::size_t bytes) {
+  this->skipped_bytes += bytes;
+  if (this->skipped_bytes <= small_answer) return;
+  // The head has said all; the rest may never end.
+  this->connection->abort();
+  this->on_end();
+}
+
 decide::response_end exchange::response_end() const {
   return {.unframed = this->unframed,
           .is_event_stream = this->is_event_stream,
--- a/src/serve/server_connection.cpp
+++ b/src/serve/server_connection.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds connect_limit{400};
 /// The heads of answers are a few lines.
 constexpr std::size_t max_head_bytes = 65536;
+/// Interim responses, and those to earlier requests, before the one that
+/// counts.
+constexpr std::size_t max_skipped_bytes = 1U << 20U;
 /// Where the server names no time: some close silent connections early.
 constexpr milliseconds assumed_keep{4000};
 /// Used this much before the server would close it: a close that crosses a
@@ -60,6 +63,7 @@
   this->written = false;
   this->head_told = false;
   this->skipping = false;
+  this->skipped_bytes = 0;
   this->parser.next();
   if (no_body) this->parser.expect_no_body();
   if (this->connected) {
@@ -142,7 +146,12 @@
       if (this->ended) return;
     }
     this->take_body();
-    if (this->ended || !this->parser.complete()) continue;
+    if (this->ended) return;
+    if (interim || this->skipping) {
+      this->skipped_bytes += used;
+      if (this->skipped_bytes > max_skipped_bytes) return this->broken();
+    }
+    if (!this->parser.complete()) continue;
     if (interim || this->skipping) {
       // An answer of an earlier request: ours comes after it, and the
       // connection is not used again.
--- a/src/serve/server_connection.hpp
+++ b/src/serve/server_connection.hpp
@@ -82,6 +82,8 @@
   bool bodiless = false;
   bool head_told = false;
   bool skipping = false;
+  /// Bytes since the request that aren't of its response.
+  std::size_t skipped_bytes = 0;
   bool reusable = true;
   bool paused = false;
   bool reading = false;
--- a/test/fleet-test/crashing_request_test.cpp
+++ b/test/fleet-test/crashing_request_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <string>
@@ -152,6 +153,33 @@
   this->send_everywhere("200");
 }
 
+// Guards against a sound request that many callers send and that is refused
+// since servers were lost under it.
+TEST_F(crashing_request_test,
+       serves_a_popular_request_though_servers_are_lost) {
+  std::atomic<bool> over = false;
+  std::vector<std::thread> callers;
+  for (int each = 0; each < 6; ++each) {
+    callers.emplace_back([this, each, &over] {
+      const auto source = "127.0.77." + std::to_string(each + 1);
+      for (int call = 0; !over; ++call) {
+        const auto attempt = numbered("beside-" + std::to_string(each), call);
+        send_to(this->fleet, 1 + each % routers, attempt, source);
+      }
+    });
+  }
+  this->fleet.fault("plain-4", R"({"kind":"lose_answers","count":1000})");
+  for (int each = 1; each <= crash_limit; ++each) {
+    std::this_thread::sleep_for(between_calls);
+    this->fleet[numbered("plain", each)].kill();
+  }
+  std::this_thread::sleep_for(known_everywhere);
+  this->fleet.fault("plain-4", R"({"kind":"none"})");
+  over = true;
+  for (auto& each : callers) each.join();
+  this->send_everywhere("200");
+}
+
 /// A fleet whose plain servers end when they get a certain request, which
 /// several callers send at the same moment.
 class crashing_copies_test : public testing::Test {
--- a/test/http-test/call_connection_test.cpp
+++ b/test/http-test/call_connection_test.cpp
@@ -50,5 +50,24 @@
   }
 }
 
+// Guards against a body without end that fills the memory of who asked.
+TEST(call_connection_test, breaks_off_a_body_that_is_too_long) {
+  constexpr std::size_t too_long = 8U << 20U;
+  test::scripted_server server(
+      {.bytes = "HTTP/1.1 200 OK\r\n\r\n" + std::string(too_long, 'x')});
+  asio::io_context context;
+  const auto call =
+      std::make_shared<call_connection>(context, server.address());
+  std::optional<result<whole_answer>> got;
+  const auto begin = time_point::clock::now();
+  call->call("GET /x HTTP/1.1\r\n\r\n", limit,
+             [&got](const result<whole_answer>& answer) { got = answer; });
+  context.run();
+  ASSERT_FALSE(*got);
+  EXPECT_EQ(call->failure(), call_failure::malformed);
+  EXPECT_LT(call->received(), too_long);
+  EXPECT_LT(time_point::clock::now() - begin, limit);
+}
+
 }  // namespace
 }  // namespace boragehill::http
--- a/test/http-test/message_parser_test.cpp
+++ b/test/http-test/message_parser_test.cpp
@@ -97,5 +97,36 @@
   EXPECT_TRUE(parser.complete());
 }
 
+// Guards against bytes without end that belong neither to the head nor to the
+// body, and that fill the memory or keep the connection for good.
+TEST(message_parser_test, refuses_framing_without_end) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+  for (const std::string& begin :
+       {std::string(), head + "0\r\n", head + "0\r\na: ", head + "2;x="}) {
+    message_parser parser(message_kind::answer, head_limit);
+    parser.feed(begin);
+    const std::string piece = begin.ends_with("0\r\n") ? "a: b\r\n"
+                              : begin.empty()          ? "\r\n"
+                                                       : "y";
+    std::size_t fed = 0;
+    while (!parser.failed() && fed <= 3 * head_limit) {
+      fed += parser.feed(piece);
+    }
+    EXPECT_TRUE(parser.failed()) << begin;
+  }
+}
+
+TEST(message_parser_test, reads_many_chunks_and_a_trailer) {
+  message_parser parser(message_kind::answer, head_limit);
+  parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (std::size_t each = 0; each < head_limit; ++each) {
+    parser.feed("1\r\nx\r\n");
+  }
+  parser.feed("0\r\nChecksum: 1\r\n\r\n");
+  EXPECT_TRUE(parser.complete());
+  EXPECT_EQ(parser.take_body(), std::string(head_limit, 'x'));
+}
+
 }  // namespace
 }  // namespace boragehill::http
