--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -368,7 +368,7 @@
   (*this)[name].kill();
   std::vector<std::string> flags{
       this->disk_flag(),
-      "--register_delay_ms=" + std::to_string(register_delay.count())};
+      "--register_ms=" + std::to_string(register_delay.count())};
   const auto set = this->versions.find(number);
   if (set != this->versions.end()) flags.push_back("--software=" + set->second);
   this->add_worker(name, id, flags);
