Count each run that breaks off where a router counts by itself

Without a planner a router suspected a request only after its second crash, not after two of its runs had broken off at one: its own counts took each of them for the same report. suspects_a_request_by_its_own_copies failed before. Reports of one crash are bounded.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -8,7 +8,7 @@
 
 void crash_suspects::on_interrupted(const std::string& server, milliseconds age,
                                     const sighting_map& found, time_point now,
-                                    const std::string& router) {
+                                    const std::string& report) {
   this->drop_expired(now);
   if (found.empty()) return;
   auto known = this->servers.find(server);
@@ -30,7 +30,7 @@
   const auto at =
       this->settings.confirms_end ? known->second.interrupted_at : now - age;
   this->add_crash(server, known->second, added, at, now);
-  this->note_runs(server, found, router);
+  this->note_runs(server, found, report);
 }
 
 void crash_suspects::on_server_ended(const std::string& server,
@@ -184,20 +184,21 @@
 int crash_suspects::count_runs(const suspect_entry& known) {
   int runs = 0;
   for (const auto& each : known.crashes) {
-    for (const auto& [router, broken_off] : each.runs) runs += broken_off;
+    for (const auto& [report, broken_off] : each.runs) runs += broken_off;
   }
   return runs;
 }
 
 void crash_suspects::note_runs(const std::string& server,
                                const sighting_map& found,
-                               const std::string& router) {
+                               const std::string& report) {
   for (const auto& [suspect, sighting] : found) {
     const auto known = this->suspects.find(suspect);
     if (known == this->suspects.end()) continue;
     for (auto& each : known->second.crashes) {
       if (each.server != server) continue;
-      auto& runs = each.runs[router];
+      if (each.runs.size() >= max_reports_of_crash) continue;
+      auto& runs = each.runs[report];
       runs = std::max(runs, sighting.runs);
     }
   }
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -45,6 +45,8 @@
   /// suspect.
   static constexpr std::size_t max_suspects_of_server = 256;
   static constexpr std::size_t max_crashes_of_suspect = 8;
+  /// Maximum number of reports stored of one crash.
+  static constexpr std::size_t max_reports_of_crash = 512;
 
   explicit crash_suspects(
       const crash_suspect_settings& settings = part_settings)
@@ -53,10 +55,11 @@
   /// Records responses that a server interrupted. Several routers may report
   /// the same server.
   /// \param age Since the first of them broke off.
-  /// \param router Who reports all of them that it saw there so far.
+  /// \param report Whose they are; a later one of that name tells of the same
+  ///     runs again.
   void on_interrupted(const std::string& server, milliseconds age,
                       const sighting_map& found, time_point now,
-                      const std::string& router = {});
+                      const std::string& report = {});
 
   /// Records that a server's process has ended.
   void on_server_ended(const std::string& server, time_point now);
@@ -117,7 +120,7 @@
     time_point at;
     /// When the first run with the suspect began there, if that is known.
     std::optional<time_point> began;
-    /// Runs with the suspect that broke off there, by router.
+    /// Runs with the suspect that broke off there, by report.
     std::map<std::string, int> runs;
   };
   struct suspect_entry {
@@ -147,7 +150,7 @@
   void add_crash(const std::string& server, const server_entry& known,
                  const sighting_map& found, time_point at, time_point now);
   void note_runs(const std::string& server, const sighting_map& found,
-                 const std::string& router);
+                 const std::string& report);
   /// \return True if a quarantined suspect was in flight at the server.
   bool is_explained(const server_entry& known) const;
   /// \return The suspects to blame next; several if nothing tells them apart.
--- a/src/decide/suspect_guard.cpp
+++ b/src/decide/suspect_guard.cpp
@@ -8,7 +8,9 @@
 void suspect_guard::on_interrupted(const std::string& server,
                                    const sighting_map& found, time_point now) {
   if (this->linked && this->settings.confirms_end) return;
-  this->own_counts.on_interrupted(server, milliseconds(0), found, now);
+  // Each call tells of other runs.
+  this->own_counts.on_interrupted(server, milliseconds(0), found, now,
+                                  std::to_string(++this->interruptions));
   this->own_counts.on_server_ended(server, now);
 }
 
--- a/src/decide/suspect_guard.hpp
+++ b/src/decide/suspect_guard.hpp
@@ -2,6 +2,7 @@
 #define BORAGEHILL_DECIDE_SUSPECT_GUARD_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
@@ -103,6 +104,7 @@
   std::set<std::string> cleared;
   std::set<std::string> completed_before;
   crash_suspects own_counts;
+  std::uint64_t interruptions = 0;
   bool linked = false;
 };
 
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -306,5 +306,15 @@
   EXPECT_FALSE(this->first_router.is_suspected(poison, this->now));
 }
 
+// Guards against copies that a router without a planner sends all at once after
+// a crash that broke off several of them.
+TEST_F(crashing_requests_test, suspects_a_request_by_its_own_copies) {
+  this->first_router.on_planner_lost();
+  this->interrupt(this->first_router, "a");
+  EXPECT_FALSE(this->first_router.is_suspected(poison, this->now));
+  this->interrupt(this->first_router, "a");
+  EXPECT_TRUE(this->first_router.is_suspected(poison, this->now));
+}
+
 }  // namespace
 }  // namespace boragehill::decide
