--- a/test/fleet-test/crashing_request_test.cpp
+++ b/test/fleet-test/crashing_request_test.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <gtest/gtest.h>
 #include <string>
 #include <thread>
@@ -158,8 +159,10 @@
 TEST_F(crashing_request_test,
        serves_a_popular_request_though_servers_are_lost) {
   std::atomic<bool> over = false;
+  constexpr int sources = 6;
   std::vector<std::thread> callers;
-  for (int each = 0; each < 6; ++each) {
+  callers.reserve(sources);
+  for (int each = 0; each < sources; ++each) {
     callers.emplace_back([this, each, &over] {
       const auto source = "127.0.77." + std::to_string(each + 1);
       for (int call = 0; !over; ++call) {
@@ -201,6 +204,7 @@
   /// their responses.
   void send_copies(int count) {
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(count));
     for (int each = 0; each < count; ++each) {
       const auto attempt = numbered("copy", ++this->sent);
       const auto source = "127.0.77." + std::to_string(this->sent);
--- a/test/fleet-test/endless_bytes_test.cpp
+++ b/test/fleet-test/endless_bytes_test.cpp
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 
 /// The smallest router's memory.
-constexpr long router_memory_kb = 160 * 1024;
+constexpr long router_memory_kb = 160L * 1024;
 /// A caller hears so soon that its response broke off; the deadline is later.
 constexpr milliseconds soon{1500};
 
