Hold back no copies of a request that had begun to respond

What callers saw, in broken_stream_test.goes_on_where_requests_that_are_alike_break_together: of four alike streams that broke off with one server two ran out of time, as they went on one a second.

Cause: each run that broke off at a crash counted for the suspicion, also one whose events had come. Change: a run counts only until its first event.

--- a/src/decide/interruption_log.cpp
+++ b/src/decide/interruption_log.cpp
@@ -15,7 +15,7 @@
   const auto known = requests.find(request);
   if (known != requests.end()) {
     known->second.ran = std::max(known->second.ran, seen.ran);
-    ++known->second.runs;
+    known->second.runs += seen.runs;
   } else if (requests.size() < max_requests) {
     requests.emplace(request, seen);
   }
@@ -24,14 +24,16 @@
 }  // namespace
 
 void interruption_log::add(const std::string& server,
-                           const std::string& request, milliseconds ran,
+                           const std::string& request,
+                           const suspect_sighting& run,
                            const std::vector<std::string>& parts,
                            time_point now) {
   this->drop_expired(now);
   auto& known = this->entry_of(server, now);
   known.reported = false;
   const milliseconds delay(ms_between(known.at, now));
-  add_request(known.found.requests, request, {.ran = ran, .delay = delay});
+  add_request(known.found.requests, request,
+              {.ran = run.ran, .delay = delay, .runs = run.runs});
   for (const auto& each : sightings_of(parts)) {
     if (known.found.parts.size() >= max_parts) break;
     known.found.parts.insert(each);
--- a/src/decide/interruption_log.hpp
+++ b/src/decide/interruption_log.hpp
@@ -23,10 +23,11 @@
 
   /// Records a response that broke off.
   /// \param request Its fingerprint.
-  /// \param ran How long it had been under way at the server.
+  /// \param run How long it had been under way at the server, and whether it
+  ///     counts as a run.
   /// \param parts Of its prompt, in their order.
   void add(const std::string& server, const std::string& request,
-           milliseconds ran, const std::vector<std::string>& parts,
+           const suspect_sighting& run, const std::vector<std::string>& parts,
            time_point now);
 
   /// \return What has been added since the last call.
--- a/src/decide/suspect_sighting.hpp
+++ b/src/decide/suspect_sighting.hpp
@@ -17,7 +17,7 @@
   std::optional<milliseconds> ran;
   /// How much later than the first response there it broke off.
   milliseconds delay{0};
-  /// How many runs with it broke off there.
+  /// How many runs with it broke off there before their first event.
   int runs = 1;
 
   bool operator==(const suspect_sighting&) const = default;
--- a/src/serve/dispatcher_crashes.cpp
+++ b/src/serve/dispatcher_crashes.cpp
@@ -59,11 +59,14 @@
   const auto now = time_point::clock::now();
   this->on_interrupted(request, now);
   const auto& parts = request.fields().prompt_parts;
-  const milliseconds ran(ms_between(request.last_sent(), now));
-  this->interruptions.add(request.server(), request.fingerprint(), ran, parts,
+  // Copies that had begun to respond need not wait for each other.
+  const decide::suspect_sighting run{
+      .ran = milliseconds(ms_between(request.last_sent(), now)),
+      .runs = response.events > 0 ? 0 : 1};
+  this->interruptions.add(request.server(), request.fingerprint(), run, parts,
                           now);
-  this->crashing_requests.on_interrupted(
-      request.server(), {{request.fingerprint(), {.ran = ran}}}, now);
+  this->crashing_requests.on_interrupted(request.server(),
+                                         {{request.fingerprint(), run}}, now);
   this->prompt_parts.on_interrupted(request.server(),
                                     decide::sightings_of(parts), now);
   const auto& what = request.request();
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -191,7 +191,7 @@
     if (sighting.delay > milliseconds(0)) {
       value["delay_ms"][request] = Json::Int64(sighting.delay.count());
     }
-    if (sighting.runs > 1) value["runs"][request] = sighting.runs;
+    if (sighting.runs != 1) value["runs"][request] = sighting.runs;
   }
   for (const auto& [part, sighting] : found.parts) {
     value["parts"][part] = sighting.position;
--- a/test/decide-test/interruption_log_test.cpp
+++ b/test/decide-test/interruption_log_test.cpp
@@ -14,11 +14,11 @@
 };
 
 TEST_F(interruption_log_test, reports_each_server_once) {
-  this->log.add("a", "one", milliseconds(9), {"p", "q"}, this->now);
+  this->log.add("a", "one", {.ran = milliseconds(9)}, {"p", "q"}, this->now);
   this->now += milliseconds(5);
-  this->log.add("b", "one", milliseconds(2), {"p"}, this->now);
-  this->log.add("a", "two", milliseconds(1), {"p", "r"}, this->now);
-  this->log.add("a", "one", milliseconds(3), {}, this->now);
+  this->log.add("b", "one", {.ran = milliseconds(2)}, {"p"}, this->now);
+  this->log.add("a", "two", {.ran = milliseconds(1)}, {"p", "r"}, this->now);
+  this->log.add("a", "one", {.ran = milliseconds(3)}, {}, this->now);
   this->now += milliseconds(20);
   const std::vector<interruption> expected{
       {.server = "a",
@@ -36,9 +36,9 @@
 }
 
 TEST_F(interruption_log_test, reports_a_server_again_if_more_broke_off_there) {
-  this->log.add("a", "one", milliseconds(1), {}, this->now);
+  this->log.add("a", "one", {.ran = milliseconds(1)}, {}, this->now);
   this->log.take_unreported(this->now);
-  this->log.add("a", "two", milliseconds(1), {}, this->now);
+  this->log.add("a", "two", {.ran = milliseconds(1)}, {}, this->now);
   const auto again = this->log.take_unreported(this->now);
   ASSERT_EQ(again.size(), 1U);
   const suspect_sighting brief{.ran = milliseconds(1)};
@@ -47,9 +47,9 @@
 
 // Guards against crashes that are forgotten with a planner.
 TEST_F(interruption_log_test, reports_what_is_recent_to_a_new_planner) {
-  this->log.add("a", "one", milliseconds(1), {}, this->now);
+  this->log.add("a", "one", {.ran = milliseconds(1)}, {}, this->now);
   this->now += interruption_log::retention + milliseconds(1);
-  this->log.add("b", "two", milliseconds(1), {}, this->now);
+  this->log.add("b", "two", {.ran = milliseconds(1)}, {}, this->now);
   this->log.take_unreported(this->now);
   this->log.report_again();
   const auto again = this->log.take_unreported(this->now);
@@ -60,9 +60,9 @@
 TEST_F(interruption_log_test, bounds_what_it_keeps) {
   constexpr std::size_t many = 1000;
   for (std::size_t each = 0; each < many; ++each) {
-    this->log.add("a" + std::to_string(each), "one", milliseconds(1), {},
-                  this->now);
-    this->log.add("b", "r" + std::to_string(each), milliseconds(1),
+    this->log.add("a" + std::to_string(each), "one", {.ran = milliseconds(1)},
+                  {}, this->now);
+    this->log.add("b", "r" + std::to_string(each), {.ran = milliseconds(1)},
                   {std::to_string(each)}, this->now);
   }
   const auto taken = this->log.take_unreported(this->now);
