--- a/test/fleet-test/crashing_worker_test.cpp
+++ b/test/fleet-test/crashing_worker_test.cpp
@@ -21,9 +21,8 @@
 /// Its agent has told of it, and the store.
 constexpr milliseconds until_back{900};
 
-/// A fleet whose model workers end when they get a certain request, and are
-/// back at the same address soon. Nothing tells one lifetime from the next but
-/// its id, which comes to the store some time after the worker is back.
+/// A fleet whose model workers end when they get a certain request, and whose
+/// successors serve at the same address before the store lists them.
 class crashing_worker_test : public testing::Test {
  protected:
   crashing_worker_test() : fleet(routers, workers, 1, workers) {
