Keep crashes that another request explains as evidence

What callers saw: nothing; servers went on ending.

Cause: a verdict on one request took away the evidence against the others. When one of those in flight at a crash was quarantined, the crash was erased from all others, and with its last crash a request wasn't suspected any more, so that all its copies went at once. Of two in flight at the same crashes the one whose last report came some milliseconds earlier was found, the other began from zero.

Change: for whole requests an explained crash stays, marked. A request stays suspected by it, so it runs one copy a second; it is quarantined at three crashes that nothing explains, as before, at four if one at least isn't explained, at five if all are. Parts of prompts, which sound requests share, keep the rule that they had. Event 615 has `explained`.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -93,8 +93,9 @@
       found.push_back(suspect);
     }
     for (const auto& suspect : next) {
+      // Its own list of them stays as it is.
       for (const auto& each : this->suspects.at(suspect).crashes) {
-        this->forget_crash(each.server);
+        this->explain_crash(each.server);
       }
     }
   }
@@ -154,6 +155,15 @@
   return found;
 }
 
+std::size_t crash_suspects::explained_of(const std::string& suspect) const {
+  const auto known = this->suspects.find(suspect);
+  if (known == this->suspects.end()) return 0;
+  const auto& crashes = known->second.crashes;
+  return static_cast<std::size_t>(
+      std::count_if(crashes.begin(), crashes.end(),
+                    [](const crash& each) { return each.explained; }));
+}
+
 bool crash_suspects::is_suspected(const std::string& suspect,
                                   time_point now) const {
   const auto found = this->suspects.find(suspect);
@@ -171,16 +181,33 @@
 }
 
 std::size_t crash_suspects::count(const suspect_entry& known) {
+  return count_if(known, [](const crash&) { return true; });
+}
+
+std::size_t crash_suspects::count_unexplained(const suspect_entry& known) {
+  return count_if(known, [](const crash& each) { return !each.explained; });
+}
+
+template <class Predicate>
+std::size_t crash_suspects::count_if(const suspect_entry& known,
+                                     Predicate counts) {
   std::size_t crashes = 0;
   time_point last;
   for (const auto& each : known.crashes) {
-    if (crashes > 0 && is_same_crash(last, each)) continue;
+    if (!counts(each) || (crashes > 0 && is_same_crash(last, each))) continue;
     ++crashes;
     last = each.at;
   }
   return crashes;
 }
 
+bool crash_suspects::reaches_limit(const suspect_entry& known) {
+  const auto unexplained = count_unexplained(known);
+  if (unexplained >= crash_limit) return true;
+  return count(known) >=
+         (unexplained > 0 ? partly_explained_limit : explained_limit);
+}
+
 int crash_suspects::count_runs(const suspect_entry& known) {
   int runs = 0;
   for (const auto& each : known.crashes) {
@@ -208,16 +235,20 @@
                                const server_entry& known,
                                const sighting_map& found, time_point at,
                                time_point now) {
-  if (this->is_explained(known)) return this->forget_crash(server);
+  const bool explained = this->is_explained(known);
+  if (explained) this->explain_crash(server);
+  if (explained && !this->settings.keeps_explained) return;
   for (const auto& [suspect, sighting] : found) {
     auto& entry = this->suspects[suspect];
+    if (entry.quarantined) continue;
     const bool known_crash = std::any_of(
         entry.crashes.begin(), entry.crashes.end(),
         [&server](const crash& each) { return each.server == server; });
     if (known_crash || entry.crashes.size() >= max_crashes_of_suspect) continue;
     entry.position = sighting.position;
     entry.recorded_at = now;
-    crash added{.server = server, .at = at + sighting.delay};
+    crash added{
+        .server = server, .at = at + sighting.delay, .explained = explained};
     if (sighting.ran) added.began = added.at - *sighting.ran;
     const auto after = std::upper_bound(
         entry.crashes.begin(), entry.crashes.end(), added.at,
@@ -240,14 +271,13 @@
   // Of parts that were in flight at equally many crashes, one further behind in
   // the prompt is shared by fewer requests.
   const auto rank = [](const suspect_entry& known) {
-    return std::tuple{!known.completed_before, count(known), known.position};
+    return std::tuple{!known.completed_before, count_unexplained(known),
+                      count(known), known.position};
   };
   std::vector<std::string> best;
   bool heard = true;
   for (const auto& [suspect, known] : this->suspects) {
-    if (known.quarantined || !known.asked || count(known) < crash_limit) {
-      continue;
-    }
+    if (known.quarantined || !known.asked || !reaches_limit(known)) continue;
     if (!best.empty()) {
       const auto best_rank = rank(this->suspects.at(best.front()));
       if (rank(known) < best_rank) continue;
@@ -262,6 +292,16 @@
   return best;
 }
 
+void crash_suspects::explain_crash(const std::string& server) {
+  if (!this->settings.keeps_explained) return this->forget_crash(server);
+  for (auto& [suspect, known] : this->suspects) {
+    if (known.quarantined) continue;
+    for (auto& each : known.crashes) {
+      if (each.server == server) each.explained = true;
+    }
+  }
+}
+
 void crash_suspects::forget_crash(const std::string& server) {
   for (auto& [suspect, known] : this->suspects) {
     if (known.quarantined) continue;
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -19,12 +19,17 @@
 ///
 /// The cause is in flight at each of these crashes, and no response with it is
 /// complete after the first. Other suspects are in flight there by chance: a
-/// complete response since then clears them, and the crashes that a quarantined
-/// suspect explains are counted for no other.
+/// complete response since then clears them. What a quarantined suspect
+/// explains is weaker evidence against others, or none, by the settings.
 class crash_suspects {
  public:
   /// Crashes after which a suspect is quarantined.
   static constexpr std::size_t crash_limit = 3;
+  /// The same where a quarantined suspect explains all of them but one or two.
+  static constexpr std::size_t partly_explained_limit = 4;
+  /// The same where quarantined suspects explain them all: several causes may
+  /// be in flight together at each of them.
+  static constexpr std::size_t explained_limit = 5;
   /// Servers that end within this time are one crash: a failure domain that is
   /// lost takes many servers with it, whatever they were sent. A run that began
   /// after the one before had ended is another crash.
@@ -104,9 +109,12 @@
     return this->suspects.contains(suspect);
   }
 
-  /// \return The servers whose crashes count against a suspect.
+  /// \return The servers whose crashes are stored for a suspect.
   std::vector<std::string> servers_of(const std::string& suspect) const;
 
+  /// \return How many of these crashes a quarantined suspect explains.
+  std::size_t explained_of(const std::string& suspect) const;
+
   /// \return The number of stored suspects.
   std::size_t size() const { return this->suspects.size(); }
 
@@ -122,6 +130,8 @@
     std::optional<time_point> began;
     /// Runs with the suspect that broke off there, by report.
     std::map<std::string, int> runs;
+    /// A quarantined suspect was in flight there.
+    bool explained = false;
   };
   struct suspect_entry {
     std::vector<crash> crashes;
@@ -142,7 +152,15 @@
   };
   using suspect_map = std::map<std::string, suspect_entry>;
 
+  /// \return The crashes of a suspect.
   static std::size_t count(const suspect_entry& known);
+  /// \return Those of them that nothing explains.
+  static std::size_t count_unexplained(const suspect_entry& known);
+  /// \return True if the suspect may be quarantined.
+  static bool reaches_limit(const suspect_entry& known);
+  /// \return How many of its crashes that count are not the same one.
+  template <class Predicate>
+  static std::size_t count_if(const suspect_entry& known, Predicate counts);
   static int count_runs(const suspect_entry& known);
   static bool is_same_crash(time_point last, const crash& next);
   static bool holds(const suspect_entry& known, time_point now);
@@ -155,6 +173,8 @@
   bool is_explained(const server_entry& known) const;
   /// \return The suspects to blame next; several if nothing tells them apart.
   std::vector<std::string> next_to_quarantine(time_point now) const;
+  /// A quarantined suspect was in flight at the crash of a server.
+  void explain_crash(const std::string& server);
   /// Counts the crash of a server for no suspect that isn't quarantined.
   void forget_crash(const std::string& server);
   void drop_expired(time_point now);
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -51,12 +51,14 @@
                                            router);
     const auto servers = this->crashing_requests.servers_of(each.first).size();
     if (servers == known) continue;
-    kernel::log_event(kernel::event::crash_counted,
-                      {{"fingerprint", each.first},
-                       {"server", found.server},
-                       {"router", router},
-                       {"servers", servers},
-                       {"term", this->term}});
+    kernel::log_event(
+        kernel::event::crash_counted,
+        {{"fingerprint", each.first},
+         {"server", found.server},
+         {"router", router},
+         {"servers", servers},
+         {"explained", this->crashing_requests.explained_of(each.first)},
+         {"term", this->term}});
   }
 }
 
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -70,6 +70,21 @@
     }
   }
 
+  std::string next_server() {
+    return "server-" + std::to_string(++this->ended);
+  }
+
+  /// Lets a server end with these requests in flight, by both routers in turn,
+  /// whose reports come one after the other.
+  void crash_with(const list& requests) {
+    const auto server = this->next_server();
+    for (const auto& each : requests) {
+      this->interrupt(*this->routers[++this->sent % 2], server, each);
+      this->exchange_reports();
+    }
+    this->pass(milliseconds(700));
+  }
+
   bool refuses(const suspect_guard& router,
                const std::string& request = poison) {
     return router.is_quarantined({request}, this->now);
@@ -81,6 +96,8 @@
   std::vector<suspect_guard*> routers{&first_router, &second_router};
   crash_suspects planner{request_settings};
   time_point now{std::chrono::hours(1)};
+  int ended = 0;
+  std::size_t sent = 0;
 };
 
 // Guards against a request that takes down every server, as no router has seen
@@ -306,6 +323,55 @@
   EXPECT_FALSE(this->first_router.is_suspected(poison, this->now));
 }
 
+// Guards against a request that is never found, as each of its crashes counts
+// for another one that was in flight there, too.
+TEST_F(crashing_requests_test, finds_each_request_of_those_in_flight_together) {
+  this->crash_with({"other", poison});
+  this->crash_with({"other", poison});
+  this->crash_with({"other"});
+  EXPECT_TRUE(this->refuses(this->second_router, "other"));
+  EXPECT_FALSE(this->refuses(this->second_router));
+  EXPECT_TRUE(this->second_router.is_suspected(poison, this->now));
+  this->crash_with({poison, "another"});
+  this->crash_with({poison, "another"});
+  EXPECT_TRUE(this->refuses(this->first_router));
+  EXPECT_TRUE(this->refuses(this->second_router));
+  EXPECT_TRUE(this->second_router.is_suspected("another", this->now));
+}
+
+// Guards against requests that come together and end a server more for each of
+// them, as those that are reported first explain the crashes of all.
+TEST_F(crashing_requests_test, finds_all_requests_that_always_come_together) {
+  const list all{"one", "two", "three", "four", "five"};
+  list left = all;
+  constexpr int most_crashes = 5;
+  for (int crashes = 0; crashes < most_crashes; ++crashes) {
+    this->crash_with(left);
+    std::erase_if(left, [this](const std::string& each) {
+      return this->refuses(this->first_router, each);
+    });
+  }
+  EXPECT_EQ(left, list{});
+}
+
+// Guards against the loss of a sound request that waits together with those
+// that crash servers.
+TEST_F(crashing_requests_test, refuses_no_request_whose_crashes_are_explained) {
+  for (const char* other : {"one", "two", "three"}) {
+    // Else one router would count three crashes by itself.
+    ++this->sent;
+    this->crash_with({other});
+    this->crash_with({other});
+    this->crash_with({other, poison});
+    EXPECT_TRUE(this->refuses(this->second_router, other));
+    EXPECT_FALSE(this->refuses(this->first_router));
+    EXPECT_FALSE(this->refuses(this->second_router));
+  }
+  this->first_router.on_completed({poison}, this->now);
+  this->pass(milliseconds(200));
+  EXPECT_FALSE(this->second_router.is_suspected(poison, this->now));
+}
+
 // Guards against copies that a router without a planner sends all at once after
 // a crash that broke off several of them.
 TEST_F(crashing_requests_test, suspects_a_request_by_its_own_copies) {
--- a/test/fleet-test/crashing_request_test.cpp
+++ b/test/fleet-test/crashing_request_test.cpp
@@ -13,6 +13,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr auto marker = "poison";
 constexpr int routers = 2;
 constexpr int plains = 6;
 constexpr int crash_limit = 3;
@@ -25,11 +26,12 @@
 constexpr int most_late_sends = 3;
 
 std::string send_to(small_fleet& fleet, int router, const std::string& attempt,
-                    const std::string& source) {
+                    const std::string& body, const std::string& source = {}) {
   return fleet.raw(router,
                    "POST /plain/x HTTP/1.1\r\nHost: valves.example\r\n"
                    "Connection: close\r\nBoragehill-Attempt-Id: " +
-                       attempt + "\r\nContent-Length: 6\r\n\r\npoison",
+                       attempt + "\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body,
                    source);
 }
 
@@ -56,7 +58,8 @@
   /// Sends the request once more.
   /// \param source The caller's address; any if empty.
   std::string send(int router, const std::string& source = {}) {
-    return send_to(this->fleet, router, numbered("call", ++this->sent), source);
+    return send_to(this->fleet, router, numbered("call", ++this->sent), marker,
+                   source);
   }
 
   void send_everywhere(const std::string& status) {
@@ -167,7 +170,7 @@
       const auto source = "127.0.77." + std::to_string(each + 1);
       for (int call = 0; !over; ++call) {
         const auto attempt = numbered("beside-" + std::to_string(each), call);
-        send_to(this->fleet, 1 + each % routers, attempt, source);
+        send_to(this->fleet, 1 + each % routers, attempt, marker, source);
       }
     });
   }
@@ -183,6 +186,64 @@
   this->send_everywhere("200");
 }
 
+/// A fleet with one plain server, which ends under several requests, some time
+/// after it begins them, and is back each time.
+class crashing_together_test : public testing::Test {
+ protected:
+  crashing_together_test() : fleet(routers, 1, 1, 1) {
+    this->fleet.crash_servers_on("poison", false, run_before_crash);
+  }
+
+  void SetUp() override { ASSERT_TRUE(this->fleet.start()); }
+
+  std::string send(int router, const std::string& body) {
+    return send_to(this->fleet, router, numbered("call", ++this->sent), body);
+  }
+
+  /// Sends requests at the same moment, each to another router, and starts the
+  /// server again that ends under them.
+  void crash_with(const std::vector<std::string>& bodies) {
+    std::vector<std::thread> callers;
+    callers.reserve(bodies.size());
+    for (const auto& each : bodies) {
+      const int router = 1 + static_cast<int>(callers.size()) % routers;
+      const auto attempt = numbered("call", ++this->sent);
+      callers.emplace_back([this, router, attempt, each] {
+        send_to(this->fleet, router, attempt, each);
+      });
+    }
+    for (auto& each : callers) each.join();
+    EXPECT_FALSE(this->fleet["plain-1"].is_running());
+    this->fleet.forget_server(this->id);
+    this->id = numbered("i-again", this->sent);
+    this->fleet.replace_plain(1, this->id);
+    std::this_thread::sleep_for(known_everywhere);
+  }
+
+  static constexpr milliseconds run_before_crash{600};
+  small_fleet fleet;
+  std::string id = "i-plain-1";
+  int sent = 0;
+};
+
+// Guards against a request that ends servers again and again, as each crash
+// counts for another one that was in flight there, too.
+TEST_F(crashing_together_test, refuses_each_request_that_ends_servers) {
+  this->crash_with({"poison-1", "poison"});
+  this->crash_with({"poison-1", "poison"});
+  this->crash_with({"poison-1"});
+  // By the other router: none has seen three of its crashes by itself.
+  this->crash_with({"poison", "poison-2"});
+  this->crash_with({"poison", "poison-2"});
+  for (int router = 1; router <= routers; ++router) {
+    for (const char* body : {"poison-1", "poison"}) {
+      const auto answer = this->send(router, body);
+      EXPECT_NE(answer.find("1009 "), std::string::npos) << answer;
+    }
+  }
+  EXPECT_TRUE(this->fleet["plain-1"].is_running());
+}
+
 /// A fleet whose plain servers end when they get a certain request, which
 /// several callers send at the same moment.
 class crashing_copies_test : public testing::Test {
@@ -209,7 +270,7 @@
       const auto attempt = numbered("copy", ++this->sent);
       const auto source = "127.0.77." + std::to_string(this->sent);
       callers.emplace_back([this, each, attempt, source] {
-        send_to(this->fleet, 1 + each % routers, attempt, source);
+        send_to(this->fleet, 1 + each % routers, attempt, marker, source);
       });
     }
     for (auto& each : callers) each.join();
