--- a/test/fleet-test/time_left_test.cpp
+++ b/test/fleet-test/time_left_test.cpp
@@ -40,6 +40,7 @@
 
   void look_up() {
     std::vector<std::thread> callers;
+    callers.reserve(calls);
     for (int each = 0; each < calls; ++each) {
       callers.emplace_back([this, each] {
         this->fleet.call(1, numbered("lookup", each), {}, "/lookup/x",
