Count crashes after many servers that ended together

What callers saw: nothing; a request that ends eight servers within 50 ms, which is one crash, was never found, but sent once a second for as long as it came.

Cause: eight crashes of a request are stored. Where the list was full each later one was dropped, and the eight counted once.

Found by reading; no run of whole processes showed it.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -1,6 +1,7 @@
 #include "decide/crash_suspects.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -244,7 +245,9 @@
     const bool known_crash = std::any_of(
         entry.crashes.begin(), entry.crashes.end(),
         [&server](const crash& each) { return each.server == server; });
-    if (known_crash || entry.crashes.size() >= max_crashes_of_suspect) continue;
+    if (known_crash) continue;
+    make_room(entry);
+    if (entry.crashes.size() >= max_crashes_of_suspect) continue;
     entry.position = sighting.position;
     entry.recorded_at = now;
     crash added{
@@ -258,6 +261,17 @@
   this->evict_excess();
 }
 
+void crash_suspects::make_room(suspect_entry& known) {
+  auto& crashes = known.crashes;
+  if (crashes.size() < max_crashes_of_suspect) return;
+  const auto first_of_two =
+      std::adjacent_find(crashes.begin(), crashes.end(),
+                         [](const crash& left, const crash& right) {
+                           return is_same_crash(left.at, right);
+                         });
+  if (first_of_two != crashes.end()) crashes.erase(std::next(first_of_two));
+}
+
 bool crash_suspects::is_explained(const server_entry& known) const {
   return std::any_of(
       known.suspects.begin(), known.suspects.end(), [&](const auto& each) {
--- a/src/decide/crash_suspects.hpp
+++ b/src/decide/crash_suspects.hpp
@@ -167,6 +167,9 @@
   /// \param at When the first response broke off there.
   void add_crash(const std::string& server, const server_entry& known,
                  const sighting_map& found, time_point at, time_point now);
+  /// Drops a server that ended together with another one, if as many are stored
+  /// as may be.
+  static void make_room(suspect_entry& known);
   void note_runs(const std::string& server, const sighting_map& found,
                  const std::string& report);
   /// \return True if a quarantined suspect was in flight at the server.
--- a/src/serve/planner_crashes.cpp
+++ b/src/serve/planner_crashes.cpp
@@ -46,17 +46,17 @@
 void planner_duty::count_requests(const decide::interruption& found,
                                   const std::string& router, time_point now) {
   for (const auto& each : found.requests) {
-    const auto known = this->crashing_requests.servers_of(each.first).size();
+    const auto known = this->crashing_requests.servers_of(each.first);
     this->crashing_requests.on_interrupted(found.server, found.age, {each}, now,
                                            router);
-    const auto servers = this->crashing_requests.servers_of(each.first).size();
+    const auto servers = this->crashing_requests.servers_of(each.first);
     if (servers == known) continue;
     kernel::log_event(
         kernel::event::crash_counted,
         {{"fingerprint", each.first},
          {"server", found.server},
          {"router", router},
-         {"servers", servers},
+         {"servers", servers.size()},
          {"explained", this->crashing_requests.explained_of(each.first)},
          {"term", this->term}});
   }
--- a/test/decide-test/crashing_requests_test.cpp
+++ b/test/decide-test/crashing_requests_test.cpp
@@ -232,6 +232,23 @@
   EXPECT_FALSE(this->refuses(this->first_router));
 }
 
+// Guards against a request that is never found, as it ended so many servers
+// together that no further crash is stored.
+TEST_F(crashing_requests_test, counts_crashes_after_many_that_came_together) {
+  for (int each = 0; each < 20; ++each) {
+    this->interrupt(this->first_router, this->next_server());
+    this->now += milliseconds(1);
+  }
+  this->pass(milliseconds(1000));
+  for (int each = 0; each < 2; ++each) {
+    EXPECT_FALSE(this->refuses(this->second_router));
+    this->interrupt(this->first_router, this->next_server());
+    this->pass(milliseconds(1000));
+  }
+  EXPECT_TRUE(this->refuses(this->first_router));
+  EXPECT_TRUE(this->refuses(this->second_router));
+}
+
 // Guards against a request that is refused since servers that live truncate its
 // responses.
 TEST_F(crashing_requests_test, takes_back_what_a_living_server_interrupted) {
