--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -47,6 +47,11 @@
   std::string crashing;
 };
 
+const char* path_of(const wanted_call& wanted) {
+  if (wanted.model.empty()) return wanted.repeatable ? "/lookup/x" : "/plain/x";
+  return wanted.repeatable ? "/stream/r/x" : "/stream/x";
+}
+
 call_record send(httplib::Client& client, const wanted_call& wanted) {
   httplib::Headers headers{
       {"Host", "valves.example"},
@@ -59,14 +64,10 @@
                    .deadline = deadline,
                    .repeatable = wanted.repeatable,
                    .crashing = wanted.crashing};
-  const char* path = streams && wanted.repeatable ? "/stream/r/x"
-                     : streams                    ? "/stream/x"
-                     : wanted.repeatable          ? "/lookup/x"
-                                                  : "/plain/x";
   seen.begin = steady_clock::now();
   const std::string body =
       wanted.crashing.empty() ? wanted.attempt : wanted.crashing;
-  const auto answer = client.Post(path, headers, body, "text/plain");
+  const auto answer = client.Post(path_of(wanted), headers, body, "text/plain");
   seen.end = steady_clock::now();
   if (!answer) {
     seen.connected = answer.error() != httplib::Error::Connection;
