Sort events and read the servers' logs in one place

Cause: the order of events by time was written three times (the retry sums, the soak's checks, time_left_test), and the soak read all servers' logs three times a run for arrivals and twice for crashes.

Change: invariants::in_order serves all; the soak reads each once. A comment in crash_suspects that explain_crash's own code says goes. No check, bound or expectation changes.

--- a/src/decide/crash_suspects.cpp
+++ b/src/decide/crash_suspects.cpp
@@ -94,7 +94,6 @@
       found.push_back(suspect);
     }
     for (const auto& suspect : next) {
-      // Its own list of them stays as it is.
       for (const auto& each : this->suspects.at(suspect).crashes) {
         this->explain_crash(each.server);
       }
--- a/test/fleet-test/time_left_test.cpp
+++ b/test/fleet-test/time_left_test.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <map>
@@ -53,7 +52,8 @@
   void expect_no_more_than_is_left() {
     std::map<std::string, invariants::service_event> firsts;
     int again = 0;
-    for (const auto& each : this->arrivals()) {
+    for (const auto& each :
+         invariants::in_order(this->fleet.logged_arrivals())) {
       ASSERT_TRUE(each.time_left) << each.attempt;
       EXPECT_LE(*each.time_left, deadline) << each.attempt;
       const auto [first, is_new] = firsts.emplace(each.attempt, each);
@@ -69,15 +69,6 @@
   }
 
   small_fleet fleet{2, 1, plains, 1};
-
- private:
-  std::vector<invariants::service_event> arrivals() const {
-    auto found = this->fleet.logged_arrivals();
-    std::sort(
-        found.begin(), found.end(),
-        [](const auto& one, const auto& other) { return one.at < other.at; });
-    return found;
-  }
 };
 
 // Guards against servers that are told more time than the callers have left.
--- a/test/invariants/retries_within_budget.hpp
+++ b/test/invariants/retries_within_budget.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boragehill/time_point.hpp>
@@ -48,6 +49,14 @@
   bool operator==(const retry_window&) const = default;
 };
 
+/// \return The events by time.
+inline std::vector<service_event> in_order(std::vector<service_event> events) {
+  std::sort(
+      events.begin(), events.end(),
+      [](const auto& one, const auto& other) { return one.at < other.at; });
+  return events;
+}
+
 namespace detail {
 
 using event_times = std::vector<time_point>;
@@ -72,12 +81,9 @@
 /// \return The arrivals at each service beyond the first of each attempt.
 inline std::map<std::string, event_times> retries_by_service(
     std::vector<service_event> arrivals) {
-  std::sort(
-      arrivals.begin(), arrivals.end(),
-      [](const auto& one, const auto& other) { return one.at < other.at; });
   std::set<std::string> arrived;
   std::vector<service_event> retries;
-  for (const auto& each : arrivals) {
+  for (const auto& each : in_order(std::move(arrivals))) {
     if (!arrived.insert(each.attempt).second) retries.push_back(each);
   }
   return times_by_service(retries);
--- a/test/soak/checks.cpp
+++ b/test/soak/checks.cpp
@@ -98,14 +98,6 @@
   return known;
 }
 
-std::vector<invariants::service_event> in_order(
-    std::vector<invariants::service_event> events) {
-  std::sort(
-      events.begin(), events.end(),
-      [](const auto& one, const auto& other) { return one.at < other.at; });
-  return events;
-}
-
 template <class Excuse>
 bool excused(const call_record& call, const std::vector<fault_span>& faults,
              Excuse excuse) {
@@ -199,7 +191,7 @@
     return crashes_servers ? found->second : nullptr;
   };
   std::map<request_name, std::vector<steady_clock::time_point>> ends;
-  for (const auto& each : in_order(crashes)) {
+  for (const auto& each : invariants::in_order(crashes)) {
     const auto* call = crashing_call(each.attempt);
     if (call) ends[{each.service, call->crashing}].push_back(each.at);
   }
@@ -235,7 +227,7 @@
   std::map<std::string, invariants::service_event> firsts;
   std::size_t beyond = 0;
   std::size_t judged = 0;
-  for (const auto& each : in_order(arrivals)) {
+  for (const auto& each : invariants::in_order(arrivals)) {
     const auto call = known.find(each.attempt);
     if (call == known.end()) continue;
     const auto& first = firsts.emplace(each.attempt, each).first->second;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -130,18 +130,18 @@
        runs_in_vain(traffic.seen(), this->run_begins(), this->spans)) {
     this->found.push_back(each);
   }
-  for (const auto& each :
-       retries_beyond_budget(traffic.seen(), this->fleet.logged_arrivals(),
-                             fleet_test::small_fleet::retry_bound)) {
+  const auto arrivals = this->fleet.logged_arrivals();
+  const auto crashes = this->fleet.logged_crashes();
+  for (const auto& each : retries_beyond_budget(
+           traffic.seen(), arrivals, fleet_test::small_fleet::retry_bound)) {
     this->found.push_back(each);
   }
-  for (const auto& each :
-       sends_beyond_crash_limit(traffic.seen(), this->fleet.logged_arrivals(),
-                                this->fleet.logged_crashes(), this->spans)) {
+  for (const auto& each : sends_beyond_crash_limit(traffic.seen(), arrivals,
+                                                   crashes, this->spans)) {
     this->found.push_back(each);
   }
-  for (const auto& each : time_beyond_deadline(
-           traffic.seen(), this->fleet.logged_arrivals(), this->spans)) {
+  for (const auto& each :
+       time_beyond_deadline(traffic.seen(), arrivals, this->spans)) {
     this->found.push_back(each);
   }
   if (this->has_versions()) this->check_streams(traffic.streams());
@@ -157,8 +157,7 @@
       "seed %llu: %zu faults, %zu calls, %d answered, %zu crashes, %zu "
       "broken\n",
       static_cast<unsigned long long>(this->seed), this->spans.size(),
-      traffic.seen().size(), answered, this->fleet.logged_crashes().size(),
-      this->found.size());
+      traffic.seen().size(), answered, crashes.size(), this->found.size());
   if (!this->found.empty()) {
     std::printf("logs: %s\n",
                 this->fleet.keep_logs(std::to_string(this->seed)).c_str());
