Add client accounts and keys

Cause: the configuration of two deployments names client accounts, and the code didn't know them: callers without a key were served, keys reached the servers, and the account's priority didn't count.

Change: the adapter decodes accounts and reads the caller's key; a router checks it for each request against the configuration in force, by a lookup of salted digests, and answers 401 before any work. Servers get the account's name, never the key. An account's priority goes before the route's. A configuration that mixes up accounts or keys is rejected as a whole with its cause, and the one in force stays. Without accounts nothing changes.

--- a/src/fleet/catalog.hpp
+++ b/src/fleet/catalog.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fleet/account_directory.hpp"
 #include "fleet/caller_limits.hpp"
 #include "fleet/route.hpp"
 #include "fleet/service.hpp"
@@ -18,6 +19,8 @@
   std::vector<route> routes;
   std::vector<service> services;
   caller_limits limits;
+  /// Empty if callers need no key.
+  account_directory accounts;
 
   bool operator==(const catalog&) const = default;
 
--- a/src/fleet/request_fields.hpp
+++ b/src/fleet/request_fields.hpp
@@ -31,6 +31,8 @@
   std::string resumed_attempt;
   /// The caller's estimate of what it generates, if it gives one.
   std::optional<int> output_hint;
+  /// The key that the caller shows for its client account; must not be logged.
+  std::optional<std::string> key;
 
   bool operator==(const request_fields&) const = default;
 };
--- a/src/fleet/route.hpp
+++ b/src/fleet/route.hpp
@@ -30,6 +30,8 @@
   int attempts = 1;
   /// An event stream that may go on at another worker after a break.
   bool resumable = false;
+  /// Takes requests without the key of a client account.
+  bool is_public = false;
   std::vector<route_target> targets;
 
   bool operator==(const route&) const = default;
--- a/src/fleet/send_fields.hpp
+++ b/src/fleet/send_fields.hpp
@@ -18,6 +18,9 @@
   int priority = 5;
   /// The last event that the caller has, where a stream goes on.
   std::optional<std::string> last_event;
+  /// The client account that sent it, empty if none did; nothing where the
+  /// configuration has no accounts: credentials are then the servers' own.
+  std::optional<std::string> account;
 
   bool operator==(const send_fields&) const = default;
 };
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -43,7 +43,8 @@
   kernel::log_event(kernel::event::revision_applied,
                     {{"revision", this->known_catalog->version},
                      {"routes", this->known_catalog->routes.size()},
-                     {"services", this->known_catalog->services.size()}});
+                     {"services", this->known_catalog->services.size()},
+                     {"accounts", this->known_catalog->accounts.all().size()}});
   for (const auto& each : this->known_catalog->services) {
     this->budget_of(each.name);
   }
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -16,9 +16,7 @@
 constexpr milliseconds grant_patience{250};
 
 bool more_urgent(const exchange& left, const exchange& right) {
-  if (left.route()->priority != right.route()->priority) {
-    return left.route()->priority < right.route()->priority;
-  }
+  if (left.rank() != right.rank()) return left.rank() < right.rank();
   return left.request().received < right.request().received;
 }
 
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "fleet/account.hpp"
 #include "kernel/event_log.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
@@ -51,6 +52,7 @@
        {"fingerprint", request.fingerprint()},
        {"route", request.route() ? request.route()->name : std::string()},
        {"service", request.service()},
+       {"account", request.account() ? request.account()->name : ""},
        {"model", asked.model},
        {"adapter", asked.adapter},
        {"status", ended.status},
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr int bad_request_status = 400;
+constexpr int unauthorized_status = 401;
 constexpr int not_found_status = 404;
 constexpr int bad_gateway_status = 502;
 constexpr int unavailable_status = 503;
@@ -49,12 +50,6 @@
                                  request.head.target, request.body});
 }
 
-/// The most urgent is 0, the least 9.
-int priority_for(const fleet::route& route) {
-  constexpr int lowest = 9;
-  return std::clamp(route.priority, 0, lowest);
-}
-
 }  // namespace
 
 exchange::exchange(asio::io_context& context, exchange_host& host,
@@ -85,6 +80,7 @@
 
 void exchange::start() {
   if (!this->read_fields() || !this->choose_route()) return;
+  if (!this->authenticate()) return;
   this->choose_service();
   if (this->takes_up_stream()) {
     this->events.begin_after(*this->asked.last_event);
@@ -136,6 +132,23 @@
   return true;
 }
 
+bool exchange::authenticate() {
+  const auto& accounts = this->host.catalog()->accounts;
+  this->has_accounts = !accounts.empty();
+  if (!this->has_accounts) return true;
+  const auto& key = this->asked.key;
+  if (key) this->sender = accounts.find(*key);
+  if (this->sender || this->way->is_public) return true;
+  this->answer_own(unauthorized_status, result_code::unauthorized,
+                   key ? "unknown key" : "no key", milliseconds(0));
+  return false;
+}
+
+decide::request_rank exchange::rank() const {
+  return {.account = this->sender ? this->sender->priority : 0,
+          .route = this->way->priority};
+}
+
 void exchange::choose_service() {
   double sum = 0;
   for (const auto& each : this->way->targets) sum += each.weight;
@@ -172,7 +185,10 @@
   const auto left = std::chrono::floor<milliseconds>(this->limit - now);
   fleet::send_fields fields{.expected_server = server.id,
                             .time_left = std::max(left, milliseconds(1)),
-                            .priority = priority_for(*this->way)};
+                            .priority = this->rank().server_priority()};
+  if (this->has_accounts) {
+    fields.account = this->sender ? this->sender->name : std::string();
+  }
   if (this->head_passed) {
     this->resumed = true;
     fields.last_event = this->events.last_id();
@@ -326,6 +342,9 @@
     headers.add("Retry-After",
                 absl::StrFormat("%.3f", seconds_of(retry_after)));
   }
+  if (status == unauthorized_status) {
+    headers.add("WWW-Authenticate", "Bearer");
+  }
   const std::string text =
       std::to_string(static_cast<int>(code)) + ' ' + reason + '\n';
   this->finish({.code = code, .status = status, .reason = reason});
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -12,6 +12,7 @@
 #include <boragehill/time_point.hpp>
 
 #include "decide/attempt_history.hpp"
+#include "decide/request_rank.hpp"
 #include "decide/response_end.hpp"
 #include "decide/version_binding.hpp"
 #include "fleet/request_fields.hpp"
@@ -22,8 +23,9 @@
 #include "serve/server_answer.hpp"
 
 namespace boragehill::fleet {
+struct account;
 struct server;
-}
+}  // namespace boragehill::fleet
 
 namespace boragehill::serve {
 
@@ -93,6 +95,10 @@
   /// \return Null if it was refused before it was routed.
   const fleet::route* route() const { return this->way.get(); }
   const std::string& service() const { return this->target; }
+  /// \return The client account that sent it; null if none did.
+  const fleet::account* account() const { return this->sender; }
+  /// \return How urgent it is.
+  decide::request_rank rank() const;
   /// \return The server that has it now; empty if none has.
   const std::string& server() const { return this->at; }
   /// \return The server that had it last; empty if none had.
@@ -132,6 +138,9 @@
  private:
   bool read_fields();
   bool choose_route();
+  /// Finds the client account by the key that the caller shows.
+  /// \return False if it needs one and shows none that is known.
+  bool authenticate();
   void choose_service();
   void on_limit();
   void again(const char* why);
@@ -177,6 +186,10 @@
   std::string print;
   fleet::request_fields asked;
   std::shared_ptr<const fleet::route> way;
+  /// Belongs to the catalog that `way` keeps alive.
+  const fleet::account* sender = nullptr;
+  /// The configuration has accounts.
+  bool has_accounts = false;
   std::string target;
   std::string at;
   std::string last;
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -67,6 +67,47 @@
             fleet::repeat_rule::once);
 }
 
+std::string with_accounts(const std::string& accounts) {
+  return R"({"version":8,"routes":[{"name":"r","host":"a","prefix":"/",
+      "service":"s","public":true}],"services":[],"tenants":)" +
+         accounts + "}";
+}
+
+TEST(catalog_decoder_test, reads_client_accounts) {
+  const auto decoded = decode_catalog(with_accounts(
+      R"([{"name":"a","apiKeys":["k1","k2"],"priority":1,"unit":"tokens",
+      "plainTokens":200,"ratePerS":4200,"burst":8400},
+      {"name":"b","apiKeys":[]}])"));
+  ASSERT_TRUE(decoded);
+  const auto& accounts = decoded.value()->accounts;
+  ASSERT_NE(accounts.find("k2"), nullptr);
+  const auto& found = *accounts.find("k2");
+  EXPECT_EQ(found.priority, 1);
+  EXPECT_EQ(found.quota.per_second, 4200);
+  EXPECT_EQ(found.quota.burst, 8400);
+  EXPECT_EQ(found.quota.cost_of({}), 200);
+  EXPECT_EQ(found.quota.cost_of({.prompt_tokens = 900, .output_tokens = 80}),
+            980);
+  ASSERT_EQ(accounts.all().size(), 2U);
+  EXPECT_FALSE(accounts.all()[1].quota.is_limited());
+  EXPECT_EQ(accounts.all()[1].quota.cost_of({.prompt_tokens = 900}), 1);
+  EXPECT_TRUE(decoded.value()->routes.front().is_public);
+}
+
+// Guards against accounts in force that can't be told apart.
+TEST(catalog_decoder_test, rejects_accounts_that_are_mixed_up_with_a_cause) {
+  for (const auto* accounts :
+       {R"([{"apiKeys":["k1"]}])",
+        R"([{"name":"a","apiKeys":["k1"]},{"name":"b","apiKeys":["k1"]}])",
+        R"([{"name":"a","apiKeys":[{}]}])",
+        R"([{"name":"a","priority":"high"}])", R"([7])"}) {
+    std::string cause;
+    EXPECT_FALSE(decode_catalog(with_accounts(accounts), &cause)) << accounts;
+    EXPECT_FALSE(cause.empty()) << accounts;
+    EXPECT_EQ(cause.find("k1"), std::string::npos) << cause;
+  }
+}
+
 TEST(catalog_decoder_test, refuses_what_is_no_configuration) {
   for (const char* text : {"", "[]", "{\"routes\":3}", "{\"version\":{}}",
                            "{\"routes\":[{\"name\":[]}]}"}) {
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -112,6 +112,49 @@
                            {"Boragehill-Request-Priority", "2"}}));
 }
 
+TEST(header_codec_test, reads_the_key_of_a_client_account) {
+  for (const auto* value :
+       {"Bearer key-1", "bearer key-1", "BEARER   key-1 "}) {
+    const auto read =
+        codec()->read_request(headers({{"authorization", value}}));
+    ASSERT_TRUE(read) << value;
+    EXPECT_EQ(read.value().key, "key-1") << value;
+  }
+}
+
+TEST(header_codec_test, reads_no_key_where_none_is_shown_for_sure) {
+  const std::vector<std::vector<http::header>> cases{
+      {},
+      {{"Authorization", ""}},
+      {{"Authorization", "key-1"}},
+      {{"Authorization", "Basic key-1"}},
+      {{"Authorization", "Bearer key-1"}, {"Authorization", "Bearer key-2"}}};
+  for (const auto& each : cases) {
+    const auto read = codec()->read_request(headers(each));
+    ASSERT_TRUE(read);
+    EXPECT_FALSE(read.value().key);
+  }
+}
+
+// Guards against servers that see a key, or an account that a caller claims.
+TEST(header_codec_test, names_the_account_and_passes_on_no_key) {
+  const auto asked = headers(
+      {{"Authorization", "Bearer key-1"}, {"boragehill-tenant", "another"}});
+  const auto sent = codec()->forwarded(asked, {.account = "a"});
+  EXPECT_EQ(sent.find("Authorization"), nullptr);
+  ASSERT_NE(sent.find("Boragehill-Tenant"), nullptr);
+  EXPECT_EQ(*sent.find("Boragehill-Tenant"), "a");
+  const auto unnamed = codec()->forwarded(asked, {.account = ""});
+  EXPECT_EQ(unnamed.find("Authorization"), nullptr);
+  EXPECT_EQ(unnamed.find("Boragehill-Tenant"), nullptr);
+}
+
+TEST(header_codec_test, passes_credentials_on_where_there_are_no_accounts) {
+  const auto sent = codec()->forwarded(
+      headers({{"Authorization", "Bearer of-the-service"}}), {});
+  EXPECT_NE(sent.find("Authorization"), nullptr);
+}
+
 TEST(header_codec_test, goes_on_behind_the_last_event) {
   const auto sent = codec()->forwarded(headers({{"last-event-id", "2"}}),
                                        {.expected_server = "i-1",
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -82,6 +82,11 @@
                  std::optional<int> models = std::nullopt,
                  std::size_t padding = 0, bool status_check = true);
 
+  /// Sets the client accounts of the configurations written from now on, and
+  /// that the routes below /lookup/ are public.
+  /// \param accounts A JSON list; none if empty.
+  void set_accounts(const std::string& accounts);
+
   /// \return The configuration that a router has in force; -1 if not told.
   std::int64_t catalog_version(int router);
 
@@ -194,6 +199,8 @@
   int keep_alive_s;
   bool tells_starts = true;
   std::string crash_marker;
+  /// A JSON list.
+  std::string accounts;
   /// Of model workers.
   std::string worker_crash_marker;
   std::chrono::milliseconds crash_delay{0};
--- a/test/fleet-test/small_fleet_configuration.cpp
+++ b/test/fleet-test/small_fleet_configuration.cpp
@@ -13,6 +13,10 @@
 
 }  // namespace
 
+void small_fleet::set_accounts(const std::string& accounts) {
+  this->accounts = accounts;
+}
+
 void small_fleet::configure(std::int64_t version, const std::string& prefix,
                             std::optional<int> models, std::size_t padding,
                             bool status_check) {
@@ -77,6 +81,11 @@
   limits["maxBodyBytes"] = 4096;
   limits["headerTimeoutMs"] = 400;
   limits["idleTimeoutMs"] = 1500;
+  if (const auto tenants = kernel::parse_json(this->accounts)) {
+    config["tenants"] = *tenants;
+    constexpr int lookups = 3;
+    config["routes"][lookups]["public"] = true;
+  }
   Json::Value call;
   call["table"] = "op";
   call["key"] = "config";
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -249,6 +249,9 @@
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(this->delay_ms));
   response.set_header("Boragehill-Attempt-Id", attempt);
+  response.set_header("Seen-Account",
+                      request.get_header_value("Boragehill-Tenant"));
+  response.set_header("Seen-Key", request.get_header_value("Authorization"));
   response.set_header("Boragehill-Response-Stamp", this->id);
   if (this->faults.take_failed_run()) {
     response.status = failed_status;
