Hold client accounts to their quotas over all routers together

Change: the planner has a token bucket for each account and grants tokens to the routers that need them (decide::quota_allocator); routers spend them (decide::account_allowance), charge each send and give back what no server has run. In force only where an account has a rate.

--- a/include/boragehill/result_code.hpp
+++ b/include/boragehill/result_code.hpp
@@ -36,6 +36,7 @@
   retry_budget_spent = 2008,
   home_unreachable = 2009,
   server_busy = 2010,
+  quota_exceeded = 2011,
 
   // 3000: attempts.
   outcome_unknown = 3001,
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -110,6 +110,10 @@
   interruption_ended = 819,
   overload_began = 820,
   overload_ended = 821,
+  quota_exhausted = 822,
+  quota_available = 823,
+  local_quotas_began = 824,
+  local_quotas_ended = 825,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
 #include "serve/exchange.hpp"
+#include "serve/quota_limits.hpp"
 
 namespace boragehill::serve {
 
@@ -34,7 +35,8 @@
       metrics(metrics),
       pool(context),
       context(context),
-      routers(settings.budget.window) {}
+      routers(settings.budget.window),
+      quotas(settings.quotas) {}
 
 void dispatcher::set_catalog(std::shared_ptr<const fleet::catalog> news) {
   this->known_catalog = std::move(news);
@@ -48,6 +50,7 @@
   for (const auto& each : this->known_catalog->services) {
     this->budget_of(each.name);
   }
+  this->quotas.set_limits(quota_limits_of(*this->known_catalog));
   this->serve_waiting();
 }
 
@@ -126,6 +129,7 @@
   for (const auto& each : update.tokens) {
     this->rate_limited.on_tokens(each, now);
   }
+  this->on_quota_news(update, now);
   this->on_crash_news(update, now);
   this->on_stream_news(update, now);
   this->metrics.set_planner_term(static_cast<double>(update.term));
@@ -138,7 +142,9 @@
 }
 
 void dispatcher::on_planner_lost() {
-  this->routers.on_planner_lost(time_point::clock::now());
+  const auto now = time_point::clock::now();
+  this->routers.on_planner_lost(now);
+  this->use_local_quotas(now);
   this->planner_linked = false;
   this->settle_versions();
   this->crashing_requests.on_planner_lost();
@@ -211,6 +217,13 @@
   if (vain && vain->code != result_code::deadline_unreachable) {
     return request->refuse(vain->code, vain->reason, vain->retry_after);
   }
+  const auto now = time_point::clock::now();
+  if (this->lacks_quota(*request, now) && this->find_server(*request, now)) {
+    const double queued = this->queued_cost(request->account()->name);
+    if (const auto over = this->over_quota(*request, queued, now)) {
+      return request->refuse(over->code, over->reason, over->retry_after);
+    }
+  }
   this->wait_in_line(request);
 }
 
@@ -308,6 +321,7 @@
   if (request->holds_retry()) this->account_retry(*request, server, now);
   this->account_trial(*request, server, now);
   this->rate_limited.on_sent(server.entry.id, now);
+  this->charge_quota(*request, now);
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{server.entry.id, request->fields().model,
@@ -471,6 +485,7 @@
   this->metrics.set_connections(static_cast<double>(this->pool.open()));
   this->metrics.set_waiting(static_cast<double>(this->waiting()));
   const auto now = time_point::clock::now();
+  this->end_exhausted_quotas(now);
   const auto sharing = this->routers.value(now);
   this->metrics.set_budget_routers(sharing.value_or(0));
   for (auto& [service, budget] : this->budgets) {
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -12,11 +12,13 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <boragehill/result.hpp>
 #include <boragehill/time_point.hpp>
 
+#include "decide/account_allowance.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
 #include "decide/end_confirmation.hpp"
@@ -80,6 +82,9 @@
   /// \return What servers said of rate limits since the last call, and the
   ///     tokens that waiting requests need.
   decide::rate_limit_report take_rate_limit_report();
+  /// \return What the planner is told of the quotas of client accounts;
+  ///     nothing if there are none.
+  std::optional<decide::quota_report> take_quota_report();
   /// Sets what is called when a request begins to wait.
   void on_waiting(std::function<void()> told) { this->waits = std::move(told); }
 
@@ -125,6 +130,7 @@
   void on_left(const exchange& request) override;
   void confirm_end(const std::shared_ptr<exchange>& request) override;
   void on_server_failed(const exchange& request, bool reached) override;
+  void on_not_run(exchange& request) override;
   void on_model_missing(const exchange& request) override;
   void on_server_replaced(const exchange& request) override;
   milliseconds rest_left(const exchange& request) const override;
@@ -138,6 +144,12 @@
   using flight_key = std::tuple<std::string, std::string, std::string>;
   using waiting_line = std::deque<std::shared_ptr<exchange>>;
   using line_map = std::map<demand_key, waiting_line>;
+  /// The time in which the quota of an account rejects requests.
+  struct exhausted_quota {
+    time_point began;
+    time_point last;
+    int rejected = 0;
+  };
   /// What a request is told that is not sent to any server.
   struct refusal {
     result_code code;
@@ -209,7 +221,7 @@
   bool try_send(const std::shared_ptr<exchange>& request);
   /// \return False if it must not run, would run for nobody, or would be cut
   ///     off by the end of this process.
-  bool may_start(const exchange& request, time_point now) const;
+  bool may_start(const exchange& request, time_point now);
   /// \param start When a server gets the request at the earliest.
   /// \return True if the end of this process would cut its answer off.
   bool would_be_cut(const exchange& request, time_point start) const;
@@ -228,6 +240,30 @@
   milliseconds rate_limit_wait(const exchange& request, time_point now) const;
   /// \return Requests that are before it in its line, or all if it is in none.
   std::size_t requests_ahead(const exchange& request) const;
+  /// \return The name of the request's client account; null if it has no quota.
+  const std::string* limited_account(const exchange& request) const;
+  /// \return True if its client account's quota doesn't admit it now.
+  bool lacks_quota(const exchange& request, time_point now);
+  /// Takes the cost of a request that is sent.
+  void charge_quota(exchange& request, time_point now);
+  decide::quota_request quota_request_of(const exchange& request, double queued,
+                                         time_point now) const;
+  /// \param queued Cost of the account's requests that wait before it.
+  /// \return Nothing if it may be sent or wait for tokens.
+  std::optional<refusal> over_quota(const exchange& request, double queued,
+                                    time_point now);
+  /// \return Cost of the account's requests that wait here.
+  double queued_cost(const std::string& account) const;
+  /// Adds the waiting requests that their accounts' quotas reject.
+  void judge_quotas(
+      time_point now,
+      std::vector<std::pair<std::shared_ptr<exchange>, refusal>>& refused);
+  /// \return True if a server would take a request of the line that lacks
+  ///     tokens of its account's quota.
+  bool only_lacks_quota(const waiting_line& line, time_point now);
+  void on_quota_news(const wire::view_update& update, time_point now);
+  void use_local_quotas(time_point now);
+  void end_exhausted_quotas(time_point now);
   /// \return True if it is one for the request and may get new ones at all.
   bool suits(const server_state& server, const exchange& request) const;
   /// \return The same, also for a server that has rejected the request.
@@ -242,7 +278,7 @@
   /// \return True if a waiting request may take a slot that the planner
   /// granted.
   bool can_use_grant(const server_state& server, const exchange& request,
-                     time_point now) const;
+                     time_point now);
   /// \return True if the server may get new requests, by all that is known.
   bool takes_new(const server_state& server) const;
   decide::response_progress* pulse_of(const exchange& request);
@@ -373,6 +409,8 @@
   decide::draining_servers leaving;
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
+  decide::account_allowance quotas;
+  std::map<std::string, exhausted_quota> exhausted_quotas;
   bool serving = false;
   bool sending_paused = false;
 };
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -150,7 +150,7 @@
 }
 
 bool dispatcher::can_use_grant(const server_state& server,
-                               const exchange& request, time_point now) const {
+                               const exchange& request, time_point now) {
   // A server that was full when it rejected the request has a free slot now; it
   // may be the only one with the model.
   return this->holds_what_it_needs(server, request) &&
--- a/src/serve/dispatcher_waiting.cpp
+++ b/src/serve/dispatcher_waiting.cpp
@@ -20,9 +20,10 @@
 
 }  // namespace
 
-bool dispatcher::may_start(const exchange& request, time_point now) const {
+bool dispatcher::may_start(const exchange& request, time_point now) {
   return request.is_wanted(now) && !this->barred(request, now) &&
-         !this->awaits_trial(request, now) && !this->would_be_cut(request, now);
+         !this->awaits_trial(request, now) &&
+         !this->would_be_cut(request, now) && !this->lacks_quota(request, now);
 }
 
 bool dispatcher::would_be_cut(const exchange& request, time_point start) const {
@@ -123,6 +124,7 @@
       }
     }
   }
+  this->judge_quotas(now, refused);
   for (const auto& [request, vain] : refused) {
     this->withdraw(*request);
     request->refuse(vain.code, vain.reason, vain.retry_after);
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -270,20 +270,26 @@
   if (!this->finder->linked()) return;
   auto report = this->requests.take_report();
   auto limits = this->requests.take_rate_limit_report();
+  auto quotas = this->requests.take_quota_report();
   // What is told of silence counts only while it is fresh.
   const bool same = report == this->last_report && report.demands.empty() &&
                     report.unresponsive_servers.empty();
   // That no token is needed any more is told once.
   const bool needed_tokens =
       std::exchange(this->needs_tokens, !limits.needed.empty());
+  // The same is true of quotas.
+  const bool needed_quotas =
+      std::exchange(this->needs_quotas, quotas && !quotas->needs.empty());
   wire::router_report message{.router = this->settings.id,
                               .demand = report,
-                              .rate_limits = std::move(limits)};
+                              .rate_limits = std::move(limits),
+                              .quotas = std::move(quotas)};
   this->requests.add_crashes(message);
   this->requests.add_streams(message);
   const bool nothing_else = !message.tells_of_crashes() &&
                             !message.tells_of_streams() &&
-                            message.rate_limits.empty() && !needed_tokens;
+                            message.rate_limits.empty() && !needed_tokens &&
+                            !needed_quotas && !this->needs_quotas;
   if (same && nothing_else) return;
   this->finder->send(wire::encode(message));
   this->last_report = std::move(report);
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -106,6 +106,8 @@
   /// What the planner that is linked was told last.
   std::optional<decide::demand_report> last_report;
   bool needs_tokens = false;
+  /// The last report asked for tokens of quotas.
+  bool needs_quotas = false;
   bool knows_quarantine = false;
   bool report_armed = false;
   std::atomic<bool> knows_fleet{false};
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -42,6 +42,23 @@
                        .Name("boragehill_retries_sent_total")
                        .Help("Retries that went to a server, by service.")
                        .Register(this->registry)),
+      quota_spent(prometheus::BuildCounter()
+                      .Name("boragehill_quota_spent_total")
+                      .Help("Cost of the requests sent, by client account.")
+                      .Register(this->registry)),
+      quota_refunded(
+          prometheus::BuildCounter()
+              .Name("boragehill_quota_refunded_total")
+              .Help("Cost of sends that no server has run, by client account.")
+              .Register(this->registry)),
+      quota_rejected(
+          prometheus::BuildCounter()
+              .Name("boragehill_quota_rejections_total")
+              .Help("Requests rejected by a quota, by client account.")
+              .Register(this->registry)),
+      local_quotas(gauge(this->registry, "boragehill_local_quotas",
+                         "1 while the router spends its share of the quotas "
+                         "without a planner.")),
       budget_routers(
           gauge(this->registry, "boragehill_budget_routers",
                 "Routers that share the retry budget; 0 if not known.")),
@@ -84,6 +101,18 @@
   this->ended.Add({{"result", std::string(name_of(code))}}).Increment();
 }
 
+void entry_metrics::on_quota_spent(const std::string& account, double cost) {
+  this->quota_spent.Add({{"account", account}}).Increment(cost);
+}
+
+void entry_metrics::on_quota_refunded(const std::string& account, double cost) {
+  this->quota_refunded.Add({{"account", account}}).Increment(cost);
+}
+
+void entry_metrics::on_quota_rejected(const std::string& account) {
+  this->quota_rejected.Add({{"account", account}}).Increment();
+}
+
 void entry_metrics::on_retry_sent(const std::string& service) {
   this->retries_sent.Add({{"service", service}}).Increment();
 }
--- a/src/serve/entry_metrics.hpp
+++ b/src/serve/entry_metrics.hpp
@@ -16,8 +16,9 @@
 
 namespace boragehill::serve {
 
-/// A router's metrics. Labels are result codes and fixed words, never models,
-/// callers or servers, so their number does not grow with the fleet.
+/// A router's metrics. Labels are result codes, fixed words and names of client
+/// accounts, never models or servers, so their number does not grow with the
+/// fleet.
 class entry_metrics {
  public:
   entry_metrics();
@@ -37,6 +38,14 @@
   void set_retries_left(const std::string& service, double value);
   void on_repeat() { this->repeats.Increment(); }
   void on_repeat_denied() { this->repeats_denied.Increment(); }
+  /// Counts what a client account's sends cost its quota.
+  void on_quota_spent(const std::string& account, double cost);
+  /// Counts what was given back for sends that no server has run.
+  void on_quota_refunded(const std::string& account, double cost);
+  /// Counts a request that a client account's quota has rejected.
+  void on_quota_rejected(const std::string& account);
+  /// Sets whether the router spends its share of the quotas without a planner.
+  void set_local_quotas(bool value) { this->local_quotas.Set(value ? 1 : 0); }
   void on_connection_rejected() { this->rejected.Increment(); }
   void on_bad_input() { this->bad_input.Increment(); }
   void set_waiting(double value) { this->waiting.Set(value); }
@@ -63,6 +72,10 @@
   prometheus::Counter& bad_input;
   prometheus::Counter& rejected;
   prometheus::Family<prometheus::Counter>& retries_sent;
+  prometheus::Family<prometheus::Counter>& quota_spent;
+  prometheus::Family<prometheus::Counter>& quota_refunded;
+  prometheus::Family<prometheus::Counter>& quota_rejected;
+  prometheus::Gauge& local_quotas;
   prometheus::Gauge& budget_routers;
   prometheus::Family<prometheus::Gauge>& retries_left;
   prometheus::Family<prometheus::Counter>& ended;
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -55,6 +55,21 @@
   budget.window = seconds_read(section, "window_s", 10, most_seconds);
 }
 
+void read_quotas(kernel::settings_document& document,
+                 decide::quota_settings& quotas) {
+  constexpr double least_window_s = 1;
+  constexpr double most_window_s = 3600;
+  constexpr double most_slack = 1000000000;
+  constexpr double ms_per_second = 1000;
+  auto section = document.section("quotas");
+  quotas.window = milliseconds(static_cast<std::int64_t>(
+      section.real("window_s", seconds_of(quotas.window), least_window_s,
+                   most_window_s) *
+      ms_per_second));
+  quotas.over = section.real("over", quotas.over, 0, 1);
+  quotas.slack = section.real("slack", quotas.slack, 0, most_slack);
+}
+
 }  // namespace
 
 entry_settings read_entry_settings(kernel::settings_document& document) {
@@ -82,6 +97,7 @@
       entry.number("late_prompt_tokens", settings.unread.late_request_tokens, 0,
                    most_tokens));
   read_budget(document, settings.budget);
+  read_quotas(document, settings.quotas);
   read_planner(document, settings.planner);
   return settings;
 }
--- a/src/serve/entry_settings.hpp
+++ b/src/serve/entry_settings.hpp
@@ -8,6 +8,7 @@
 
 #include "decide/planner_settings.hpp"
 #include "decide/prompt_backlog_limits.hpp"
+#include "decide/quota_settings.hpp"
 #include "decide/windowed_retry_budget_settings.hpp"
 #include "serve/node_settings.hpp"
 
@@ -32,6 +33,7 @@
   /// What the process may use at the most, in megabytes.
   double memory_mb = 256;
   decide::windowed_retry_budget_settings budget;
+  decide::quota_settings quotas;
   decide::planner_settings planner;
   /// How far above its slots a server may be filled.
   double queue_share = 0.25;
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -23,6 +23,7 @@
 constexpr int bad_request_status = 400;
 constexpr int unauthorized_status = 401;
 constexpr int not_found_status = 404;
+constexpr int too_many_requests_status = 429;
 constexpr int bad_gateway_status = 502;
 constexpr int unavailable_status = 503;
 constexpr int gateway_timeout_status = 504;
@@ -144,6 +145,10 @@
   return false;
 }
 
+double exchange::cost() const {
+  return this->sender ? this->sender->quota.cost_of(this->asked) : 0;
+}
+
 decide::request_rank exchange::rank() const {
   return {.account = this->sender ? this->sender->priority : 0,
           .route = this->way->priority};
@@ -208,6 +213,7 @@
 void exchange::on_unsent() {
   this->connection.reset();
   this->record.on_unsent();
+  this->host.on_not_run(*this);
   this->host.on_server_failed(*this, false);
   this->leave_server();
   this->again("server not reached");
@@ -290,7 +296,10 @@
   if (this->record.is_known_not_run()) {
     const auto true_code =
         code == result_code::outcome_unknown ? result_code::no_server : code;
-    return this->answer_own(unavailable_status, true_code, reason, retry_after);
+    const int status = true_code == result_code::quota_exceeded
+                           ? too_many_requests_status
+                           : unavailable_status;
+    return this->answer_own(status, true_code, reason, retry_after);
   }
   this->answer_own(bad_gateway_status, result_code::outcome_unknown, reason,
                    milliseconds(0));
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -12,6 +12,7 @@
 #include <boragehill/time_point.hpp>
 
 #include "decide/attempt_history.hpp"
+#include "decide/quota_charge.hpp"
 #include "decide/request_rank.hpp"
 #include "decide/response_end.hpp"
 #include "decide/version_binding.hpp"
@@ -97,6 +98,15 @@
   const std::string& service() const { return this->target; }
   /// \return The client account that sent it; null if none did.
   const fleet::account* account() const { return this->sender; }
+  /// \return What a send of it costs its account's quota.
+  double cost() const;
+  /// Keeps what its last send has cost.
+  void charge(decide::quota_charge taken) { this->charged = std::move(taken); }
+  /// \return What its last send has cost, if it cost anything and that wasn't
+  ///     taken before.
+  std::optional<decide::quota_charge> take_charge() {
+    return std::exchange(this->charged, std::nullopt);
+  }
   /// \return How urgent it is.
   decide::request_rank rank() const;
   /// \return The server that has it now; empty if none has.
@@ -190,6 +200,7 @@
   const fleet::account* sender = nullptr;
   /// The configuration has accounts.
   bool has_accounts = false;
+  std::optional<decide::quota_charge> charged;
   std::string target;
   std::string at;
   std::string last;
--- a/src/serve/exchange_host.hpp
+++ b/src/serve/exchange_host.hpp
@@ -64,6 +64,9 @@
   /// A server failed it: it couldn't be reached, or broke an answer off.
   virtual void on_server_failed(const exchange& request, bool reached) = 0;
 
+  /// The last server that it was sent to has provably not run it.
+  virtual void on_not_run(exchange& request) = 0;
+
   /// A server refused it because the model isn't there.
   virtual void on_model_missing(const exchange& request) = 0;
 
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -181,6 +181,7 @@
   if (this->not_run_answer) {
     // A server that rests may get it again afterwards.
     this->record.on_not_run(this->misdirected || this->asked_rest);
+    this->host.on_not_run(*this);
     if (this->replaced) {
       this->host.on_server_replaced(*this);
     } else if (this->misdirected) {
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -8,6 +8,7 @@
 #include "decide/awaited_models.hpp"
 #include "decide/request_count_filter.hpp"
 #include "kernel/event_log.hpp"
+#include "serve/quota_limits.hpp"
 #include "wire/planner_codec.hpp"
 
 namespace boragehill::serve {
@@ -50,6 +51,7 @@
                }),
       timer(this->loop.context()),
       planner(settings.planner),
+      quotas(settings.quotas),
       slots({.queue_share = settings.queue_share}),
       view(settings.queue_share) {}
 
@@ -73,6 +75,8 @@
     this->planner.start(this->leads_since);
     // What an earlier term knew may be over; routers announce what holds.
     this->rate_limits = {};
+    this->quotas.start(this->leads_since);
+    this->set_quota_limits();
     this->slots.clear();
     this->view.clear();
     this->restore(quarantine);
@@ -87,6 +91,7 @@
   this->loop.post([this, news = std::move(news)] {
     this->catalog = news;
     this->planner.set_catalog(news);
+    this->set_quota_limits();
     if (this->term != 0) this->link_agents();
   });
 }
@@ -139,6 +144,10 @@
   this->demands[report.router] = std::move(report.demand);
   this->rate_limits.on_report(report.router, report.rate_limits,
                               time_point::clock::now());
+  if (report.quotas) {
+    this->quotas.on_report(report.router, *report.quotas,
+                           time_point::clock::now());
+  }
   this->note_crashes(report);
   found->second.wanted_trials = std::move(report.wanted_trials);
   this->note_streams(report, found->second);
@@ -156,6 +165,7 @@
   if (linked_again) return;
   this->planner.on_router_removed(router);
   this->rate_limits.on_router_removed(router);
+  this->quotas.on_router_removed(router, time_point::clock::now());
   this->slots.on_router_removed(router);
   this->demands.erase(router);
 }
@@ -377,10 +387,28 @@
   }
 }
 
+void planner_duty::set_quota_limits() {
+  if (!this->catalog) return;
+  this->quotas.set_limits(quota_limits_of(*this->catalog),
+                          time_point::clock::now());
+}
+
+bool planner_duty::add_quotas(router_link& router,
+                              decide::quota_allocator::grant_map& grants,
+                              wire::view_update& update) {
+  const auto found = grants.find(router.router);
+  if (found == grants.end()) return false;
+  const bool is_first = !std::exchange(router.knows_quotas, true);
+  if (!is_first && found->second.grants.empty()) return false;
+  update.quota_grants = std::exchange(found->second, {});
+  return true;
+}
+
 void planner_duty::tell_routers() {
   const auto now = time_point::clock::now();
   const auto limits = this->rate_limits.limits();
   auto tokens = this->rate_limits.grant(now);
+  auto quotas = this->quotas.grant(now);
   auto grants = this->grant_slots(now);
   this->view.update(this->planner.workers(), this->slots.unconfirmed());
   const auto crashing_requests = state_of(this->crashing_requests, now);
@@ -409,12 +437,13 @@
         this->trials.grant(std::exchange(each.wanted_trials, {}), now);
     // A router may have two links for a moment; one of them gets its tokens.
     update.tokens = std::exchange(tokens[each.router], {});
+    const bool same_quotas = !add_quotas(each, quotas, update);
     update.grants = std::exchange(grants[each.router], {});
     if (!update.grants.empty()) update.grant_round = this->slots.round();
     if (update.servers.empty() && update.tokens.empty() &&
         update.grants.empty() && update.trials.empty() &&
         !update.tells_of_streams() && each.greeted && same && same_limits &&
-        same_count && same_requests && same_parts) {
+        same_count && same_requests && same_parts && same_quotas) {
       continue;
     }
     if (!same_limits) {
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -17,6 +17,7 @@
 
 #include "decide/crash_suspects.hpp"
 #include "decide/fleet_view.hpp"
+#include "decide/quota_allocator.hpp"
 #include "decide/rate_limit_allocator.hpp"
 #include "decide/residency_planner.hpp"
 #include "decide/slot_allocator.hpp"
@@ -92,6 +93,8 @@
     bool keeps_streams = false;
     bool knows_streams = false;
     int told_routers = 0;
+    /// It knows that tokens of quotas are granted.
+    bool knows_quotas = false;
     bool greeted = false;
   };
   struct agent_link {
@@ -144,6 +147,12 @@
   /// Adds what changed at the workers since the router was told of them.
   void add_news(router_link& router, const std::map<std::string, int>& own,
                 wire::view_update& update) const;
+  /// Adds the router's tokens of quotas.
+  /// \return True if there is any news of them.
+  static bool add_quotas(router_link& router,
+                         decide::quota_allocator::grant_map& grants,
+                         wire::view_update& update);
+  void set_quota_limits();
   decide::slot_allocator::grant_map grant_slots(time_point now);
   /// \return The ready times that the router has to know.
   std::map<std::string, time_point> expected_at(
@@ -173,6 +182,7 @@
   /// Workers that their agents don't reach, or of another lifetime.
   std::set<std::string> lost_workers;
   decide::rate_limit_allocator rate_limits;
+  decide::quota_allocator quotas;
   decide::stream_origins streams;
   /// Those that the routers that keep them haven't been told of.
   std::map<std::string, decide::stream_origin> new_streams;
--- a/src/value/result_code.cpp
+++ b/src/value/result_code.cpp
@@ -39,6 +39,7 @@
     code_entry{rc::retry_budget_spent, "retry_budget_spent", 503},
     code_entry{rc::home_unreachable, "home_unreachable", 503},
     code_entry{rc::server_busy, "server_busy", 503},
+    code_entry{rc::quota_exceeded, "quota_exceeded", 429},
     code_entry{rc::outcome_unknown, "outcome_unknown", 504},
     code_entry{rc::answer_broken, "answer_broken", 504},
     code_entry{rc::attempt_forgotten, "attempt_forgotten", 504},
--- a/src/wire/router_report.hpp
+++ b/src/wire/router_report.hpp
@@ -2,11 +2,13 @@
 #define BORAGEHILL_WIRE_ROUTER_REPORT_HPP
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "decide/demand_report.hpp"
 #include "decide/interruption.hpp"
+#include "decide/quota_report.hpp"
 #include "decide/rate_limit_report.hpp"
 #include "decide/stream_origin.hpp"
 
@@ -33,6 +35,8 @@
   /// Suspected parts with a complete response before it.
   std::vector<std::string> completed_parts;
   decide::rate_limit_report rate_limits;
+  /// Nothing where no client account has a quota.
+  std::optional<decide::quota_report> quotas;
   /// Streams that were sent to a server since the last report, each by the
   /// attempt that brings its first event.
   std::map<std::string, decide::stream_origin> streams;
--- a/src/wire/view_update.hpp
+++ b/src/wire/view_update.hpp
@@ -9,6 +9,7 @@
 
 #include <boragehill/time_point.hpp>
 
+#include "decide/quota_grants.hpp"
 #include "decide/rate_limit.hpp"
 #include "decide/rate_limit_tokens.hpp"
 #include "decide/slot_grant.hpp"
@@ -46,6 +47,8 @@
   std::optional<std::map<std::string, decide::rate_limit>> rate_limits;
   /// Tokens granted to this router since the last update.
   std::vector<decide::rate_limit_tokens> tokens;
+  /// Of the quotas of client accounts; nothing if there is no news of them.
+  std::optional<decide::quota_grants> quota_grants;
   /// Streams that this router asked for or keeps for the next planner.
   std::map<std::string, decide::stream_origin> streams;
   /// Streams that it asked for and that the planner doesn't know.
--- a/test/fleet-test/bad_input_test.cpp
+++ b/test/fleet-test/bad_input_test.cpp
@@ -154,5 +154,10 @@
   EXPECT_EQ(filled("a {{x.y}} {{z}}.", {{"x.y", "1"}}), "a 1 .");
 }
 
+TEST(template_test, leaves_sections_whose_names_have_values) {
+  EXPECT_EQ(filled("{{#x}}a {{x}} {{/x}}{{#y}}b {{x}}{{/y}}c", {{"x", "1"}}),
+            "a 1 c");
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
--- a/test/fleet-test/template.hpp
+++ b/test/fleet-test/template.hpp
@@ -7,7 +7,8 @@
 namespace boragehill::fleet_test {
 
 /// Fills in a settings template as the platform does.
-/// \param text With names in double braces.
+/// \param text With names in double braces, and sections `{{#name}}` to
+///     `{{/name}}` that stay if the name has a value.
 /// \param values The values by name; a name without one becomes empty.
 std::string filled(std::string text,
                    const std::map<std::string, std::string>& values);
--- a/test/wire-test/planner_codec_test.cpp
+++ b/test/wire-test/planner_codec_test.cpp
@@ -106,6 +106,28 @@
   EXPECT_FALSE(decode_router_report(reported).tells_of_streams());
 }
 
+TEST(planner_codec_test, quotas_are_told_where_accounts_have_them) {
+  const router_report report{
+      .router = "r-1",
+      .quotas = decide::quota_report{
+          .made_at = milliseconds(7),
+          .last_round = 3,
+          .known_routers = 31,
+          .needs = {{.account = "a", .waiting = 12, .first = 4, .ahead = 0.5},
+                    {.account = "b", .ahead = 2}}}};
+  EXPECT_EQ(decode_router_report(encode(report)), report);
+  const view_update update{
+      .term = 9,
+      .quota_grants = decide::quota_grants{
+          .round = 4,
+          .report_made_at = milliseconds(7),
+          .grants = {{.account = "a", .tokens = 2.5},
+                     {.account = "b", .exhausted_for = milliseconds(30)}}}};
+  EXPECT_EQ(decode_view_update(encode(update)), update);
+  EXPECT_FALSE(encode(router_report{}).isMember("quotas"));
+  EXPECT_FALSE(encode(view_update{}).isMember("quotas"));
+}
+
 TEST(planner_codec_test, each_field_about_streams_stands_for_itself) {
   const std::map<std::string, decide::stream_origin> streams{
       {"s-1", {"s", "1.2", milliseconds(9)}}};
