--- a/src/decide/account_allowance.cpp
+++ b/src/decide/account_allowance.cpp
@@ -241,7 +241,8 @@
                     .last_round = this->last_round,
                     .known_routers = known_routers};
   if (known_routers > 0) this->routers = known_routers;
-  for (auto& [account, each] : this->accounts) {
+  for (auto& [name, each] : this->accounts) {
+    const std::string& account = name;
     quota_need need{.account = account};
     const auto found =
         std::find_if(waiting.begin(), waiting.end(),
