Order waiting requests over accounts, due times and models

Cause: each model's waiting requests were sorted by priority and arrival, and lines were served one after the other; nothing kept an account that sends many times its usual demand from delaying the others, and a request with 6 s left weighed as much as one with 0.3 s where models compete for places.

Change: where the configuration has client accounts, a router sends waiting requests in one order over all lines (decide::waiting_order), and tells the planner weights that follow what is left until the due time.

--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -207,6 +207,9 @@
     this->metrics.on_accepted();
     this->budget_of(request->service()).on_request(request->request().received);
     ++this->arrivals[key_of(*request)];
+    if (this->has_accounts()) {
+      this->shares.on_request(account_name(*request), now);
+    }
   }
   this->seek_server(request);
 }
@@ -322,6 +325,9 @@
   this->account_trial(*request, server, now);
   this->rate_limited.on_sent(server.entry.id, now);
   this->charge_quota(*request, now);
+  if (this->has_accounts() && !request->sends().was_attempted()) {
+    this->shares.on_sent(account_name(*request), now);
+  }
   server.requests.emplace(request.get(), request);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{server.entry.id, request->fields().model,
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include <boragehill/time_point.hpp>
 
 #include "decide/account_allowance.hpp"
+#include "decide/account_shares.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
 #include "decide/end_confirmation.hpp"
@@ -35,6 +36,7 @@
 #include "decide/stream_resumption.hpp"
 #include "decide/suspect_guard.hpp"
 #include "decide/trial_permits.hpp"
+#include "decide/waiting_order.hpp"
 #include "decide/windowed_retry_budget.hpp"
 #include "fleet/catalog.hpp"
 #include "fleet/quarantine_row.hpp"
@@ -338,6 +340,28 @@
   /// \return True if a granted retry waits for a server or for a credit.
   bool retry_waits() const;
   void serve_waiting();
+  /// Serves one line after another.
+  void serve_lines();
+  /// Serves the waiting requests in one order over all lines.
+  void serve_in_order();
+  /// What became of a waiting request that a server was sought for.
+  enum class line_step {
+    sent,
+    /// Others of its line may be sent.
+    skipped,
+    /// The whole line has to wait.
+    waits
+  };
+  line_step offer_server(const std::shared_ptr<exchange>& request,
+                         time_point now);
+  /// \return The requests as they are to be sent.
+  std::vector<std::shared_ptr<exchange>> ordered(
+      std::vector<std::shared_ptr<exchange>> waiting, time_point now) const;
+  static decide::waiting_candidate candidate_of(const exchange& request);
+  /// \return The name of the request's client account; empty if it has none.
+  static std::string account_name(const exchange& request);
+  /// \return True if the configuration has client accounts.
+  bool has_accounts() const;
   /// Sends waiting requests to the servers that the planner granted slots of.
   void use_grants(const std::vector<decide::slot_grant>& grants);
   /// \return True if a request was sent.
@@ -410,6 +434,7 @@
   decide::retry_after_servers resting;
   decide::rate_limited_servers rate_limited;
   decide::account_allowance quotas;
+  decide::account_shares shares;
   std::map<std::string, exhausted_quota> exhausted_quotas;
   bool serving = false;
   bool sending_paused = false;
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -1,6 +1,8 @@
 // The lines of requests that wait for a server, and who is sent next.
 
 #include <algorithm>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "kernel/event_log.hpp"
@@ -74,6 +76,15 @@
   // Sending may end a request at once, which comes back here.
   if (this->serving || this->sending_paused) return;
   this->serving = true;
+  if (this->has_accounts()) {
+    this->serve_in_order();
+  } else {
+    this->serve_lines();
+  }
+  this->serving = false;
+}
+
+void dispatcher::serve_lines() {
   std::vector<demand_key> keys;
   for (const auto& [key, line] : this->lines) keys.push_back(key);
   for (const auto& key : keys) {
@@ -82,7 +93,56 @@
     this->serve_line(found->second);
     if (found->second.empty()) this->drop_line(found);
   }
-  this->serving = false;
+}
+
+void dispatcher::serve_in_order() {
+  const auto now = time_point::clock::now();
+  std::vector<std::shared_ptr<exchange>> waiting;
+  for (const auto& [key, line] : this->lines) {
+    waiting.insert(waiting.end(), line.begin(), line.end());
+  }
+  std::set<demand_key> without_room;
+  for (const auto& request : this->ordered(std::move(waiting), now)) {
+    const auto key = key_of(*request);
+    if (without_room.contains(key)) continue;
+    const auto found = this->lines.find(key);
+    if (found == this->lines.end()) continue;
+    auto& line = found->second;
+    // One that was sent may have ended others.
+    const auto position = std::find(line.begin(), line.end(), request);
+    if (position == line.end() || this->lacks_quota(*request, now)) continue;
+    const auto step = this->offer_server(request, now);
+    if (step == line_step::waits) without_room.insert(key);
+    if (step != line_step::sent) continue;
+    std::erase(line, request);
+    if (line.empty()) this->drop_line(found);
+  }
+}
+
+std::vector<std::shared_ptr<exchange>> dispatcher::ordered(
+    std::vector<std::shared_ptr<exchange>> waiting, time_point now) const {
+  std::vector<decide::waiting_candidate> candidates;
+  candidates.reserve(waiting.size());
+  for (const auto& each : waiting) candidates.push_back(candidate_of(*each));
+  std::vector<std::shared_ptr<exchange>> sorted;
+  sorted.reserve(waiting.size());
+  for (const auto index :
+       decide::waiting_order(candidates, this->shares, now)) {
+    sorted.push_back(std::move(waiting[index]));
+  }
+  return sorted;
+}
+
+decide::waiting_candidate dispatcher::candidate_of(const exchange& request) {
+  return {.account = account_name(request),
+          .rank = request.rank(),
+          .received = request.request().received,
+          .objective = request.route()->latency_objective,
+          .limit = request.due()};
+}
+
+bool dispatcher::has_accounts() const {
+  return this->known_catalog && !this->known_catalog->accounts.empty();
 }
 
 void dispatcher::serve_line(waiting_line& line) {
@@ -98,31 +158,39 @@
       ++each;
       continue;
     }
-    auto* server = this->find_server(*request, now);
-    // One that may not go to all servers may lack one where others have one.
-    const bool is_restricted = this->is_restricted(*request);
-    if (!server && !is_restricted) this->room_seen.erase(key_of(*request));
-    if (server && this->awaits_grant(*request, now)) {
-      if (this->own_free_slots == 0) return;
-      --this->own_free_slots;
-    }
-    // A router that was held up meets news of a server before it meets the
-    // close of a caller that has left meanwhile: the server would run for
-    // nobody. Such a request ends with that close, or with its limit.
-    if (server && !this->may_start(*request, now)) {
-      ++each;
-      continue;
-    }
-    if (server && this->send(request, *server, now)) {
-      each = line.erase(each);
-      continue;
+    switch (this->offer_server(request, now)) {
+      case line_step::sent:
+        each = line.erase(each);
+        break;
+      case line_step::skipped:
+        ++each;
+        break;
+      case line_step::waits:
+        return;
     }
-    // The same is true of one that was refused before.
-    if (!request->sends().was_attempted() && !is_restricted) return;
-    ++each;
   }
 }
 
+dispatcher::line_step dispatcher::offer_server(
+    const std::shared_ptr<exchange>& request, time_point now) {
+  auto* server = this->find_server(*request, now);
+  // One that may not go to all servers may lack one where others have one.
+  const bool is_restricted = this->is_restricted(*request);
+  if (!server && !is_restricted) this->room_seen.erase(key_of(*request));
+  if (server && this->awaits_grant(*request, now)) {
+    if (this->own_free_slots == 0) return line_step::waits;
+    --this->own_free_slots;
+  }
+  // A router that was held up meets news of a server before it meets the
+  // close of a caller that has left meanwhile: the server would run for
+  // nobody. Such a request ends with that close, or with its limit.
+  if (server && !this->may_start(*request, now)) return line_step::skipped;
+  if (server && this->send(request, *server, now)) return line_step::sent;
+  // The same is true of one that was refused before.
+  const bool any_server = !request->sends().was_attempted() && !is_restricted;
+  return any_server ? line_step::waits : line_step::skipped;
+}
+
 bool dispatcher::awaits_grant(const exchange& request, time_point now) {
   // One that a server rejected goes to another one that this router knows of;
   // a rate limit has tokens of its own.
@@ -183,8 +251,17 @@
   const auto now = time_point::clock::now();
   this->judge_silence(server->second, now);
   int sent = 0;
+  auto& line = found->second;
+  if (this->has_accounts()) {
+    for (const auto& request : this->ordered({line.begin(), line.end()}, now)) {
+      if (sent >= grant.count) break;
+      if (!this->can_use_grant(server->second, *request, now)) continue;
+      if (!this->send(request, server->second, now)) continue;
+      std::erase(line, request);
+      ++sent;
+    }
+  }
   for (const bool late : {false, true}) {
-    auto& line = found->second;
     for (auto each = line.begin(); each != line.end() && sent < grant.count;) {
       const auto request = *each;
       const bool is_next = request->is_late(now) == late &&
--- a/src/serve/dispatcher_quotas.cpp
+++ b/src/serve/dispatcher_quotas.cpp
@@ -33,6 +33,10 @@
   return is_limited ? &account->name : nullptr;
 }
 
+std::string dispatcher::account_name(const exchange& request) {
+  return request.account() ? request.account()->name : std::string();
+}
+
 bool dispatcher::lacks_quota(const exchange& request, time_point now) {
   const auto* account = this->limited_account(request);
   return account && !this->quotas.may_spend(*account, request.cost(), now);
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -6,7 +6,6 @@
 #include <tuple>
 #include <utility>
 
-#include "fleet/account.hpp"
 #include "kernel/event_log.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
@@ -52,7 +51,7 @@
        {"fingerprint", request.fingerprint()},
        {"route", request.route() ? request.route()->name : std::string()},
        {"service", request.service()},
-       {"account", request.account() ? request.account()->name : ""},
+       {"account", account_name(request)},
        {"model", asked.model},
        {"adapter", asked.adapter},
        {"status", ended.status},
@@ -100,7 +99,9 @@
       demand.oldest_wait =
           std::max(demand.oldest_wait,
                    milliseconds(ms_between(each->request().received, now)));
-      demand.weight += 1.0 / (1 + each->route()->priority);
+      demand.weight += this->has_accounts()
+                           ? decide::waiting_weight(candidate_of(*each), now)
+                           : 1.0 / (1 + each->route()->priority);
     }
   }
   for (auto& [key, demand] : demands) {
