--- a/src/serve/dispatcher_quotas.cpp
+++ b/src/serve/dispatcher_quotas.cpp
@@ -154,6 +154,7 @@
     }
   }
   std::vector<decide::quota_need> waiting;
+  waiting.reserve(needs.size());
   for (auto& [account, each] : needs) waiting.push_back(std::move(each));
   return this->quotas.report(waiting, this->routers.last_known(now).value_or(0),
                              now);
