Balance work by the servers' pace and by what others have sent since

Cause: servers state their pace, and it was dropped; a router counted requests alike at servers of 0.7 to 1.7 times the usual speed, and chose at random within a number of requests that depends on the routers alone, not on how much they send while their news is old.

What the other routers have probably sent in 0.1 s is poured onto the least loaded servers, and a server is chosen by its part of it.

--- a/src/decide/server_candidate.hpp
+++ b/src/decide/server_candidate.hpp
@@ -11,6 +11,12 @@
   int other_requests = 0;
   /// Prompt tokens of this router's requests whose responses have not started.
   int prompt_backlog_tokens = 0;
+  /// Work of the requests there, in that of a mean request; only used with a
+  /// pace.
+  double expected_work = 0;
+  /// How long work takes there, 1 is the usual time; 0 if the server doesn't
+  /// tell.
+  double pace = 0;
   /// Number of requests that the server runs concurrently.
   int slots = 1;
   /// The server is in the router's failure domain.
--- a/src/decide/server_choice.cpp
+++ b/src/decide/server_choice.cpp
@@ -33,6 +33,18 @@
   return static_cast<double>(bits >> 40U) / steps;
 }
 
+/// How much of a server's load a request feels itself: a slow server that is
+/// idle is as good as one of the usual speed with this load.
+constexpr double own_request_load = 0.25;
+
+/// The work of a server that may take a request, as a time.
+struct level {
+  std::size_t index = 0;
+  double time = 0;
+  /// Mean requests for which its time rises by one.
+  double capacity = 0;
+};
+
 double cost_of(const server_candidate& server) {
   const double requests = server.own_requests + server.other_requests;
   double cost = requests / server.slots +
@@ -72,6 +84,54 @@
   return best;
 }
 
+std::optional<std::size_t> choose_by_work(
+    const std::vector<server_candidate>& candidates, double queue_share,
+    int max_backlog_tokens, std::uint64_t random, double arrivals) {
+  std::vector<level> levels;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const auto& server = candidates[index];
+    if (server.slots <= 0 || is_full(server, queue_share, max_backlog_tokens)) {
+      continue;
+    }
+    const double pace = server.pace > 0 ? server.pace : 1;
+    const double backlog = server.prompt_backlog_tokens / tokens_per_full_load;
+    double time = pace * (server.expected_work / server.slots + backlog);
+    // The request itself takes longer there, too.
+    time += pace * own_request_load;
+    if (!server.local) time += cross_domain_cost;
+    if (server.suspected) time += suspected_cost;
+    levels.push_back(
+        {.index = index, .time = time, .capacity = server.slots / pace});
+  }
+  if (levels.empty()) return std::nullopt;
+  std::sort(levels.begin(), levels.end(),
+            [](const level& one, const level& other) {
+              return one.time < other.time;
+            });
+  // The highest level that the arrivals fill the servers up to.
+  double capacity = 0;
+  double filled = 0;
+  double top = levels.front().time;
+  std::size_t count = 0;
+  while (count < levels.size()) {
+    const auto& next = levels[count];
+    const double needed = filled + (next.time - top) * capacity;
+    if (count > 0 && needed >= arrivals) break;
+    filled = needed;
+    top = next.time;
+    capacity += next.capacity;
+    ++count;
+  }
+  top += std::max(arrivals - filled, 0.0) / capacity;
+  const double drawn = random_fraction(random, 0);
+  double left = drawn * std::max(arrivals, 0.0);
+  for (std::size_t each = 0; each < count; ++each) {
+    left -= (top - levels[each].time) * levels[each].capacity;
+    if (left < 0) return levels[each].index;
+  }
+  return levels.front().index;
+}
+
 double view_error_of(int routers) {
   return std::min((routers - 1) / routers_per_error, max_view_error);
 }
--- a/src/decide/server_choice.hpp
+++ b/src/decide/server_choice.hpp
@@ -38,6 +38,27 @@
     const std::vector<server_candidate>& candidates, double queue_share,
     int max_backlog_tokens, std::uint64_t random, double view_error = 0);
 
+/// Chooses the backend server for a request among servers that tell their pace.
+///
+/// Load: servers of 0.7 to 1.7 times the usual speed, and up to a hundred
+/// routers that choose from the same old figures. If each of them chose the
+/// server with the least work, all requests of the time since the figures would
+/// go to one; a fixed random part spreads them too far at a low rate and too
+/// little at a high one.
+///
+/// The work that others have sent since is taken to have filled the servers up
+/// to one level, the least loaded first. A server is chosen with the
+/// probability of the part that it has of this work, so the routers together
+/// fill them up evenly. Work counts by the time that it takes at the server.
+/// \param queue_share, max_backlog_tokens As for `choose_server`.
+/// \param random 64 random bits.
+/// \param arrivals Requests that the routers have probably sent since the time
+///     of the figures, in mean requests.
+/// \return Index of the candidate; nothing if all are full.
+std::optional<std::size_t> choose_by_work(
+    const std::vector<server_candidate>& candidates, double queue_share,
+    int max_backlog_tokens, std::uint64_t random, double arrivals);
+
 /// \return Requests by which a router's number of the other routers' requests
 ///     at a server may be wrong, since these send between two reports.
 double view_error_of(int routers);
--- a/src/fleet/answer_fields.hpp
+++ b/src/fleet/answer_fields.hpp
@@ -30,6 +30,8 @@
   /// Requests running and waiting at the worker, if it tells.
   std::optional<int> running;
   std::optional<int> waiting;
+  /// How long work takes there at the moment, if it tells; 1 is the usual time.
+  std::optional<double> pace;
 
   bool operator==(const answer_fields&) const = default;
 };
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// A plain server runs about this many requests at once if it doesn't say.
-constexpr int assumed_slots = 8;
 /// Part of a server's connections that the routers share among them.
 constexpr double connection_share = 0.9;
 constexpr std::size_t fewest_connections = 4;
@@ -288,29 +286,27 @@
 server_state* dispatcher::find_server(const exchange& request, time_point now) {
   std::vector<decide::server_candidate> candidates;
   std::vector<server_state*> states;
+  bool by_work = false;
   this->excuse_own_pause(now);
   for (auto& [id, state] : this->servers) {
     if (state.entry.service != request.service()) continue;
     this->judge_silence(state, now);
     if (!this->can_take(state, request, now)) continue;
-    const int slots = state.entry.slots;
-    candidates.push_back(
-        {.own_requests = static_cast<int>(state.requests.size()),
-         .other_requests = state.other_requests,
-         .prompt_backlog_tokens =
-             state.silence.responses().prompt_backlog_tokens(),
-         .slots = slots > 0 ? slots : assumed_slots,
-         .local = state.entry.failure_domain == this->settings.failure_domain,
-         .suspected = this->health.suspect(id, now) ||
-                      request.sends().was_interrupted_by(id)});
+    candidates.push_back(this->server_candidate_of(state, request, now));
+    by_work = by_work || candidates.back().pace > 0;
     states.push_back(&state);
   }
   const int routers = this->assumed_routers(now);
   const int most_unread =
       this->settings.unread.router_limit(request.is_late(now), routers);
-  const auto chosen = decide::choose_server(
-      candidates, this->settings.queue_share, most_unread,
-      kernel::random_bits(), decide::view_error_of(routers));
+  const auto chosen =
+      by_work ? decide::choose_by_work(
+                    candidates, this->settings.queue_share, most_unread,
+                    kernel::random_bits(),
+                    this->recent_arrivals(request, candidates.size(), now))
+              : decide::choose_server(candidates, this->settings.queue_share,
+                                      most_unread, kernel::random_bits(),
+                                      decide::view_error_of(routers));
   return chosen ? states[*chosen] : nullptr;
 }
 
@@ -329,6 +325,7 @@
     this->shares.on_sent(account_name(*request), now);
   }
   server.requests.emplace(request.get(), request);
+  this->on_work_sent(*request, server);
   server.silence.responses().on_sent(request->fields().prompt_tokens, now);
   ++this->flights[{server.entry.id, request->fields().model,
                    request->fields().adapter}];
@@ -380,6 +377,7 @@
   const auto found = this->servers.find(request.server());
   if (found != this->servers.end()) {
     found->second.requests.erase(&request);
+    this->on_work_left(request, found->second);
     auto& answers = found->second.silence.responses();
     if (request.unanswered()) {
       answers.on_unstarted_request_removed(request.fields().prompt_tokens);
@@ -423,7 +421,7 @@
   this->take_notice(found->second, answer, request.fields().attempt);
 }
 
-void dispatcher::take_notice(const server_state& server,
+void dispatcher::take_notice(server_state& server,
                              const fleet::answer_fields& answer,
                              const std::string& by) {
   const auto& id = server.entry.id;
@@ -439,8 +437,14 @@
                        {"list_says", server.entry.draining}});
   }
   this->take_rate_limit(id, answer, by);
-  if (!answer.rest) return;
   const auto now = time_point::clock::now();
+  if (answer.pace && answer.running && answer.waiting) {
+    server.load.on_figures({.running = *answer.running,
+                            .waiting = *answer.waiting,
+                            .pace = *answer.pace},
+                           static_cast<int>(server.requests.size()), now);
+  }
+  if (!answer.rest) return;
   if (this->resting.on_retry_after(id, now + *answer.rest, now)) {
     kernel::log_event(
         kernel::event::server_rests,
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -20,6 +20,7 @@
 
 #include "decide/account_allowance.hpp"
 #include "decide/account_shares.hpp"
+#include "decide/decaying_sum.hpp"
 #include "decide/demand_report.hpp"
 #include "decide/draining_servers.hpp"
 #include "decide/end_confirmation.hpp"
@@ -53,8 +54,9 @@
 #include "wire/view_update.hpp"
 
 namespace boragehill::decide {
+struct server_candidate;
 struct wait_state;
-}
+}  // namespace boragehill::decide
 
 namespace boragehill::serve {
 
@@ -217,6 +219,19 @@
   bool knows_model(const exchange& request) const;
   /// \return The server that should get the request; null if none has room.
   server_state* find_server(const exchange& request, time_point now);
+  /// \return The server's load as the choice takes it.
+  decide::server_candidate server_candidate_of(const server_state& server,
+                                               const exchange& request,
+                                               time_point now) const;
+  /// \param candidates Number of servers that could take the request.
+  /// \return Requests that the other routers have probably sent to these since
+  ///     the planner told of their load.
+  double recent_arrivals(const exchange& request, std::size_t candidates,
+                         time_point now) const;
+  /// \return The work that the request brings, in usual milliseconds.
+  static double work_of(const exchange& request);
+  void on_work_sent(const exchange& request, server_state& server);
+  void on_work_left(const exchange& request, server_state& server);
   /// \return False if there is no connection for it.
   bool send(const std::shared_ptr<exchange>& request, server_state& server,
             time_point now);
@@ -312,8 +327,8 @@
   /// \param by What was answered: a request's attempt, or a question.
   void mark_replaced(server_state& server, const std::string& by);
   /// Takes up what a server says of itself in an answer.
-  void take_notice(const server_state& server,
-                   const fleet::answer_fields& answer, const std::string& by);
+  void take_notice(server_state& server, const fleet::answer_fields& answer,
+                   const std::string& by);
   void take_rate_limit(const std::string& server,
                        const fleet::answer_fields& answer,
                        const std::string& by);
@@ -357,7 +372,8 @@
   /// \return The requests as they are to be sent.
   std::vector<std::shared_ptr<exchange>> ordered(
       std::vector<std::shared_ptr<exchange>> waiting, time_point now) const;
-  static decide::waiting_candidate candidate_of(const exchange& request);
+  static decide::waiting_candidate waiting_candidate_of(
+      const exchange& request);
   /// \return The name of the request's client account; empty if it has none.
   static std::string account_name(const exchange& request);
   /// \return True if the configuration has client accounts.
@@ -435,6 +451,10 @@
   decide::rate_limited_servers rate_limited;
   decide::account_allowance quotas;
   decide::account_shares shares;
+  /// Requests sent lately, by service.
+  std::map<std::string, decide::decaying_sum> sent_rates;
+  /// Of requests in usual milliseconds, by service.
+  std::map<std::string, double> mean_works;
   std::map<std::string, exhausted_quota> exhausted_quotas;
   bool serving = false;
   bool sending_paused = false;
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -123,7 +123,8 @@
     std::vector<std::shared_ptr<exchange>> waiting, time_point now) const {
   std::vector<decide::waiting_candidate> candidates;
   candidates.reserve(waiting.size());
-  for (const auto& each : waiting) candidates.push_back(candidate_of(*each));
+  for (const auto& each : waiting)
+    candidates.push_back(waiting_candidate_of(*each));
   std::vector<std::shared_ptr<exchange>> sorted;
   sorted.reserve(waiting.size());
   for (const auto index :
@@ -133,7 +134,8 @@
   return sorted;
 }
 
-decide::waiting_candidate dispatcher::candidate_of(const exchange& request) {
+decide::waiting_candidate dispatcher::waiting_candidate_of(
+    const exchange& request) {
   return {.account = account_name(request),
           .rank = request.rank(),
           .received = request.request().received,
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -99,9 +99,10 @@
       demand.oldest_wait =
           std::max(demand.oldest_wait,
                    milliseconds(ms_between(each->request().received, now)));
-      demand.weight += this->has_accounts()
-                           ? decide::waiting_weight(candidate_of(*each), now)
-                           : 1.0 / (1 + each->route()->priority);
+      demand.weight +=
+          this->has_accounts()
+              ? decide::waiting_weight(waiting_candidate_of(*each), now)
+              : 1.0 / (1 + each->route()->priority);
     }
   }
   for (auto& [key, demand] : demands) {
--- a/src/serve/server_state.hpp
+++ b/src/serve/server_state.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "decide/server_load.hpp"
 #include "decide/stall_detector.hpp"
 #include "fleet/resident_model.hpp"
 #include "fleet/server.hpp"
@@ -33,6 +34,10 @@
   decide::stall_detector silence;
   /// Requests of other routers there, as the planner said.
   int other_requests = 0;
+  /// What it told of its load in its answers.
+  decide::server_load load;
+  /// Work of this router's requests there, in usual milliseconds.
+  double own_work = 0;
 
   /// \return True if it may get new requests, by the list.
   bool takes_new() const {
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -197,6 +197,19 @@
   EXPECT_EQ(good.waiting, 1);
 }
 
+TEST(header_codec_test, reads_the_pace_of_a_server_that_tells_it) {
+  const auto pace = [](const char* load) {
+    return codec()
+        ->read_answer(200, headers({{"Boragehill-Server-Load", load}}))
+        .pace;
+  };
+  EXPECT_EQ(pace("3,1,8,170"), 1.7);
+  EXPECT_EQ(pace("3,1,8,100"), 1);
+  for (const char* none : {"3,1,8", "3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1"}) {
+    EXPECT_EQ(pace(none), std::nullopt) << none;
+  }
+}
+
 TEST(header_codec_test, reads_for_how_long_a_server_wants_nothing) {
   const auto rest = [](int status, const char* value) {
     return codec()->read_answer(status, headers({{"Retry-After", value}})).rest;
