Bound the memory of unread responses over all callers together

Cause: each connection held up to 256 KB of a response that its caller doesn't read, and nothing counted them together, so 600 callers that stop reading fill 160 MB and the process is killed with all that read.

Change: decide::response_memory bounds them together, at an eighth of the process's memory: connections share half of it, beyond their part servers aren't read on, and beyond the whole bound those connections are closed first whose callers have taken nothing for the longest time (event 826).

--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -114,6 +114,7 @@
   quota_available = 823,
   local_quotas_began = 824,
   local_quotas_ended = 825,
+  slow_callers_closed = 826,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -22,6 +22,8 @@
 /// Bytes of further requests that are kept while one is served; more stay in
 /// the socket.
 constexpr std::size_t most_read_ahead = 65536;
+/// A server is read on when its caller has left this part of what it may hold.
+constexpr std::size_t resume_divisor = 4;
 /// How long a closing connection still takes bytes, so that its last answer
 /// isn't lost to a reset.
 constexpr milliseconds linger_limit{1000};
@@ -228,8 +230,25 @@
 }
 
 void caller_session::queue(const std::string& bytes) {
+  if (this->counted == 0) this->last_taken = time_point::clock::now();
   this->outgoing += bytes;
   this->write();
+  this->count_held();
+}
+
+void caller_session::count_held() {
+  const auto held =
+      this->closed ? 0 : this->outgoing.size() + this->in_flight.size();
+  const auto before = std::exchange(this->counted, held);
+  if (before != held) this->host.on_response_bytes(before, held);
+}
+
+bool caller_session::congested() const {
+  return this->outgoing.size() > this->host.response_pause_limit();
+}
+
+decide::held_response caller_session::held_response() const {
+  return {.bytes = this->counted, .last_taken = this->last_taken};
 }
 
 void caller_session::write() {
@@ -241,6 +260,8 @@
       this->socket, asio::buffer(this->in_flight),
       [self = this->shared_from_this()](std::error_code failed, std::size_t) {
         self->writing = false;
+        // A string that is empty keeps its memory.
+        self->in_flight = {};
         if (self->closed) return;
         if (failed) return self->on_gone();
         self->on_written();
@@ -248,10 +269,14 @@
 }
 
 void caller_session::on_written() {
-  if (this->outgoing.size() < low_water && this->current) {
+  this->last_taken = time_point::clock::now();
+  this->count_held();
+  const auto resume_at = this->host.response_pause_limit() / resume_divisor;
+  if (this->outgoing.size() < resume_at && this->current) {
     this->current->on_caller_ready();
   }
   this->write();
+  this->count_held();
   if (this->lingering && !this->writing) {
     std::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -294,6 +319,7 @@
   if (this->closed) return;
   this->closed = true;
   this->let_go_body();
+  this->count_held();
   this->timer.cancel();
   std::error_code ignored;
   this->socket.close(ignored);
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -12,6 +12,7 @@
 
 #include <boragehill/time_point.hpp>
 
+#include "decide/held_response.hpp"
 #include "http/header_list.hpp"
 #include "http/message_parser.hpp"
 
@@ -27,11 +28,6 @@
 /// up is seen at once.
 class caller_session : public std::enable_shared_from_this<caller_session> {
  public:
-  /// Above this the server's answer is not read on until the caller has taken
-  /// some, so a slow reader holds bounded memory.
-  static constexpr std::size_t high_water = 256U << 10U;
-  static constexpr std::size_t low_water = 64U << 10U;
-
   caller_session(asio::ip::tcp::socket socket, session_host& host);
 
   void start();
@@ -52,7 +48,13 @@
   void answer(int status, http::header_list headers, const std::string& body);
 
   /// \return True if the caller takes the answer slower than it comes.
-  bool congested() const { return this->outgoing.size() > high_water; }
+  bool congested() const;
+
+  /// \return What it holds for its caller.
+  decide::held_response held_response() const;
+
+  /// Ends it and its request, as if the caller had.
+  void disconnect() { this->on_gone(); }
 
   /// \return True if the caller has closed or reset the connection, though that
   ///     may not have been read yet.
@@ -80,6 +82,8 @@
   void begin_request();
   void reject(int status, const char* why);
   void queue(const std::string& bytes);
+  /// Counts the bytes that are held against the memory of all responses.
+  void count_held();
   void write();
   void on_written();
   void next_request();
@@ -98,6 +102,10 @@
   std::size_t held = 0;
   std::string outgoing;
   std::string in_flight;
+  /// Bytes of both that are counted against the memory of all responses.
+  std::size_t counted = 0;
+  /// When the caller last took any of them, or when the first came.
+  time_point last_taken;
   bool reading = false;
   bool writing = false;
   bool head_request = false;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -238,6 +238,36 @@
   this->body_bytes -= bytes;
 }
 
+void entry::on_response_bytes(std::size_t before, std::size_t after) {
+  this->responses.on_change(before, after);
+  if (!this->responses.is_exceeded() || this->frees_responses) return;
+  // A session must not be closed while it writes.
+  this->frees_responses = true;
+  this->loop.post([this] { this->free_response_memory(); });
+}
+
+void entry::free_response_memory() {
+  this->frees_responses = false;
+  std::vector<std::shared_ptr<caller_session>> open;
+  std::vector<decide::held_response> held;
+  for (const auto& [session, weak] : this->sessions) {
+    const auto found = weak.lock();
+    if (!found) continue;
+    open.push_back(found);
+    held.push_back(found->held_response());
+  }
+  const auto before = this->responses.held();
+  const auto closed = this->responses.choose_closed(held);
+  if (closed.empty()) return;
+  for (const auto index : closed) open[index]->disconnect();
+  this->metrics.on_slow_callers_closed(static_cast<double>(closed.size()));
+  kernel::log_event(kernel::event::slow_callers_closed,
+                    {{"closed", closed.size()},
+                     {"open", open.size()},
+                     {"held_bytes", before},
+                     {"left_bytes", this->responses.held()}});
+}
+
 void entry::on_bad_input(int status, const char* why) {
   this->metrics.on_bad_input();
   kernel::log_event(kernel::event::bad_input,
@@ -297,6 +327,7 @@
 
 void entry::tidy() {
   this->requests.tidy();
+  this->metrics.set_response_bytes(static_cast<double>(this->responses.held()));
   this->tidy_timer.expires_after(tidy_interval);
   this->tidy_timer.async_wait([this](std::error_code cancelled) {
     if (!cancelled) this->tidy();
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -12,6 +12,7 @@
 #include <boragehill/result.hpp>
 
 #include "decide/connection_admission.hpp"
+#include "decide/response_memory.hpp"
 #include "fleet/caller_limits.hpp"
 #include "fleet/platform_store.hpp"
 #include "fleet/quarantine_row.hpp"
@@ -56,6 +57,10 @@
   bool closing() const override { return this->close_connections; }
   bool take_body_memory(std::size_t bytes) override;
   void give_body_memory(std::size_t bytes) override;
+  void on_response_bytes(std::size_t before, std::size_t after) override;
+  std::size_t response_pause_limit() const override {
+    return this->responses.pause_limit();
+  }
   void on_bad_input(int status, const char* why) override;
   void on_closed(const caller_session* session) override;
 
@@ -79,6 +84,9 @@
   void say_goodbye();
   void on_quarantine(const fleet::quarantine_row& row);
   bool is_ready() const;
+  /// Closes connections whose callers don't read, until the memory of all
+  /// responses is kept to.
+  void free_response_memory();
 
   entry_settings settings;
   entry_metrics metrics;
@@ -103,6 +111,9 @@
   std::map<const caller_session*, std::weak_ptr<caller_session>> sessions;
   /// Bytes of all request bodies that are read or being served.
   std::size_t body_bytes = 0;
+  /// Of all responses that callers haven't taken yet.
+  decide::response_memory responses{this->settings.response_memory()};
+  bool frees_responses = false;
   /// What the planner that is linked was told last.
   std::optional<decide::demand_report> last_report;
   bool needs_tokens = false;
--- a/src/serve/entry_metrics.cpp
+++ b/src/serve/entry_metrics.cpp
@@ -38,6 +38,11 @@
                         "Requests refused before they were routed.")),
       rejected(counter(this->registry, "boragehill_connections_rejected_total",
                        "Callers' connections closed unread, for load.")),
+      slow_callers_closed(counter(this->registry,
+                                  "boragehill_slow_callers_closed_total",
+                                  "Callers' connections closed, for memory.")),
+      response_bytes(gauge(this->registry, "boragehill_response_bytes",
+                           "Bytes of responses that callers haven't taken.")),
       retries_sent(prometheus::BuildCounter()
                        .Name("boragehill_retries_sent_total")
                        .Help("Retries that went to a server, by service.")
--- a/src/serve/entry_metrics.hpp
+++ b/src/serve/entry_metrics.hpp
@@ -47,6 +47,11 @@
   /// Sets whether the router spends its share of the quotas without a planner.
   void set_local_quotas(bool value) { this->local_quotas.Set(value ? 1 : 0); }
   void on_connection_rejected() { this->rejected.Increment(); }
+  void on_slow_callers_closed(double count) {
+    this->slow_callers_closed.Increment(count);
+  }
+  /// Sets the bytes of responses that callers haven't taken.
+  void set_response_bytes(double value) { this->response_bytes.Set(value); }
   void on_bad_input() { this->bad_input.Increment(); }
   void set_waiting(double value) { this->waiting.Set(value); }
   void set_connections(double value) { this->connections.Set(value); }
@@ -71,6 +76,8 @@
   prometheus::Counter& repeats_denied;
   prometheus::Counter& bad_input;
   prometheus::Counter& rejected;
+  prometheus::Counter& slow_callers_closed;
+  prometheus::Gauge& response_bytes;
   prometheus::Family<prometheus::Counter>& retries_sent;
   prometheus::Family<prometheus::Counter>& quota_spent;
   prometheus::Family<prometheus::Counter>& quota_refunded;
--- a/src/serve/entry_settings.hpp
+++ b/src/serve/entry_settings.hpp
@@ -1,6 +1,8 @@
 #ifndef BORAGEHILL_SERVE_ENTRY_SETTINGS_HPP
 #define BORAGEHILL_SERVE_ENTRY_SETTINGS_HPP
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
 
 #include <boragehill/endpoint.hpp>
@@ -50,6 +52,15 @@
     constexpr double bytes_per_mb = 1 << 20;
     return static_cast<std::size_t>(this->memory_mb * share * bytes_per_mb);
   }
+  /// \return The most bytes of responses that callers haven't taken, over all
+  ///     connections. Callers that read leave a few kilobytes each; an eighth
+  ///     leaves most of the memory to the connections themselves, which take
+  ///     some 40 KB each with that of the server.
+  std::size_t response_memory() const {
+    // Less would close connections for a few responses of usual size.
+    constexpr std::size_t least = 4U << 20U;
+    return std::max(this->body_memory(), least);
+  }
 };
 
 /// Reads a router's settings; problems are left in the document.
--- a/src/serve/session_host.hpp
+++ b/src/serve/session_host.hpp
@@ -1,6 +1,7 @@
 #ifndef BORAGEHILL_SERVE_SESSION_HOST_HPP
 #define BORAGEHILL_SERVE_SESSION_HOST_HPP
 
+#include <cstddef>
 #include <memory>
 
 #include "fleet/caller_limits.hpp"
@@ -34,6 +35,13 @@
   virtual bool take_body_memory(std::size_t bytes) = 0;
   virtual void give_body_memory(std::size_t bytes) = 0;
 
+  /// A session holds more or fewer bytes of responses than before.
+  virtual void on_response_bytes(std::size_t before, std::size_t after) = 0;
+
+  /// \return Bytes of a response above which a session's server is not read
+  ///     on.
+  virtual std::size_t response_pause_limit() const = 0;
+
   /// A request was refused before it could be routed.
   virtual void on_bad_input(int status, const char* why) = 0;
 
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -121,6 +121,14 @@
   this->add_own(name, "router", name, mbps);
 }
 
+void small_fleet::set_memory(int router, int megabytes) {
+  const auto name = numbered("router", router);
+  // Loopback carries more than the usual link of a machine, and a router takes
+  // no connections while its link is full.
+  constexpr double loopback_mbps = 0;
+  this->add_own(name, "router", name, loopback_mbps, megabytes);
+}
+
 void small_fleet::set_worker(int number, const std::string& software,
                              const std::string& held) {
   const auto name = numbered("worker", number);
@@ -158,7 +166,8 @@
 }
 
 void small_fleet::add_own(const std::string& name, const std::string& role,
-                          const std::string& machine, double link_mbps) {
+                          const std::string& machine, double link_mbps,
+                          int memory_mb) {
   const std::string ip = this->address_of(machine);
   const auto at = [&](const std::string& address, int offset) {
     return address + ":" + std::to_string(this->port_base + offset);
@@ -174,8 +183,7 @@
       {"app", at(ip, worker_port_offset)},
       {"service", "assist"},
       {"limits.linkMbps", std::to_string(link_mbps)},
-      // Little, so that a test can use it up.
-      {"limits.memoryMb", "1"},
+      {"limits.memoryMb", std::to_string(memory_mb)},
       {"bounds.graceS", "8"},
       {"bounds.budgetRatio", "0.2"},
       {"bounds.budgetExtra", "54"},
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -31,6 +31,8 @@
 /// so on.
 class small_fleet {
  public:
+  /// Little, so that a test can use it up.
+  static constexpr int least_memory_mb = 1;
   /// What the routers' settings allow of retries.
   static constexpr invariants::retry_bound retry_bound{
       .per_request = 0.2, .constant = 54, .window = std::chrono::seconds(10)};
@@ -50,6 +52,14 @@
   /// Sets what a router's settings say of its link, before it starts.
   void set_link(int router, double mbps);
 
+  /// Sets what a router's settings say of its memory, before it starts; they
+  /// don't name the link's speed then.
+  void set_memory(int router, int megabytes);
+
+  /// Sets how many connections the plain servers take in the configurations
+  /// written from now on.
+  void set_plain_connections(int count) { this->plain_connections = count; }
+
   /// Sets what a model worker is before it starts.
   /// \param software The version of its software.
   /// \param held The model that it holds; none if empty.
@@ -178,7 +188,8 @@
   void add_standin(const std::string& name, const std::string& kind,
                    const std::vector<std::string>& flags);
   void add_own(const std::string& name, const std::string& role,
-               const std::string& machine, double link_mbps = 1000);
+               const std::string& machine, double link_mbps = 1000,
+               int memory_mb = least_memory_mb);
   void add_plain(const std::string& name, const std::string& id);
   void add_worker(const std::string& name, const std::string& id,
                   const std::vector<std::string>& flags);
@@ -197,6 +208,7 @@
   int models;
   bool behind_proxies;
   int keep_alive_s;
+  int plain_connections = 100;
   bool tells_starts = true;
   std::string crash_marker;
   /// A JSON list.
--- a/test/fleet-test/small_fleet_configuration.cpp
+++ b/test/fleet-test/small_fleet_configuration.cpp
@@ -73,7 +73,7 @@
   }
   Json::Value sheets;
   sheets["name"] = "sheets";
-  sheets["maxConns"] = 100;
+  sheets["maxConns"] = this->plain_connections;
   config["services"].append(assist);
   config["services"].append(sheets);
   auto& limits = config["limits"];
