--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -92,6 +92,9 @@
                  std::optional<int> models = std::nullopt,
                  std::size_t padding = 0, bool status_check = true);
 
+  /// The key that `call` shows where there are client accounts.
+  static constexpr auto account_key = "key-of-the-test";
+
   /// Sets the client accounts of the configurations written from now on, and
   /// that the routes below /lookup/ are public.
   /// \param accounts A JSON list; none if empty.
--- a/test/fleet-test/small_fleet_callers.cpp
+++ b/test/fleet-test/small_fleet_callers.cpp
@@ -32,6 +32,9 @@
       {"Boragehill-Attempt-Id", attempt},
       {"Boragehill-Deadline-Ms", std::to_string(deadline_ms)}};
   if (!model.empty()) headers.emplace("Boragehill-Model", model);
+  if (!this->accounts.empty()) {
+    headers.emplace("Authorization", std::string("Bearer ") + account_key);
+  }
   return client.Post(path, headers, "which spool?", "text/plain");
 }
 
--- a/test/soak/checks.cpp
+++ b/test/soak/checks.cpp
@@ -178,6 +178,35 @@
   return broken;
 }
 
+std::vector<std::string> runs_beyond_quota(
+    const std::vector<call_record>& calls,
+    const std::vector<invariants::service_event>& runs, int per_second) {
+  // The window, the excess and the slack of a router's default settings, at
+  // 1,000 tokens a request.
+  constexpr std::chrono::seconds window(8);
+  constexpr double over = 0.1;
+  constexpr double slack = 17;
+  const double allowed =
+      (window.count() * per_second + per_second) * (1 + over) + slack;
+  const auto known = by_attempt(calls);
+  std::vector<time_point> times;
+  for (const auto& each : invariants::in_order(runs)) {
+    const auto found = known.find(each.attempt);
+    // Lookups are public.
+    const bool is_charged = found != known.end() && !found->second->repeatable;
+    if (is_charged) times.push_back(each.at);
+  }
+  std::size_t first = 0;
+  std::size_t most = 0;
+  for (std::size_t last = 0; last < times.size(); ++last) {
+    while (times[first] <= times[last] - window) ++first;
+    most = std::max(most, last + 1 - first);
+  }
+  if (static_cast<double>(most) <= allowed) return {};
+  return {std::to_string(most) + " requests in a window whose quota allows " +
+          std::to_string(allowed)};
+}
+
 std::vector<std::string> sends_beyond_crash_limit(
     const std::vector<call_record>& calls,
     const std::vector<invariants::service_event>& arrivals,
--- a/test/soak/checks.hpp
+++ b/test/soak/checks.hpp
@@ -51,6 +51,16 @@
     const std::vector<invariants::service_event>& arrivals,
     const invariants::retry_bound& bound);
 
+/// Checks that the requests of the callers' client account keep to its quota in
+/// any window, over all lives of all routers. Nothing excuses them.
+///
+/// \param runs What servers ran, by their own account.
+/// \param per_second What the quota allows, and as many at once.
+/// \return A line if they don't.
+std::vector<std::string> runs_beyond_quota(
+    const std::vector<call_record>& calls,
+    const std::vector<invariants::service_event>& runs, int per_second);
+
 /// Checks that a request which ends servers reaches them no more than three
 /// times later than three seconds after the third has ended, sent by routers
 /// that nothing happened to, nor to the store, in the three seconds before.
--- a/test/soak/fleet_size.hpp
+++ b/test/soak/fleet_size.hpp
@@ -32,6 +32,9 @@
   /// The versions that the model workers' software has, in turn. If there is
   /// more than one, further callers ask for streams that may be resumed.
   int versions = 1;
+  /// Requests a second that the quota of all callers' client account allows; 0
+  /// for no accounts.
+  int account_rate = 0;
 
   bool operator==(const fleet_size&) const = default;
 };
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -29,6 +29,8 @@
 ABSL_FLAG(int, router_cpu_percent, 0,
           "the part of a core that each router has; 0 is no limit");
 ABSL_FLAG(int, versions, 1, "versions of the model workers' software");
+ABSL_FLAG(int, account_rate, 0,
+          "requests a second of the callers' quota; 0 is no quota");
 ABSL_FLAG(std::string, seeds_file, "",
           "a file of runs to play before the others");
 // NOLINTEND(readability-identifier-naming)
@@ -55,7 +57,8 @@
         run.size.plains >> run.size.models >> run.size.kinds >>
         run.size.failing_runs >> run.size.crashing_requests >>
         run.size.first_kind >> run.size.versions >> run.size.crashing_streams >>
-        run.size.crashing_callers >> run.size.router_cpu_percent;
+        run.size.crashing_callers >> run.size.router_cpu_percent >>
+        run.size.account_rate;
     if (fields) runs.push_back(run);
   }
   return runs;
@@ -73,12 +76,13 @@
       "boragehill_soak --seed=%llu --seconds=%d --routers=%d --workers=%d "
       "--plains=%d --models=%d --kinds=%d --failing_runs=%d "
       "--crashing_requests=%d --first_kind=%d --versions=%d "
-      "--crashing_streams=%d --crashing_callers=%d --router_cpu_percent=%d\n",
+      "--crashing_streams=%d --crashing_callers=%d --router_cpu_percent=%d "
+      "--account_rate=%d\n",
       static_cast<unsigned long long>(wanted.seed), wanted.seconds,
       size.routers, size.workers, size.plains, size.models, size.kinds,
       static_cast<int>(size.failing_runs), size.crashing_requests,
       size.first_kind, size.versions, size.crashing_streams,
-      size.crashing_callers, size.router_cpu_percent);
+      size.crashing_callers, size.router_cpu_percent, size.account_rate);
   return false;
 }
 
@@ -100,7 +104,8 @@
       .crashing_streams = absl::GetFlag(FLAGS_crashing_streams),
       .crashing_callers = absl::GetFlag(FLAGS_crashing_callers),
       .router_cpu_percent = absl::GetFlag(FLAGS_router_cpu_percent),
-      .versions = absl::GetFlag(FLAGS_versions)};
+      .versions = absl::GetFlag(FLAGS_versions),
+      .account_rate = absl::GetFlag(FLAGS_account_rate)};
   int passed = 0;
   int failed = 0;
   for (int each = 0; each < absl::GetFlag(FLAGS_count); ++each) {
--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "fleet-test/small_fleet.hpp"
 #include "fleet-test/stream_caller.hpp"
 
 namespace boragehill::soak {
@@ -56,7 +57,9 @@
   httplib::Headers headers{
       {"Host", "valves.example"},
       {"Boragehill-Attempt-Id", wanted.attempt},
-      {"Boragehill-Deadline-Ms", std::to_string(deadline.count())}};
+      {"Boragehill-Deadline-Ms", std::to_string(deadline.count())},
+      {"Authorization",
+       std::string("Bearer ") + fleet_test::small_fleet::account_key}};
   const bool streams = !wanted.model.empty();
   if (streams) headers.emplace("Boragehill-Model", wanted.model);
   call_record seen{.attempt = wanted.attempt,
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -61,6 +61,7 @@
     this->worker_ids[each] = "i-" + numbered("worker", each);
   }
   if (this->has_versions()) this->set_versions();
+  if (this->size.account_rate > 0) this->set_quota();
   std::vector<std::string> names{"store"};
   for (int each = 1; each <= this->size.workers; ++each) {
     names.push_back(numbered("worker", each));
@@ -76,6 +77,14 @@
   return this->fleet.start();
 }
 
+void soak_run::set_quota() {
+  const auto rate = std::to_string(1000 * this->size.account_rate);
+  this->fleet.set_accounts(
+      std::string(R"([{"name":"callers","unit":"tokens","plainTokens":1000,)") +
+      R"("apiKeys":[")" + fleet_test::small_fleet::account_key +
+      R"("],"ratePerS":)" + rate + R"(,"burst":)" + rate + "}]");
+}
+
 void soak_run::set_versions() {
   const int versions = this->size.versions;
   for (int each = 1; each <= this->size.workers; ++each) {
@@ -136,6 +145,13 @@
            traffic.seen(), arrivals, fleet_test::small_fleet::retry_bound)) {
     this->found.push_back(each);
   }
+  if (this->size.account_rate > 0) {
+    for (const auto& each :
+         runs_beyond_quota(traffic.seen(), this->fleet.logged_runs(),
+                           this->size.account_rate)) {
+      this->found.push_back(each);
+    }
+  }
   for (const auto& each : sends_beyond_crash_limit(traffic.seen(), arrivals,
                                                    crashes, this->spans)) {
     this->found.push_back(each);
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -45,6 +45,8 @@
   }
   /// Lets the workers be of several versions.
   void set_versions();
+  /// Gives all callers one client account with a quota.
+  void set_quota();
   /// Lets a worker write slowly, and in some lifetimes without a frame, if the
   /// workers are of several versions.
   void set_writing(int worker);
--- a/test/soak_checks-test/checks_test.cpp
+++ b/test/soak_checks-test/checks_test.cpp
@@ -161,6 +161,24 @@
   EXPECT_EQ(retries_beyond_budget(calls, arrivals, bound).size(), 0U);
 }
 
+TEST(checks_test, runs_in_a_window_keep_to_the_quota) {
+  // (8 x 10 + 10) x 1.1 + 17 in eight seconds.
+  constexpr int allowed = 116;
+  std::vector<call_record> calls;
+  std::vector<invariants::service_event> runs;
+  for (int each = 0; each < allowed; ++each) {
+    calls.push_back(answered());
+    calls.back().attempt = std::to_string(each);
+    runs.push_back(
+        {"sheets", calls.back().attempt, start + milliseconds(each)});
+  }
+  EXPECT_EQ(runs_beyond_quota(calls, runs, 10).size(), 0U);
+  runs.push_back({"sheets", "0", start + milliseconds(7999)});
+  EXPECT_EQ(runs_beyond_quota(calls, runs, 10).size(), 1U);
+  runs.back().at = start + milliseconds(8500);
+  EXPECT_EQ(runs_beyond_quota(calls, runs, 10).size(), 0U);
+}
+
 TEST(checks_test, only_a_repeatable_request_may_run_twice) {
   auto lookup = answered();
   lookup.repeatable = true;
