Expire refunds of the local share like grants

Cause: a charge of the local share could be given back for 45 s; with the next planner's grants in force it was then kept as granted tokens for that long, so a window could rest on tokens older than a grant's lifetime.

Change: it can be given back for the lifetime of a grant.

Measured: the new test of account_allowance_test failed before and passes after.

--- a/src/decide/account_allowance.cpp
+++ b/src/decide/account_allowance.cpp
@@ -141,7 +141,7 @@
                      : of.mean_cost + mean_weight * (cost - of.mean_cost);
   if (this->held(of, now) < cost && this->local_since) {
     of.local_tokens -= cost;
-    charge.expires = *this->local_since + local_lifetime;
+    charge.expires = now + this->settings.grant_lifetime();
     return charge;
   }
   if (!of.granted.empty()) charge.expires = of.granted.front().expires;
--- a/test/decide-test/account_allowance_test.cpp
+++ b/test/decide-test/account_allowance_test.cpp
@@ -71,6 +71,18 @@
   EXPECT_FALSE(quotas.may_spend("a", cost, at(700)));
 }
 
+// Guards against tokens of the local share that are kept as granted ones for
+// longer than a grant.
+TEST(account_allowance_test, a_refund_of_the_local_share_expires_like_a_grant) {
+  auto quotas = limited();
+  quotas.on_planner_lost(1, 0, at(0));
+  const auto charge = quotas.spend("a", cost, at(10));
+  quotas.on_grants(granted(20, 0), at(20));
+  quotas.refund(charge, at(30));
+  EXPECT_TRUE(quotas.may_spend("a", cost, at(30)));
+  EXPECT_FALSE(quotas.may_spend("a", cost, at(710)));
+}
+
 TEST(account_allowance_test, asks_for_what_waiting_requests_lack) {
   auto quotas = limited();
   quotas.on_grants(granted(0, 500), at(10));
