Let stalled callers of the test take less into the kernel

Its callers set their receive buffers after they had connected, so the kernel took up to some megabytes of each response, and the router's thread was busy copying gigabytes.

Change: the buffers are set before. Numbers, objective and memory bound stay as they were.

--- a/test/fleet-test/slow_reader_test.cpp
+++ b/test/fleet-test/slow_reader_test.cpp
@@ -1,10 +1,12 @@
 #include <algorithm>
+#include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <gtest/gtest.h>
 #include <httplib.h>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -58,11 +60,21 @@
 
   /// Sends a request for a long response that is never read.
   void stall_one() {
-    const int opened = this->fleet.connect(1);
+    const int opened = ::socket(AF_INET, SOCK_STREAM, 0);
     ASSERT_GE(opened, 0);
     this->stalled.push_back(opened);
+    // Before it connects: otherwise the kernel's buffers take megabytes of each
+    // response, and the router only copies them.
     const int least = 4096;
     ::setsockopt(opened, SOL_SOCKET, SO_RCVBUF, &least, sizeof(least));
+    const auto router = this->fleet.caller_address(1);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(router.port);
+    ::inet_pton(AF_INET, router.address.c_str(), &to.sin_addr);
+    ASSERT_EQ(
+        ::connect(opened, reinterpret_cast<const sockaddr*>(&to), sizeof(to)),
+        0);
     const std::string request =
         "POST /plain/long HTTP/1.1\r\nHost: valves.example\r\n"
         "Boragehill-Attempt-Id: stalled-" +
