Free what a caller's session has written

Cause: a session assigned an empty string to the bytes it had written, which in the library keeps the string's memory: 100,000 bytes in a program of its own, 15 after a swap. So a connection kept up to 256 KB that the bound of unread responses doesn't count. on_written also counted twice what is held; handing the outgoing bytes to the socket doesn't change the sum.

Change: the string is swapped with an empty one, and counted once.

--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -260,8 +260,8 @@
       this->socket, asio::buffer(this->in_flight),
       [self = this->shared_from_this()](std::error_code failed, std::size_t) {
         self->writing = false;
-        // A string that is empty keeps its memory.
-        self->in_flight = {};
+        // An assignment would keep its memory.
+        std::string().swap(self->in_flight);
         if (self->closed) return;
         if (failed) return self->on_gone();
         self->on_written();
@@ -276,7 +276,6 @@
     this->current->on_caller_ready();
   }
   this->write();
-  this->count_held();
   if (this->lingering && !this->writing) {
     std::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
