Wait for a configuration in one place in tests

Cause: client_account_test and account_quota_test each had a loop that waits until a configuration is in force; the second went on without it if it never was.

Change: small_fleet::wait_for_catalog serves both, with the same time, and both assert it.

--- a/test/fleet-test/account_quota_test.cpp
+++ b/test/fleet-test/account_quota_test.cpp
@@ -14,8 +14,6 @@
 using std::chrono::steady_clock;
 
 constexpr int routers = 3;
-/// Within which a configuration is in force everywhere.
-constexpr milliseconds apply_time{3000};
 /// A request costs 1,000 tokens: 4 a second. In a window of 8 s the quota's
 /// bound is (4,000 x 8 + 4,000) x 1.1 + 17,000 tokens.
 constexpr auto accounts = R"([
@@ -33,13 +31,7 @@
     ASSERT_TRUE(this->fleet.start());
     this->fleet.set_accounts(accounts);
     this->fleet.configure(100, "/plain/");
-    const auto until = steady_clock::now() + apply_time;
-    for (int router = 1; router <= routers; ++router) {
-      while (this->fleet.catalog_version(router) != 100 &&
-             steady_clock::now() < until) {
-        std::this_thread::sleep_for(milliseconds(20));
-      }
-    }
+    ASSERT_TRUE(this->fleet.wait_for_catalog(100));
   }
 
   httplib::Result call(int router, const std::string& key) {
--- a/test/fleet-test/client_account_test.cpp
+++ b/test/fleet-test/client_account_test.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 /// Within which a configuration is in force everywhere.
 constexpr milliseconds apply_time{3000};
@@ -33,12 +32,7 @@
   void put(const std::string& accounts) {
     this->fleet.set_accounts(accounts);
     this->fleet.configure(++this->version, "/plain/");
-    const auto until = steady_clock::now() + apply_time;
-    while (this->fleet.catalog_version(1) != this->version &&
-           steady_clock::now() < until) {
-      std::this_thread::sleep_for(milliseconds(20));
-    }
-    ASSERT_EQ(this->fleet.catalog_version(1), this->version);
+    ASSERT_TRUE(this->fleet.wait_for_catalog(this->version));
   }
 
   /// \param more Header lines.
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -255,6 +255,18 @@
   return std::strtod(answer->body.c_str() + found + line.size(), nullptr);
 }
 
+bool small_fleet::wait_for_catalog(std::int64_t version) {
+  constexpr milliseconds apply_time{3000};
+  const auto until = std::chrono::steady_clock::now() + apply_time;
+  for (int each = 1; each <= this->routers; ++each) {
+    while (this->catalog_version(each) != version) {
+      if (std::chrono::steady_clock::now() >= until) return false;
+      std::this_thread::sleep_for(poll);
+    }
+  }
+  return true;
+}
+
 std::int64_t small_fleet::catalog_version(int router) {
   return static_cast<std::int64_t>(
       this->metric(router, "boragehill_catalog_version").value_or(-1));
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -103,6 +103,11 @@
   /// \return The configuration that a router has in force; -1 if not told.
   std::int64_t catalog_version(int router);
 
+  /// Waits until all routers have a configuration in force, for as long as that
+  /// may take.
+  /// \return False if one hasn't.
+  bool wait_for_catalog(std::int64_t version);
+
   /// Waits until a router may send so many retries to a service: one that has
   /// just started may send none.
   bool wait_for_retries(int router, double count,
