Give quotas, grants and the choice of servers one piece of code each

Cause, by reading the change since: the entry of an account in a router's grants was found in two copies; grants of slots were used by one loop where there are accounts and by a second one after it in any case, which could only meet the same answers; the servers of a service were counted again for each choice; seconds were read from the settings by hand beside the function for it; a rate was kept from zero that never is zero.

Change: grant_to and ordered() serve both callers, find_server counts while it looks, seconds_read takes a lower bound, the rest is gone. Three comments name the purpose without figures. Behaviour stays: without accounts the order in which grants are used is the same one, late requests last.

--- a/src/decide/account_allowance.cpp
+++ b/src/decide/account_allowance.cpp
@@ -101,10 +101,6 @@
   return of.limit.per_second / this->routers.value_or(1);
 }
 
-double account_allowance::refill_rate(const state& of) const {
-  return std::max(this->local_rate(of), 1e-9);
-}
-
 void account_allowance::fill_local(state& of, time_point now) const {
   const std::chrono::duration<double> passed = now - of.local_filled_at;
   of.local_filled_at = now;
@@ -180,7 +176,7 @@
       return this->settings.window;
     }
     return to_milliseconds(std::max(request.queued - of.local_tokens, 0.0) /
-                           this->refill_rate(of));
+                           this->local_rate(of));
   }
   const auto left = of.exhausted_until - now;
   const bool is_known = now - of.exhausted_told < exhausted_validity;
@@ -220,7 +216,7 @@
   auto& of = found->second;
   const auto from = std::max({of.returning_until, of.exhausted_until, now});
   of.returning_until =
-      std::min(from + to_milliseconds(request.cost / this->refill_rate(of)),
+      std::min(from + to_milliseconds(request.cost / this->local_rate(of)),
                now + this->settings.window);
 }
 
--- a/src/decide/account_allowance.hpp
+++ b/src/decide/account_allowance.hpp
@@ -110,8 +110,8 @@
 
   double held(state& of, time_point now) const;
   void fill_local(state& of, time_point now) const;
+  /// \return This router's share of the account's rate, per second.
   double local_rate(const state& of) const;
-  double refill_rate(const state& of) const;
   bool may_spend(state& of, double cost, time_point now);
   milliseconds wait_for(state& of, const quota_request& request,
                         time_point now) const;
--- a/src/decide/quota_allocator.cpp
+++ b/src/decide/quota_allocator.cpp
@@ -17,7 +17,7 @@
 
 void quota_allocator::start(time_point now) {
   this->buckets.clear();
-  this->routers.clear();
+  this->report_times.clear();
   this->lost.clear();
   this->known_routers = 0;
   this->started = now;
@@ -45,7 +45,7 @@
                                 const quota_report& report, time_point now) {
   this->lost.erase(router);
   this->known_routers = std::max(this->known_routers, report.known_routers);
-  this->routers[router].report_made_at = report.made_at;
+  this->report_times[router] = report.made_at;
   for (auto& [account, each] : this->buckets) {
     auto& need = each.needs[router];
     need.waiting = 0;
@@ -71,7 +71,7 @@
 
 void quota_allocator::on_router_removed(const std::string& router,
                                         time_point now) {
-  if (this->routers.erase(router) == 0) return;
+  if (this->report_times.erase(router) == 0) return;
   for (auto& [account, each] : this->buckets) each.needs.erase(router);
   this->lost[router] = now;
 }
@@ -83,7 +83,7 @@
   const auto missing =
       std::count_if(this->lost.begin(), this->lost.end(),
                     [&](const auto& each) { return is_reserved(each.second); });
-  const auto connected = static_cast<std::ptrdiff_t>(this->routers.size());
+  const auto connected = static_cast<std::ptrdiff_t>(this->report_times.size());
   auto all = connected + missing;
   if (is_reserved(this->started)) {
     all = std::max(all, std::ptrdiff_t(this->known_routers));
@@ -108,11 +108,18 @@
   from.tokens -= tokens;
   from.needs[router].unconfirmed.push_back(
       {.round = this->round, .sent = now, .tokens = tokens});
+  grant_to(router, from, granted).tokens += tokens;
+}
+
+quota_grant& quota_allocator::grant_to(const std::string& router,
+                                       const bucket& from, grant_map& granted) {
+  // The buckets are granted from one after the other.
   auto& grants = granted[router].grants;
-  const bool has_one =
-      !grants.empty() && grants.back().account == from.limit.account;
-  if (!has_one) grants.push_back({.account = from.limit.account});
-  grants.back().tokens += tokens;
+  const auto& account = from.limit.account;
+  if (grants.empty() || grants.back().account != account) {
+    grants.push_back({.account = account});
+  }
+  return grants.back();
 }
 
 void quota_allocator::grant_waiting(bucket& from, time_point now,
@@ -147,11 +154,7 @@
       static_cast<milliseconds::rep>(seconds * 1000), 1));
   for (const auto& [router, need] : waiting) {
     if (need->waiting == 0) continue;
-    auto& grants = granted[*router].grants;
-    const bool has_one =
-        !grants.empty() && grants.back().account == from.limit.account;
-    if (!has_one) grants.push_back({.account = from.limit.account});
-    grants.back().exhausted_for = exhausted_for;
+    grant_to(*router, from, granted).exhausted_for = exhausted_for;
   }
 }
 
@@ -188,10 +191,10 @@
     this->grant_ahead(each, now, granted);
   }
   if (!may_grant) return granted;
-  for (const auto& [router, state] : this->routers) {
+  for (const auto& [router, made_at] : this->report_times) {
     auto& grants = granted[router];
     grants.round = this->round;
-    grants.report_made_at = state.report_made_at;
+    grants.report_made_at = made_at;
   }
   return granted;
 }
--- a/src/decide/quota_allocator.hpp
+++ b/src/decide/quota_allocator.hpp
@@ -70,9 +70,6 @@
     time_point filled_at;
     std::map<std::string, router_need> needs;
   };
-  struct router_state {
-    milliseconds report_made_at{0};
-  };
 
   /// \return The part of the quotas that isn't reserved.
   double available_share(time_point now) const;
@@ -81,10 +78,14 @@
   void grant_ahead(bucket& from, time_point now, grant_map& granted);
   void give(bucket& from, const std::string& router, double tokens,
             time_point now, grant_map& granted);
+  /// \return The router's grant of the bucket's account in this round.
+  static quota_grant& grant_to(const std::string& router, const bucket& from,
+                               grant_map& granted);
 
   quota_settings settings;
   std::map<std::string, bucket> buckets;
-  std::map<std::string, router_state> routers;
+  /// When each router made its last report, by its own clock.
+  std::map<std::string, milliseconds> report_times;
   /// When routers were lost that haven't come back.
   std::map<std::string, time_point> lost;
   /// The largest number of routers that any of them knows of.
--- a/src/decide/quota_limit.hpp
+++ b/src/decide/quota_limit.hpp
@@ -8,7 +8,7 @@
 /// What a client account may use, over all routers together.
 struct quota_limit {
   std::string account;
-  /// Cost units per second.
+  /// Cost units per second; more than 0.
   double per_second = 0;
   /// Cost units beyond that at once.
   double burst = 0;
--- a/src/decide/request_work.hpp
+++ b/src/decide/request_work.hpp
@@ -18,8 +18,8 @@
   /// other
   ///     requests, in milliseconds. Only the ratio of two requests matters.
   double usual_time() const {
-    // A worker reads 2,000 prompt tokens in 50 ms and writes 50 tokens a second
-    // for each of its requests.
+    // A worker reads many prompt tokens at once and writes those of a response
+    // one after the other.
     constexpr double ms_per_prompt_token = 0.025;
     constexpr double ms_per_output_token = 20;
     constexpr double least_ms = 20;
--- a/src/decide/waiting_order.hpp
+++ b/src/decide/waiting_order.hpp
@@ -14,9 +14,9 @@
 /// Decides which of a router's waiting requests is sent next, over all models
 /// and client accounts.
 ///
-/// Load: for seconds at a time more requests than slots; urgent ones
-/// (objective 400 ms) and patient ones (6 s) share the servers, and one of
-/// 16 accounts sends six times its usual demand.
+/// Load: for seconds at a time more requests than slots; urgent and patient
+/// ones share the servers, and one of several accounts sends a multiple of its
+/// usual demand.
 ///
 /// Requests that can be in time go before those that can't. Among these come
 /// accounts that are starved, then the account's priority, then the route's,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "decide/server_choice.hpp"
 #include "fleet/request_codec.hpp"
 #include "kernel/event_log.hpp"
 #include "kernel/random.hpp"
@@ -283,33 +282,6 @@
   return server.takes_new() && !this->leaving.contains(server.entry.id);
 }
 
-server_state* dispatcher::find_server(const exchange& request, time_point now) {
-  std::vector<decide::server_candidate> candidates;
-  std::vector<server_state*> states;
-  bool by_work = false;
-  this->excuse_own_pause(now);
-  for (auto& [id, state] : this->servers) {
-    if (state.entry.service != request.service()) continue;
-    this->judge_silence(state, now);
-    if (!this->can_take(state, request, now)) continue;
-    candidates.push_back(this->server_candidate_of(state, request, now));
-    by_work = by_work || candidates.back().pace > 0;
-    states.push_back(&state);
-  }
-  const int routers = this->assumed_routers(now);
-  const int most_unread =
-      this->settings.unread.router_limit(request.is_late(now), routers);
-  const auto chosen =
-      by_work ? decide::choose_by_work(
-                    candidates, this->settings.queue_share, most_unread,
-                    kernel::random_bits(),
-                    this->recent_arrivals(request, candidates.size(), now))
-              : decide::choose_server(candidates, this->settings.queue_share,
-                                      most_unread, kernel::random_bits(),
-                                      decide::view_error_of(routers));
-  return chosen ? states[*chosen] : nullptr;
-}
-
 bool dispatcher::send(const std::shared_ptr<exchange>& request,
                       server_state& server, time_point now) {
   if (!this->may_send_retry(*request, now)) return false;
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -223,11 +223,9 @@
   decide::server_candidate server_candidate_of(const server_state& server,
                                                const exchange& request,
                                                time_point now) const;
-  /// \param candidates Number of servers that could take the request.
-  /// \return Requests that the other routers have probably sent to these since
-  ///     the planner told of their load.
-  double recent_arrivals(const exchange& request, std::size_t candidates,
-                         time_point now) const;
+  /// \return Requests that the other routers have probably sent to the servers
+  ///     of the service since the planner told of their load.
+  double recent_arrivals(const std::string& service, time_point now) const;
   /// \return The work that the request brings, in usual milliseconds.
   static double work_of(const exchange& request);
   void on_work_sent(const exchange& request, server_state& server);
--- a/src/serve/dispatcher_lines.cpp
+++ b/src/serve/dispatcher_lines.cpp
@@ -121,6 +121,13 @@
 
 std::vector<std::shared_ptr<exchange>> dispatcher::ordered(
     std::vector<std::shared_ptr<exchange>> waiting, time_point now) const {
+  if (!this->has_accounts()) {
+    // Those that can still be in time go first.
+    std::stable_partition(
+        waiting.begin(), waiting.end(),
+        [&](const auto& each) { return !each->is_late(now); });
+    return waiting;
+  }
   std::vector<decide::waiting_candidate> candidates;
   candidates.reserve(waiting.size());
   for (const auto& each : waiting)
@@ -254,27 +261,12 @@
   this->judge_silence(server->second, now);
   int sent = 0;
   auto& line = found->second;
-  if (this->has_accounts()) {
-    for (const auto& request : this->ordered({line.begin(), line.end()}, now)) {
-      if (sent >= grant.count) break;
-      if (!this->can_use_grant(server->second, *request, now)) continue;
-      if (!this->send(request, server->second, now)) continue;
-      std::erase(line, request);
-      ++sent;
-    }
-  }
-  for (const bool late : {false, true}) {
-    for (auto each = line.begin(); each != line.end() && sent < grant.count;) {
-      const auto request = *each;
-      const bool is_next = request->is_late(now) == late &&
-                           this->can_use_grant(server->second, *request, now);
-      if (is_next && this->send(request, server->second, now)) {
-        each = line.erase(each);
-        ++sent;
-        continue;
-      }
-      ++each;
-    }
+  for (const auto& request : this->ordered({line.begin(), line.end()}, now)) {
+    if (sent >= grant.count) break;
+    if (!this->can_use_grant(server->second, *request, now)) continue;
+    if (!this->send(request, server->second, now)) continue;
+    std::erase(line, request);
+    ++sent;
   }
   kernel::log_event(kernel::event::slots_granted,
                     {{"server", grant.server},
--- a/src/serve/dispatcher_load.cpp
+++ b/src/serve/dispatcher_load.cpp
@@ -1,10 +1,14 @@
-// What the dispatcher knows of the load of servers.
+// What the dispatcher knows of the load of servers, and the choice among them.
 
 #include <algorithm>
 #include <cstddef>
+#include <string>
+#include <vector>
 
 #include "decide/request_work.hpp"
 #include "decide/server_candidate.hpp"
+#include "decide/server_choice.hpp"
+#include "kernel/random.hpp"
 #include "serve/dispatcher.hpp"
 #include "serve/exchange.hpp"
 
@@ -52,19 +56,43 @@
   return candidate;
 }
 
-double dispatcher::recent_arrivals(const exchange& request,
-                                   std::size_t candidates,
+server_state* dispatcher::find_server(const exchange& request, time_point now) {
+  std::vector<decide::server_candidate> candidates;
+  std::vector<server_state*> states;
+  bool by_work = false;
+  std::size_t of_service = 0;
+  this->excuse_own_pause(now);
+  for (auto& [id, state] : this->servers) {
+    if (state.entry.service != request.service()) continue;
+    ++of_service;
+    this->judge_silence(state, now);
+    if (!this->can_take(state, request, now)) continue;
+    candidates.push_back(this->server_candidate_of(state, request, now));
+    by_work = by_work || candidates.back().pace > 0;
+    states.push_back(&state);
+  }
+  const int routers = this->assumed_routers(now);
+  const int most_unread =
+      this->settings.unread.router_limit(request.is_late(now), routers);
+  const double queue_share = this->settings.queue_share;
+  const auto random = kernel::random_bits();
+  const auto chosen =
+      by_work ? decide::choose_by_work(
+                    candidates, queue_share, most_unread, random,
+                    this->recent_arrivals(request.service(), now) *
+                        static_cast<double>(candidates.size()) /
+                        static_cast<double>(of_service))
+              : decide::choose_server(candidates, queue_share, most_unread,
+                                      random, decide::view_error_of(routers));
+  return chosen ? states[*chosen] : nullptr;
+}
+
+double dispatcher::recent_arrivals(const std::string& service,
                                    time_point now) const {
-  const auto rate = this->sent_rates.find(request.service());
+  const auto rate = this->sent_rates.find(service);
   if (rate == this->sent_rates.end()) return 0;
   const auto others = this->assumed_routers(now) - 1;
-  const auto all = std::count_if(
-      this->servers.begin(), this->servers.end(), [&](const auto& each) {
-        return each.second.entry.service == request.service();
-      });
-  const double part = static_cast<double>(candidates) /
-                      static_cast<double>(std::max<std::ptrdiff_t>(all, 1));
-  return rate->second.per_second(now) * others * news_age_s * part;
+  return rate->second.per_second(now) * others * news_age_s;
 }
 
 double dispatcher::work_of(const exchange& request) {
--- a/src/serve/dispatcher_quotas.cpp
+++ b/src/serve/dispatcher_quotas.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-/// The part of its latency objective that a request waits for tokens. A server
-/// needs the rest, and a grant that is to be had comes within 15 ms.
+/// The part of its latency objective that a request waits for tokens; a server
+/// needs the rest.
 constexpr int patience_divisor = 4;
 /// Of a request without an objective.
 constexpr milliseconds default_patience{250};
--- a/src/serve/entry_settings.cpp
+++ b/src/serve/entry_settings.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 milliseconds seconds_read(kernel::settings_section& section, const char* key,
-                          double fallback, double most) {
+                          double fallback, double most, double least = 0) {
   constexpr double ms_per_second = 1000;
   return milliseconds(static_cast<std::int64_t>(
-      section.real(key, fallback, 0, most) * ms_per_second));
+      section.real(key, fallback, least, most) * ms_per_second));
 }
 
 void read_planner(kernel::settings_document& document,
@@ -60,12 +60,9 @@
   constexpr double least_window_s = 1;
   constexpr double most_window_s = 3600;
   constexpr double most_slack = 1000000000;
-  constexpr double ms_per_second = 1000;
   auto section = document.section("quotas");
-  quotas.window = milliseconds(static_cast<std::int64_t>(
-      section.real("window_s", seconds_of(quotas.window), least_window_s,
-                   most_window_s) *
-      ms_per_second));
+  quotas.window = seconds_read(section, "window_s", seconds_of(quotas.window),
+                               most_window_s, least_window_s);
   quotas.over = section.real("over", quotas.over, 0, 1);
   quotas.slack = section.real("slack", quotas.slack, 0, most_slack);
 }
