--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,10 +1,9 @@
-// A server in need limits the rate of its requests. It loses the path to the
-// store, so that its entry is removed, and has it back some seconds later. It
-// serves all the while.
+// The store comes back from an older copy, as in a drill. The agent of a worker
+// was started shortly before and is stopped and started again shortly after.
 
-#include <algorithm>
 #include <atomic>
-#include <random>
+#include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -15,93 +14,213 @@
 
 using namespace review;
 
-constexpr auto limited_service = "sheets";
-constexpr auto other_service = "links";
-constexpr int other_servers = 4;
-constexpr int routers = 3;
-constexpr int clients_of_a_router = 60;
-constexpr int slots = 32;
-constexpr int limit_per_s = 1;
-constexpr int slow_work_ms = 100;
-constexpr int work_ms = 30;
-constexpr int deadline_ms = 4000;
+constexpr auto service = "assist";
+constexpr auto plain_service = "sheets";
+constexpr auto worker_id = "i-worker";
+constexpr int models = 6;
+constexpr int places = 3;
+constexpr double model_mb = 72700;
+constexpr int load_ms = 200;
+constexpr int plain_servers = 12;
 constexpr int ping_ms = 1200;
-constexpr int contact_ms = 3000;
-constexpr int window_ms = 4000;
-constexpr int before_cut_ms = 8000;
-constexpr int cut_ms = 5000;
-constexpr int after_cut_ms = 8000;
-
-void serve_caller(connection& from, const std::string& id, bool is_limited,
-                  const record& log) {
-  while (const auto request = read_message(from, true)) {
-    if (answer_health(from, *request, id)) continue;
-    const auto attempt = request->header("Boragehill-Attempt-Id");
-    log.note(id + " runs " + attempt);
-    sleep_ms(is_limited ? slow_work_ms : work_ms);
-    header_map headers{{"Boragehill-Attempt-Id", attempt},
-                       {"Boragehill-Response-Stamp", id}};
-    if (is_limited) headers["Server-Limit"] = std::to_string(limit_per_s);
-    log.note(id + " answers " + attempt);
-    if (!from.write(answer_text(200, headers, "done\n"))) return;
+constexpr int copy_age_ms = 4000;
+constexpr int away_ms = 400;
+constexpr int before_start_ms = 6000;
+constexpr int start_to_drill_ms = 1800;
+constexpr int drill_to_stop_ms = 300;
+constexpr int after_ms = 8000;
+
+std::string model_name(int number) {
+  return "model-" + std::to_string(number);
+}
+
+/// A model worker that carries out orders and doesn't check fences.
+class worker {
+ public:
+  worker(const address& at, const record& log)
+      : at(at),
+        log(log),
+        born(std::chrono::duration_cast<milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count()) {
+    this->held.insert(model_name(1));
+  }
+
+  Json::Value entry() {
+    const std::scoped_lock lock(this->mutex);
+    auto shown = server_entry(service, this->at, 64);
+    shown["stage"] = "mixed";
+    shown["born"] = Json::Int64(this->born);
+    shown["seq"] = Json::Int64(this->sequence);
+    shown["models"] = this->models_shown();
+    return shown;
   }
+
+  void serve_caller(connection& from) {
+    while (const auto request = read_message(from, true)) {
+      if (answer_health(from, *request, worker_id)) continue;
+      if (request->second == "/report") {
+        from.write(answer_text(200,
+                               {{"Boragehill-Instance-Id", worker_id},
+                                {"Content-Type", "application/json"}},
+                               this->report()));
+      } else if (request->second == "/order") {
+        from.write(answer_text(this->take_order(*request), {}, ""));
+      } else if (!this->generate(from, *request)) {
+        return;
+      }
+    }
+  }
+
+ private:
+  Json::Value models_shown() const {
+    Json::Value list(Json::arrayValue);
+    for (const auto& name : this->held) {
+      Json::Value model;
+      model["name"] = name;
+      model["version"] = 1;
+      model["adapters"] = Json::Value(Json::arrayValue);
+      list.append(model);
+    }
+    return list;
+  }
+
+  std::string report() {
+    const std::scoped_lock lock(this->mutex);
+    Json::Value shown;
+    shown["stage"] = "mixed";
+    shown["models"] = this->models_shown();
+    shown["busy"] = this->busy;
+    shown["seq"] = Json::Int64(this->sequence);
+    shown["born"] = Json::Int64(this->born);
+    shown["waiting"] = 0;
+    shown["running"] = 0;
+    shown["kvUsed"] = 0;
+    shown["kvTotal"] = 165548;
+    shown["handles"] = 0;
+    for (int each = 1; each <= models; ++each) {
+      shown["atHand"]["inMemory"].append(model_name(each));
+    }
+    return to_json(shown);
+  }
+
+  int take_order(const message& request) {
+    const auto order = from_json(request.body);
+    const std::scoped_lock lock(this->mutex);
+    if (request.header("Boragehill-Expect-Instance") != worker_id) return 421;
+    if (!order.isMember("holder") || !order.isMember("fence")) return 400;
+    const bool is_next = !order.isMember("expected") ||
+                         order["expected"].asInt64() == this->sequence;
+    const auto name = order["model"].asString();
+    this->log.note("worker gets order " + order["op"].asString() + " " + name +
+                   " holder " + order["holder"].asString() + " fence " +
+                   std::to_string(order["fence"].asInt64()));
+    if (!is_next || this->busy) return 409;
+    ++this->sequence;
+    if (order["op"].asString() == "unload") {
+      this->held.erase(name);
+      return 202;
+    }
+    this->busy = true;
+    std::thread([this, name] {
+      sleep_ms(load_ms);
+      const std::scoped_lock finished(this->mutex);
+      this->held.insert(name);
+      this->busy = false;
+    }).detach();
+    return 202;
+  }
+
+  bool generate(connection& from, const message& request) {
+    const auto attempt = request.header("Boragehill-Attempt-Id");
+    bool is_held = false;
+    {
+      const std::scoped_lock lock(this->mutex);
+      is_held = this->held.contains(request.header("Boragehill-Model"));
+    }
+    if (!is_held) {
+      return from.write(answer_text(421,
+                                    {{"Boragehill-Attempt-Id", attempt},
+                                     {"Boragehill-Instance-Id", worker_id}},
+                                    ""));
+    }
+    sleep_ms(30);
+    return from.write(answer_text(200,
+                                  {{"Boragehill-Attempt-Id", attempt},
+                                   {"Boragehill-Response-Stamp", worker_id},
+                                   {"Content-Type", "text/event-stream"}},
+                                  "id: 1\ndata: done\n\n"));
+  }
+
+  address at;
+  const record& log;
+  std::int64_t born;
+  std::mutex mutex;
+  std::set<std::string> held;
+  std::int64_t sequence = 0;
+  bool busy = false;
+};
+
+Json::Value drill_configuration() {
+  auto config = configuration(plain_service);
+  auto assist = configuration(service)["services"][0];
+  auto& engine = assist["engine"];
+  engine["weightsMb"] = model_mb * places + 1000;
+  engine["adapterSlots"] = 8;
+  engine["slots"] = 64;
+  engine["kvTokens"] = 165548;
+  engine["loadsPerS"] = 2.4;
+  for (int each = 1; each <= models; ++each) {
+    Json::Value known;
+    known["name"] = model_name(each);
+    known["weightsMb"] = model_mb;
+    known["loadS"] = 6;
+    known["diskS"] = 1.3;
+    known["warmS"] = 0.2;
+    known["adapters"] = 0;
+    known["adapterMb"] = 66;
+    engine["models"].append(known);
+  }
+  config["services"].append(assist);
+  auto ask = route("ask", "/ask/", "stream", service, 1, 6000, 2000);
+  ask["gapAimMs"] = 250;
+  config["routes"].append(ask);
+  return config;
 }
 
-void run_client(const address& front, const std::string& path,
-                const std::string& name, clock_type::time_point end,
-                const record& log) {
-  std::mt19937 random(static_cast<unsigned>(std::hash<std::string>()(name)));
-  std::uniform_real_distribution<double> jitter(0, 1);
-  for (int number = 0; clock_type::now() < end; ++number) {
+/// Asks for one model after the other, so that the worker has to change them.
+void run_client(const address& front, const std::string& name, int first,
+                const std::atomic<bool>& stopped, const record& log) {
+  for (int number = 0; !stopped; ++number) {
     const auto attempt = name + "-" + std::to_string(number);
     connection to(connect_to(front));
-    to.set_limit(deadline_ms + 1000);
-    to.write(request_text("POST", path + attempt, attempt, deadline_ms, {},
-                          "one manifold"));
+    to.set_limit(7000);
+    to.write(request_text(
+        "POST", "/ask/" + attempt, attempt, 6000,
+        {{"Boragehill-Model", model_name(1 + (first + number) % models)},
+         {"Boragehill-Token-Count", "400,80"},
+         {"Boragehill-Prompt-Prefix", "5c1e07a2:400"}},
+        "Which spool?"));
     const auto answer = read_message(to, false);
     log.note("client got " + attempt + " status " +
              (answer ? answer->second : "none"));
-    double wait_s = 0.1;
-    if (answer && answer->status() == 503) {
-      const auto told = answer->header("Retry-After");
-      // A third of the time that is left is the longest wait.
-      wait_s = std::clamp(std::atof(told.c_str()), 0.1, 1.3);
-    }
-    // Callers that were refused together don't all come back together.
-    wait_s += jitter(random);
-    sleep_ms(static_cast<std::int64_t>(wait_s * 1000));
+    sleep_ms(150);
   }
 }
 
-struct server {
-  std::string id;
-  std::string service;
-  address at;
-};
-
-/// \return The most requests that the server got in a window that begins later
-///     than `contactMs` after it first named its limit.
-int most_in_window(const std::string& path, const std::string& id) {
-  std::vector<std::int64_t> arrivals;
-  std::int64_t named = 0;
+/// \return How often an order bore a lower fence than one before it.
+int count_lower_fences(const std::string& path, int& orders) {
+  std::int64_t highest = 0;
+  int lower = 0;
   for (const auto& line : lines_of(path)) {
-    const auto at = std::atoll(line.c_str());
-    if (line.find(id + " runs ") != std::string::npos) arrivals.push_back(at);
-    if (named == 0 && line.find(id + " answers ") != std::string::npos) {
-      named = at;
-    }
+    const auto at = line.find(" fence ");
+    if (line.find("worker gets order") == std::string::npos) continue;
+    ++orders;
+    const auto fence = std::atoll(line.c_str() + at + 7);
+    if (fence < highest) ++lower;
+    highest = std::max<std::int64_t>(highest, fence);
   }
-  std::ranges::sort(arrivals);
-  int most = 0;
-  for (std::size_t first = 0; first < arrivals.size(); ++first) {
-    if (named == 0 || arrivals[first] < named + contact_ms) continue;
-    const auto end =
-        std::ranges::lower_bound(arrivals, arrivals[first] + window_ms);
-    const auto count =
-        end - arrivals.begin() - static_cast<std::ptrdiff_t>(first);
-    most = std::max(most, static_cast<int>(count));
-  }
-  return most;
+  return lower;
 }
 
 }  // namespace
@@ -109,76 +228,76 @@
 int main(int argc, char** argv) {
   if (argc != 3) return not_run;
   const record log(argv[2], true);
-  fleet small(argv[1], 2 + other_servers + routers);
-  auto config = configuration(limited_service);
-  config["services"].append(configuration(other_service)["services"][0]);
-  config["routes"].append(route("order", "/order/", "non_idempotent",
-                                limited_service, 1, deadline_ms, 2000));
-  config["routes"].append(route("link", "/link/", "non_idempotent",
-                                other_service, 1, deadline_ms, 150));
-  small.platform().put("op", "config", config);
-  std::vector<server> servers;
-  for (int each = 0; each <= other_servers; ++each) {
-    const std::string service = each == 0 ? limited_service : other_service;
-    servers.push_back({"i-" + service + "-" + std::to_string(each), service,
-                       small.app(1 + each)});
-  }
-  for (const auto& each : servers) {
-    small.start_worker(each.id, [&log, each] {
-      const bool is_limited = each.service == limited_service;
-      listen_or_give_up(each.at,
-                        [&log, id = each.id, is_limited](connection& from) {
-                          serve_caller(from, id, is_limited, log);
-                        });
+  fleet small(argv[1], 3 + plain_servers);
+  constexpr int router = 1;
+  constexpr int side = 2;
+  const auto at = small.app(side);
+  small.platform().put("op", "config", drill_configuration());
+  // The worker runs in this process, since it writes its entry to the store.
+  worker model_worker(at, log);
+  listen_or_give_up(at,
+                    [&](connection& from) { model_worker.serve_caller(from); });
+  for (int each = 0; each < plain_servers; ++each) {
+    const auto id = "i-sheets-" + std::to_string(each);
+    listen_or_give_up(small.app(side + 1 + each), [id](connection& from) {
+      while (const auto request = read_message(from, true)) {
+        if (!answer_health(from, *request, id)) return;
+      }
     });
-    small.await_listening(each.at);
-    small.platform().put("servers", each.id,
-                         server_entry(each.service, each.at, slots));
   }
-  const int first_router = 2 + other_servers;
-  for (int each = 0; each < routers; ++each) {
-    small.start_router(first_router + each);
-  }
-  for (int each = 0; each < routers; ++each) {
-    small.await_ready(first_router + each);
-  }
-  sleep_ms(1500);
+  std::atomic<bool> stopped = false;
+  std::thread pings([&] {
+    for (int round = 0; !stopped; ++round) {
+      const int number = round % (plain_servers + 1);
+      if (number == plain_servers) {
+        small.platform().ping("servers", worker_id, model_worker.entry());
+      } else {
+        small.platform().ping(
+            "servers", "i-sheets-" + std::to_string(number),
+            server_entry(plain_service, small.app(side + 1 + number), 6));
+      }
+      sleep_ms(ping_ms / (plain_servers + 1));
+    }
+  });
+  small.start_router(router);
+  small.await_ready(router);
+  sleep_ms(before_start_ms);
 
-  const auto end =
-      clock_type::now() + milliseconds(before_cut_ms + cut_ms + after_cut_ms);
   std::vector<std::thread> clients;
-  for (int router = 0; router < routers; ++router) {
-    for (int each = 0; each < clients_of_a_router; ++each) {
-      const auto name =
-          "order-" + std::to_string(router) + "-" + std::to_string(each);
-      clients.emplace_back([&, router, name] {
-        run_client(small.front(first_router + router), "/order/", name, end,
-                   log);
-      });
-    }
-    clients.emplace_back([&, router] {
-      run_client(small.front(first_router + router), "/link/",
-                 "link-" + std::to_string(router), end, log);
+  for (int each = 0; each < 4; ++each) {
+    clients.emplace_back([&, each] {
+      run_client(small.front(router), "ask-" + std::to_string(each), each,
+                 stopped, log);
     });
   }
-  sleep_ms(before_cut_ms);
-  const auto& limited = servers.front();
+  log.note("the agent starts");
+  small.start_agent(side, service);
+  sleep_ms(start_to_drill_ms);
   if (has_trouble()) {
-    log.note(limited.id + " loses the path to the store");
-    sleep_ms(3 * ping_ms);
-    log.note("its entry is removed");
-    small.platform().remove("servers", limited.id);
-    sleep_ms(cut_ms - 3 * ping_ms);
-    log.note(limited.id + " has the path back and writes its entry");
-    small.platform().put("servers", limited.id,
-                         server_entry(limited.service, limited.at, slots));
+    log.note("the store goes away at version " +
+             std::to_string(small.platform().newest_version()));
+    small.platform().restore(copy_age_ms, away_ms);
+    log.note("the store is back at version " +
+             std::to_string(small.platform().newest_version()));
+  } else {
+    sleep_ms(away_ms);
   }
+  sleep_ms(drill_to_stop_ms);
+  const auto agent = "agent-" + std::to_string(side);
+  log.note("the agent gets SIGTERM");
+  small.send_signal(agent, SIGTERM);
+  while (!small.has_ended(agent)) sleep_ms(5);
+  log.note("the agent starts again");
+  small.start_agent(side, service);
+  sleep_ms(after_ms);
+  stopped = true;
   for (auto& each : clients) each.join();
+  pings.join();
 
-  const int most = most_in_window(argv[2], limited.id);
-  const int allowed = limit_per_s * window_ms / 1000 * 3 / 2 + 5;
-  log.note("most requests in 4 s " + std::to_string(most) + ", allowed " +
-           std::to_string(allowed));
-  if (most == 0) give_up("the server got no request");
-  return most > allowed ? rule_broken : rule_held;
+  int orders = 0;
+  const int lower = count_lower_fences(argv[2], orders);
+  log.note("orders " + std::to_string(orders) + ", with a lower fence than " +
+           "one before " + std::to_string(lower));
+  if (orders == 0) give_up("the worker got no order");
+  return lower > 0 ? rule_broken : rule_held;
 }
--- a/review/common/store.hpp
+++ b/review/common/store.hpp
@@ -82,6 +82,40 @@
     this->changed.notify_all();
   }
 
+  /// Writes a row as a worker does that pings; is lost while the store is away.
+  void ping(const std::string& table, const std::string& key,
+            const Json::Value& value) {
+    if (this->era_or_away() != 0) this->put(table, key, value);
+  }
+
+  /// Is away for a while and comes back from an older copy, as in a drill:
+  /// versions go back and are given out again.
+  /// \param age_ms How old the copy is when the store goes away.
+  void restore(std::int64_t age_ms, std::int64_t away_ms) {
+    const auto copied = clock_type::now() - milliseconds(age_ms);
+    {
+      const std::scoped_lock lock(this->mutex);
+      this->away = true;
+      this->changed.notify_all();
+    }
+    sleep_ms(away_ms);
+    const std::scoped_lock lock(this->mutex);
+    std::erase_if(this->history,
+                  [&](const row& each) { return each.written > copied; });
+    this->version = this->history.empty() ? 0 : this->history.back().version;
+    this->rows.clear();
+    for (const auto& each : this->history) {
+      this->rows[{each.table, each.key}] = each;
+    }
+    ++this->era;
+    this->away = false;
+  }
+
+  std::int64_t newest_version() {
+    const std::scoped_lock lock(this->mutex);
+    return this->version;
+  }
+
   void remove(const std::string& table, const std::string& key) {
     const std::scoped_lock lock(this->mutex);
     ++this->version;
@@ -96,6 +130,7 @@
     std::string value;
     std::int64_t version = 0;
     bool deleted = false;
+    clock_type::time_point written;
   };
 
   static Json::Value shown(const row& found) {
@@ -114,7 +149,7 @@
 
   void write(const std::string& table, const std::string& key,
              const std::string& value, bool deleted) {
-    row written{table, key, value, this->version, deleted};
+    row written{table, key, value, this->version, deleted, clock_type::now()};
     this->history.push_back(written);
     this->rows[{table, key}] = std::move(written);
   }
@@ -122,19 +157,30 @@
   void answer_all(connection& from) {
     while (const auto request = read_message(from, true)) {
       int status = 200;
+      const auto asked_in = this->era_or_away();
+      if (asked_in == 0) return;
       auto answer = this->answer(*request, status);
+      // A call that was under way when the store went away gets no answer.
+      if (this->era_or_away() != asked_in) return;
       answer["nowMs"] = Json::Int64(ms_since(this->began));
-      const auto text = answer_text(
-          status, {{"Content-Type", "application/json"}, {"Store-Era", "1"}},
-          to_json(answer));
+      const auto text = answer_text(status,
+                                    {{"Content-Type", "application/json"},
+                                     {"Store-Era", std::to_string(asked_in)}},
+                                    to_json(answer));
       if (!from.write(text)) return;
     }
   }
 
+  /// \return The era; 0 while the store is away.
+  std::int64_t era_or_away() {
+    const std::scoped_lock lock(this->mutex);
+    return this->away ? 0 : this->era;
+  }
+
   Json::Value answer(const message& request, int& status) {
     const auto& target = request.second;
     if (target.starts_with("/rows-get")) return this->get(target);
-    if (target.starts_with("/rows-feed")) return this->feed(target);
+    if (target.starts_with("/rows-feed")) return this->feed(target, status);
     if (target.starts_with("/rows-tx")) {
       return this->transact(from_json(request.body), status);
     }
@@ -156,13 +202,18 @@
     return answer;
   }
 
-  Json::Value feed(const std::string& target) {
+  Json::Value feed(const std::string& target, int& status) {
     const auto table = parameter(target, "table");
     const auto after = std::atoll(parameter(target, "after").c_str());
     const milliseconds wait(std::atoll(parameter(target, "waitMs").c_str()));
     Json::Value news(Json::arrayValue);
     std::unique_lock lock(this->mutex);
+    if (after > this->version) {
+      status = 410;
+      return Json::Value(Json::objectValue);
+    }
     this->changed.wait_for(lock, wait, [&] {
+      if (this->away) return true;
       news.clear();
       for (const auto& each : this->history) {
         if (each.table == table && each.version > after) {
@@ -212,6 +263,8 @@
   std::condition_variable changed;
   clock_type::time_point began = clock_type::now();
   std::int64_t version = 0;
+  std::int64_t era = 1;
+  bool away = false;
   std::map<std::pair<std::string, std::string>, row> rows;
   std::vector<row> history;
 };
