--- a/review/build.sh
+++ b/review/build.sh
@@ -7,8 +7,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 read -ra flags <<<"$(pkg-config --cflags --libs jsoncpp)"
-for source in review/*/case.cpp; do
+for source in review/*/*.cpp; do
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" \
-    -o "target/review/case-$number" "${flags[@]}"
+    -o "target/review/$(basename "$source" .cpp)-$number" "${flags[@]}"
 done
