--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
+# Writes record.txt beside it; TROUBLE=0 leaves the disruption out.
 set -euo pipefail
+
+export TROUBLE=${TROUBLE:-1}
+folder=$(cd "$(dirname "$0")" && pwd)
 # shellcheck source=review/common/run.sh
-. "$(dirname "$0")/../common/run.sh"
-run_case "$(dirname "$0")"
+. "$folder/../common/run.sh"
+run_case "$(basename "$folder")" "$folder/record.txt"
