Keep the store of the review's scripts until the process ends

Its threads still read it when the scripts return, so a script could crash at its end and exit with 2. Seen in a trial program built from the same stand-ins (AddressSanitizer: a read after the store was freed); not seen in a case.

--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -250,7 +250,8 @@
 
   std::string folder;
   int base = 0;
-  store rows;
+  /// Never destroyed: its threads run until the process ends.
+  store& rows = *new store;
   std::map<std::string, pid_t> running;
 };
 
