Log rejections and skipped answers with their place on the connection

Cause: the logs couldn't tell a false rejection from a true one. No line said that a server's "not run" was believed, that an answer was skipped since it names another request, nor how many requests their connection had carried.

Change: events 621 answer_skipped and 622 rejection_read.

--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -73,6 +73,8 @@
     row{event::stream_taken_up, "stream_taken_up", severity::info},
     row{event::end_judged, "end_judged", severity::info},
     row{event::suspect_sent, "suspect_sent", severity::info},
+    row{event::answer_skipped, "answer_skipped", severity::warning},
+    row{event::rejection_read, "rejection_read", severity::info},
     row{event::retry_sent, "retry_sent", severity::info},
     row{event::profile_published, "profile_published", severity::info},
     row{event::profile_conflict, "profile_conflict", severity::warning},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -80,6 +80,8 @@
   stream_taken_up = 618,
   end_judged = 619,
   suspect_sent = 620,
+  answer_skipped = 621,
+  rejection_read = 622,
 
   // 700: profiles.
   profile_published = 701,
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -21,6 +21,23 @@
 /// A model that was just added is known here after a second or two.
 constexpr milliseconds next_catalog{1500};
 
+/// Logs an answer that names another request, or says that this one didn't run.
+void log_unusual_answer(const exchange& request,
+                        const fleet::answer_fields& answer) {
+  const auto& attempt = request.fields().attempt;
+  const bool is_others = !answer.attempt.empty() && answer.attempt != attempt;
+  if (!is_others && !answer.not_run) return;
+  kernel::log_event(
+      is_others ? kernel::event::answer_skipped : kernel::event::rejection_read,
+      {{"request", attempt},
+       {"server", request.server()},
+       {"named", answer.attempt},
+       {"misdirected", answer.misdirected},
+       {"rest_ms", answer.rest ? answer.rest->count() : 0},
+       {"sends", request.sends().attempt_count()},
+       {"on_connection", request.connection_requests()}});
+}
+
 }  // namespace
 
 dispatcher::dispatcher(asio::io_context& context,
@@ -388,6 +405,7 @@
 
 void dispatcher::on_answer_head(const exchange& request,
                                 const fleet::answer_fields& answer) {
+  log_unusual_answer(request, answer);
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
   this->take_notice(found->second, answer, request.fields().attempt);
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -210,6 +210,10 @@
               this->what.head.method == "HEAD", this->weak_from_this());
 }
 
+int exchange::connection_requests() const {
+  return this->connection ? this->connection->request_count() : 0;
+}
+
 void exchange::on_unsent() {
   this->connection.reset();
   this->record.on_unsent();
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -89,6 +89,9 @@
   void on_broken() override;
 
   const caller_request& request() const { return this->what; }
+  /// \return How many requests its connection to the server has carried, this
+  ///     one included; 0 if no server has it.
+  int connection_requests() const;
   /// \return Equal for requests that are alike in caller, method, host, target
   ///     and body.
   const std::string& fingerprint() const { return this->print; }
--- a/src/serve/server_connection.cpp
+++ b/src/serve/server_connection.cpp
@@ -56,6 +56,7 @@
 
 void server_connection::send(std::string text, bool no_body,
                              std::weak_ptr<server_answer> answer) {
+  ++this->requests;
   this->request = std::move(text);
   this->receiver = std::move(answer);
   this->bodiless = no_body;
--- a/src/serve/server_connection.hpp
+++ b/src/serve/server_connection.hpp
@@ -49,6 +49,8 @@
   void abort_unread();
 
   bool closed() const { return this->ended; }
+  /// \return How many requests were sent on it, the present one included.
+  int request_count() const { return this->requests; }
   /// \return When the last answer ended.
   time_point idle_since() const { return this->last_used; }
   /// \return Until when the server keeps the connection if nothing is sent.
@@ -76,6 +78,7 @@
   std::array<char, 16384> buffer{};
   time_point last_used;
   time_point kept;
+  int requests = 0;
   bool connected = false;
   bool busy = false;
   bool written = false;
