Send a request to a server again on a connection of its own

Callers saw orders carried out twice, or were refused with 503 orders that ran. Cause: an answer names the request, not which of its sends it belongs to. A request that its server had rejected with a short rest went there again on the youngest idle connection, which is the one that brought the rejection; a late second copy of that rejection was taken for the answer to the new send.

Change: a request that was sent to a server before, or that has no attempt id, goes on a new connection, so that whatever comes on it answers this send. The same holds for all ways back to a server: a rest, a 421, a grant.

--- a/src/decide/attempt_history.cpp
+++ b/src/decide/attempt_history.cpp
@@ -21,6 +21,7 @@
   ++this->attempts_made;
   ++this->possible_arrivals;
   this->is_in_flight = true;
+  this->sent_servers.insert(server);
   this->tried_servers.insert(server);
   this->last_server = server;
 }
--- a/src/decide/attempt_history.hpp
+++ b/src/decide/attempt_history.hpp
@@ -53,6 +53,11 @@
   bool has_tried(const std::string& server) const {
     return this->tried_servers.contains(server);
   }
+  /// \return True if the request was sent to that server before, whatever came
+  ///     of it.
+  bool was_sent_to(const std::string& server) const {
+    return this->sent_servers.contains(server);
+  }
   /// \return True if that server's response was interrupted and can be resumed.
   ///     Such a server is chosen again if no other has the model: otherwise
   ///     interrupted streams waited 16 s for another server and were refused.
@@ -73,6 +78,7 @@
   int possible_arrivals = 0;
   int possible_runs = 0;
   bool is_in_flight = false;
+  std::set<std::string> sent_servers;
   std::set<std::string> tried_servers;
   std::set<std::string> interrupted_servers;
   std::string last_server;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -21,6 +21,14 @@
 /// A model that was just added is known here after a second or two.
 constexpr milliseconds next_catalog{1500};
 
+/// An answer names the request, not which of its sends it belongs to.
+idle_use idle_use_for(const exchange& request, const server_state& server) {
+  const bool is_told_apart = !request.fields().attempt.empty() &&
+                             !request.sends().was_sent_to(server.entry.id);
+  if (!is_told_apart) return idle_use::none;
+  return request.at_most_once() ? idle_use::young : idle_use::any;
+}
+
 /// Logs an answer that names another request, or says that this one didn't run.
 void log_unusual_answer(const exchange& request,
                         const fleet::answer_fields& answer) {
@@ -303,7 +311,7 @@
                       server_state& server, time_point now) {
   if (!this->may_send_retry(*request, now)) return false;
   const auto connection = this->pool.take(
-      server.entry.id, server.entry.address, request->at_most_once(),
+      server.entry.id, server.entry.address, idle_use_for(*request, server),
       this->most_connections(request->service()));
   if (!connection) return false;
   if (request->holds_retry()) this->account_retry(*request, server, now);
--- a/src/serve/server_pool.cpp
+++ b/src/serve/server_pool.cpp
@@ -14,10 +14,10 @@
 
 std::shared_ptr<server_connection> server_pool::take(const std::string& server,
                                                      const endpoint& address,
-                                                     bool young_only,
+                                                     idle_use may_carry,
                                                      std::size_t most) {
   auto& entry = this->servers[server];
-  if (auto found = this->take_idle(entry, young_only)) return found;
+  if (auto found = this->take_idle(entry, may_carry)) return found;
   if (entry.open >= most) {
     // Old idle ones make room for a new one.
     const auto idle = std::exchange(entry.idle, {});
@@ -28,7 +28,8 @@
 }
 
 std::shared_ptr<server_connection> server_pool::take_idle(server_entry& entry,
-                                                          bool young_only) {
+                                                          idle_use may_carry) {
+  if (may_carry == idle_use::none) return nullptr;
   const auto now = time_point::clock::now();
   while (!entry.idle.empty()) {
     auto last = entry.idle.back();
@@ -37,7 +38,8 @@
       last->abort();
       continue;
     }
-    if (young_only && now - last->idle_since() > young_age) return nullptr;
+    const bool is_young = now - last->idle_since() <= young_age;
+    if (may_carry == idle_use::young && !is_young) return nullptr;
     entry.idle.pop_back();
     return last;
   }
--- a/src/serve/server_pool.hpp
+++ b/src/serve/server_pool.hpp
@@ -10,6 +10,7 @@
 
 #include <boragehill/endpoint.hpp>
 
+#include "serve/idle_use.hpp"
 #include "serve/server_connection.hpp"
 
 namespace boragehill::serve {
@@ -21,13 +22,12 @@
   explicit server_pool(asio::io_context& context) : context(context) {}
 
   /// Takes a connection: one that is idle, the youngest first, or a new one.
-  /// \param young_only Only one that was used a moment ago, since a close that
-  ///     crosses the request would leave open whether it ran.
+  /// \param may_carry Which idle ones may be taken.
   /// \param most The most connections to the server.
   /// \return Null if there are `most` and none is idle.
   std::shared_ptr<server_connection> take(const std::string& server,
                                           const endpoint& address,
-                                          bool young_only, std::size_t most);
+                                          idle_use may_carry, std::size_t most);
 
   /// Closes the idle connections of a server that is gone.
   void forget(const std::string& server);
@@ -45,7 +45,7 @@
   };
 
   std::shared_ptr<server_connection> take_idle(server_entry& entry,
-                                               bool young_only);
+                                               idle_use may_carry);
   std::shared_ptr<server_connection> open_new(const std::string& server,
                                               const endpoint& address);
 
