Take no unnamed answer on a connection that carried other requests

Callers saw orders carried out twice. Cause: an answer without an attempt id counted for whichever request was under way on its connection. A late copy of a rejection without an id was taken for the answer to the next request, which ran and was sent once more.

Change: such an answer counts on the first request of a connection only; elsewhere the connection is closed and the request may have run. The stand-in's rejections name their attempt, as the platform's servers do.

--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -45,9 +45,16 @@
 bool exchange::on_head(const http::message_head& head) {
   const auto answer = this->host.codec().read_answer(head.status, head.headers);
   this->host.on_answer_head(*this, answer);
-  const bool ours =
-      answer.attempt.empty() || answer.attempt == this->asked.attempt;
-  if (!ours) return false;
+  const bool follows_others = this->connection_requests() > 1;
+  if (answer.attempt.empty() && follows_others) {
+    // Nothing tells it from a late answer to an earlier request.
+    this->connection->abort();
+    this->on_broken();
+    return true;
+  }
+  if (!answer.attempt.empty() && answer.attempt != this->asked.attempt) {
+    return false;
+  }
   this->answer_began();
   if (answer.not_run) {
     this->not_run_answer = true;
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -197,9 +197,14 @@
   const auto [model, adapter] =
       split_model(request.get_header_value("Boragehill-Model"));
   const auto held = this->models.find(model);
+  const auto name_attempt = [&] {
+    response.set_header("Boragehill-Attempt-Id",
+                        request.get_header_value("Boragehill-Attempt-Id"));
+  };
   const auto rest = this->faults.shed_rest();
   if (rest) {
     ++this->turned_away;
+    name_attempt();
     response.status = unavailable_status;
     response.set_header("Boragehill-Not-Run", "1");
     response.set_header(
@@ -211,6 +216,7 @@
       model.empty() || (held != this->models.end() &&
                         (adapter.empty() || held->second.contains(adapter)));
   if (meant == this->id && there) return false;
+  name_attempt();
   response.status = misdirected_status;
   response.set_header("Boragehill-Instance-Id", this->id);
   return true;
