Show that no stream goes on after all routers were killed

Where streams began is known to the planner, the router that sent them and two others. All of it is lost with all routers, and callers that take their streams up again are refused.

--- a/test/fleet-test/software_version_test.cpp
+++ b/test/fleet-test/software_version_test.cpp
@@ -19,6 +19,7 @@
 /// Streams take 1.2 s.
 constexpr auto event_gap = R"({"kind":"slow_events","ms":150})";
 constexpr milliseconds some_events{500};
+constexpr milliseconds ready_within{5000};
 
 /// Callers of resumable streams of model-1.
 class stream_callers {
@@ -175,6 +176,28 @@
     this->callers.wait();
   }
 
+  /// Kills all routers under the streams and starts them again, some times.
+  void kill_all_routers(int times) {
+    this->callers.call(this->fleet.caller_address(1));
+    for (int each = 0; each < times; ++each) {
+      std::this_thread::sleep_for(some_events);
+      for (const char* router : {"router-1", "router-2"}) {
+        this->fleet[router].kill();
+      }
+      this->callers.wait();
+      for (const char* router : {"router-1", "router-2"}) {
+        this->fleet[router].start();
+      }
+      ASSERT_TRUE(this->fleet.wait_until_ready(1, ready_within));
+      this->callers.call(this->fleet.caller_address(1));
+    }
+    // As callers that come back after a refusal.
+    for (int tries = 0; tries < 3; ++tries) {
+      this->callers.call(this->fleet.caller_address(1 + tries % 2));
+    }
+    this->callers.wait();
+  }
+
   void expect_all_whole() {
     EXPECT_EQ(joined_streams(this->fleet, this->callers),
               std::vector<std::string>());
@@ -208,6 +231,27 @@
   this->expect_all_whole();
 }
 
+// Guards against streams that nobody knows after all routers were killed.
+TEST_F(taken_up_stream_test, goes_on_at_its_version_after_the_loss_of_all) {
+  this->begin("v1", "v2", "v2");
+  this->kill_all_routers(1);
+  this->expect_all_whole();
+}
+
+// Guards against the same where the routers are killed again at once.
+TEST_F(taken_up_stream_test, goes_on_at_its_version_after_two_losses_of_all) {
+  this->begin("v1", "v2", "v2");
+  this->kill_all_routers(2);
+  this->expect_all_whole();
+}
+
+// Guards against the same with one version.
+TEST_F(taken_up_stream_test, goes_on_after_the_loss_of_all_at_one_version) {
+  this->begin("v1", "v1", "v1");
+  this->kill_all_routers(1);
+  this->expect_all_whole();
+}
+
 // Guards against streams that are refused though there is one version only.
 TEST_F(taken_up_stream_test, goes_on_after_a_loss_if_versions_are_alike) {
   this->begin("v1", "v1", "v1");
