Let two agents keep where streams began

Callers whose streams had broken off when all routers were killed were refused all of them. Cause: where streams began was known to routers alone, so all of it was lost with them. Class: evidence that ends with those who have it, as in the incident of the streams out of order, one step further out.

Change: the planner also tells two agents, in different failure domains where it can, which keep the streams in memory and tell them to whichever planner links to them. Agents run on the workers' machines and outlive the routers. No call to the store is added; weighed against rows of the store, which would be written with each batch of streams.

--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -227,6 +227,7 @@
                                     const Json::Value& message) {
   const auto status = wire::decode_worker_status(message);
   if (status.term > this->term) return this->step_down(status.term);
+  this->record_streams(status.streams, time_point::clock::now());
   const auto server = this->server_at(address, status.report.server);
   if (server.empty()) return;
   const auto now = time_point::clock::now();
@@ -313,6 +314,8 @@
 }
 
 void planner_duty::tell_agents() {
+  const auto now = time_point::clock::now();
+  this->choose_agent_keepers();
   for (const auto& [id, worker] : this->planner.workers()) {
     if (!worker.report) continue;
     const endpoint address{worker.list_entry.address.address,
@@ -325,9 +328,11 @@
                                .born = worker.list_entry.born,
                                .service = worker.list_entry.service,
                                .target = worker.target};
-    if (target == found->second.told) continue;
+    auto streams = this->news_for(found->second, now);
+    if (target == found->second.told && streams.empty()) continue;
+    found->second.told = target;
+    target.streams = std::move(streams);
     found->second.link->send(wire::encode(target));
-    found->second.told = std::move(target);
   }
 }
 
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -100,6 +100,9 @@
   struct agent_link {
     std::shared_ptr<wire::message_link> link;
     wire::worker_target told;
+    /// It keeps all streams for the next planner.
+    bool keeps_streams = false;
+    bool knows_streams = false;
   };
 
   void on_router(const std::shared_ptr<wire::message_link>& link);
@@ -128,6 +131,16 @@
   /// Adds what is known of the streams that the router asked for.
   void answer_streams(router_link& router, wire::view_update& update,
                       time_point now) const;
+  /// Records streams, to be told to those that keep them.
+  void record_streams(
+      const std::map<std::string, decide::stream_origin>& streams,
+      time_point now);
+  /// Chooses the agents that keep all streams for a planner that follows after
+  /// all routers were lost.
+  void choose_agent_keepers();
+  /// \return The streams that an agent which keeps them hasn't been told of.
+  std::map<std::string, decide::stream_origin> news_for(agent_link& agent,
+                                                        time_point now) const;
   /// Chooses the routers that keep all streams for the next planner.
   void choose_keepers();
   /// Adds the streams that a router which keeps them hasn't been told of.
--- a/src/serve/planner_streams.cpp
+++ b/src/serve/planner_streams.cpp
@@ -12,7 +12,8 @@
 /// All routers have told a new planner of their streams within this.
 constexpr milliseconds report_time{1000};
 constexpr milliseconds drop_interval{1000};
-/// Routers that keep all streams beside the planner; one may be lost with it.
+/// Routers that keep all streams beside the planner, and as many agents; one
+/// may be lost with it.
 constexpr std::size_t most_keepers = 2;
 
 }  // namespace
@@ -24,8 +25,16 @@
     this->streams_dropped_at = now;
     this->streams.drop_expired(now);
   }
+  this->record_streams(report.streams, now);
+  router.wanted_streams.insert(report.wanted_streams.begin(),
+                               report.wanted_streams.end());
+}
+
+void planner_duty::record_streams(
+    const std::map<std::string, decide::stream_origin>& streams,
+    time_point now) {
   std::size_t left_out = 0;
-  for (const auto& [stream, origin] : report.streams) {
+  for (const auto& [stream, origin] : streams) {
     if (this->streams.record(stream, origin, now)) {
       this->new_streams[stream] = origin;
     } else {
@@ -37,8 +46,6 @@
         kernel::event::ring_full,
         {{"ring", "streams"}, {"capacity", decide::stream_origins::capacity}});
   }
-  router.wanted_streams.insert(report.wanted_streams.begin(),
-                               report.wanted_streams.end());
 }
 
 void planner_duty::answer_streams(router_link& router,
@@ -65,6 +72,44 @@
   }
 }
 
+void planner_duty::choose_agent_keepers() {
+  std::set<std::string> domains;
+  std::size_t keepers = 0;
+  for (const auto& [address, each] : this->agents) {
+    if (each.keeps_streams) ++keepers;
+  }
+  const auto agent_of = [this](const decide::planned_worker& worker) {
+    return this->agents.find(
+        {worker.list_entry.address.address, this->settings.link_port});
+  };
+  for (const auto& [id, worker] : this->planner.workers()) {
+    const auto found = agent_of(worker);
+    if (found == this->agents.end() || !found->second.keeps_streams) continue;
+    domains.insert(worker.list_entry.failure_domain);
+  }
+  for (const bool elsewhere : {true, false}) {
+    for (const auto& [id, worker] : this->planner.workers()) {
+      if (keepers >= most_keepers) return;
+      const auto found = agent_of(worker);
+      const bool may_keep = found != this->agents.end() && worker.report &&
+                            !worker.is_draining() &&
+                            !found->second.keeps_streams;
+      const auto& domain = worker.list_entry.failure_domain;
+      if (!may_keep || (elsewhere && domains.contains(domain))) continue;
+      found->second.keeps_streams = true;
+      domains.insert(domain);
+      ++keepers;
+    }
+  }
+}
+
+std::map<std::string, decide::stream_origin> planner_duty::news_for(
+    agent_link& agent, time_point now) const {
+  if (!agent.keeps_streams) return {};
+  const bool is_told = std::exchange(agent.knows_streams, true);
+  return is_told ? this->new_streams : this->streams.all(now);
+}
+
 void planner_duty::share_streams(router_link& router, wire::view_update& update,
                                  time_point now) const {
   if (!router.keeps_streams) return;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -123,6 +123,12 @@
       });
   this->planners.insert(link);
   this->told_time = {};
+  // A planner that takes over may know of none.
+  const auto kept = this->streams.all(time_point::clock::now());
+  if (kept.empty()) return;
+  auto told_once = this->status;
+  told_once.streams = kept;
+  link->send(wire::encode(told_once));
 }
 
 void sidecar::on_target(const std::shared_ptr<wire::message_link>& link,
@@ -137,9 +143,23 @@
   this->status.term = news.term;
   this->metrics.set_term(static_cast<double>(news.term));
   this->orders.set_target(news.server, news.target, news.born);
+  this->keep_streams(news);
   this->order();
 }
 
+void sidecar::keep_streams(const wire::worker_target& news) {
+  const auto now = time_point::clock::now();
+  this->streams.drop_expired(now);
+  std::size_t left_out = 0;
+  for (const auto& [stream, origin] : news.streams) {
+    if (!this->streams.record(stream, origin, now)) ++left_out;
+  }
+  if (left_out == 0) return;
+  kernel::log_event(
+      kernel::event::ring_full,
+      {{"ring", "streams"}, {"capacity", decide::stream_origins::capacity}});
+}
+
 void sidecar::ask_report() {
   if (this->asking) {
     this->ask_again = true;
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -9,6 +9,7 @@
 
 #include <boragehill/result.hpp>
 
+#include "decide/stream_origins.hpp"
 #include "decide/worker_orders.hpp"
 #include "fleet/platform_store.hpp"
 #include "fleet/worker_control.hpp"
@@ -44,6 +45,8 @@
   void on_planner(const std::shared_ptr<wire::message_link>& link);
   void on_target(const std::shared_ptr<wire::message_link>& link,
                  const wire::worker_target& news);
+  /// Keeps streams for the next planner.
+  void keep_streams(const wire::worker_target& news);
   void ask_report();
   void on_report(const result<fleet::worker_report>& news);
   void order();
@@ -59,6 +62,7 @@
   asio::steady_timer fence_timer;
   serve::status_server scrape;
   decide::worker_orders orders;
+  decide::stream_origins streams;
   std::set<std::shared_ptr<wire::message_link>> planners;
   std::int64_t term = 0;
   wire::worker_status status;
--- a/src/wire/planner_codec.cpp
+++ b/src/wire/planner_codec.cpp
@@ -347,6 +347,9 @@
   message["service"] = target.service;
   message["models"] = encode_texts(target.target.models);
   message["adapters"] = encode_texts(target.target.adapters);
+  if (!target.streams.empty()) {
+    message["streams"] = encode_streams(target.streams);
+  }
   return message;
 }
 
@@ -356,7 +359,8 @@
           .born = message["born"].asInt64(),
           .service = message["service"].asString(),
           .target = {.models = kernel::texts_of(message["models"]),
-                     .adapters = kernel::texts_of(message["adapters"])}};
+                     .adapters = kernel::texts_of(message["adapters"])},
+          .streams = decode_streams(message["streams"])};
 }
 
 Json::Value encode(const worker_status& status) {
@@ -375,6 +379,9 @@
   message["waiting"] = report.waiting;
   message["in_memory"] = encode_texts(report.in_memory);
   message["on_disk"] = encode_texts(report.on_disk);
+  if (!status.streams.empty()) {
+    message["streams"] = encode_streams(status.streams);
+  }
   return message;
 }
 
@@ -391,7 +398,8 @@
                      .running = message["running"].asInt(),
                      .waiting = message["waiting"].asInt(),
                      .in_memory = kernel::texts_of(message["in_memory"]),
-                     .on_disk = kernel::texts_of(message["on_disk"])}};
+                     .on_disk = kernel::texts_of(message["on_disk"])},
+          .streams = decode_streams(message["streams"])};
 }
 
 Json::Value encode(const router_report& report) {
--- a/src/wire/worker_status.hpp
+++ b/src/wire/worker_status.hpp
@@ -2,7 +2,10 @@
 #define BORAGEHILL_WIRE_WORKER_STATUS_HPP
 
 #include <cstdint>
+#include <map>
+#include <string>
 
+#include "decide/stream_origin.hpp"
 #include "fleet/worker_report.hpp"
 
 namespace boragehill::wire {
@@ -15,6 +18,8 @@
   /// False if the worker doesn't answer; the report is empty then.
   bool reachable = true;
   fleet::worker_report report;
+  /// All streams that it keeps; told once on each link.
+  std::map<std::string, decide::stream_origin> streams;
 
   bool operator==(const worker_status&) const = default;
 };
--- a/src/wire/worker_target.hpp
+++ b/src/wire/worker_target.hpp
@@ -2,9 +2,11 @@
 #define BORAGEHILL_WIRE_WORKER_TARGET_HPP
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "decide/residency_target.hpp"
+#include "decide/stream_origin.hpp"
 
 namespace boragehill::wire {
 
@@ -18,6 +20,9 @@
   std::int64_t born = 0;
   std::string service;
   decide::residency_target target;
+  /// Streams that the agent is to keep for the next planner, beside those that
+  /// it was told before.
+  std::map<std::string, decide::stream_origin> streams;
 
   bool operator==(const worker_target&) const = default;
 };
