Let a named stream go on only at a recorded version

A stream that no record names went on at the only version that its router had listed. Cause, by reading: a router that is cut off from the store and the other routers doesn't hear of a second version; if it leads, or led before it was cut off, its own planner says that the stream is unknown, and the time since its first list counted as if the list had been current all along. Class: the absence of news taken for news.

Change: a stream with a name goes on at the version of a record (its router, the planner, two routers, two agents), else its request is refused. One that its caller doesn't name goes on at the only version if the router knows the list for as long as the stream may last; before, it went on without that.

A cut with real processes was not played: the small fleet can't cut one router off.

--- a/src/decide/stream_resumption.cpp
+++ b/src/decide/stream_resumption.cpp
@@ -12,14 +12,15 @@
 
 version_binding bind_version(const stream_resumption& stream) {
   if (stream.origin) return only_version{*stream.origin};
-  const bool is_answered = stream.planner == planner_word::unknown;
-  if (stream.is_named && !is_answered) {
-    if (stream.waited < max_planner_wait) return awaited_version{};
+  if (stream.is_named) {
+    const bool may_be_told = stream.planner != planner_word::unknown &&
+                             stream.waited < max_planner_wait;
+    if (may_be_told) return awaited_version{};
     return unknown_version{};
   }
-  const bool is_sole =
-      stream.sole_version && (stream.is_history_known || !stream.is_named);
-  if (is_sole) return only_version{*stream.sole_version};
+  if (stream.sole_version && stream.is_history_known) {
+    return only_version{*stream.sole_version};
+  }
   return unknown_version{};
 }
 
--- a/src/decide/stream_resumption.hpp
+++ b/src/decide/stream_resumption.hpp
@@ -40,9 +40,10 @@
 
 /// Decides at which software version a stream goes on.
 ///
-/// A stream with a name goes on only where the planner knows it, or doesn't and
-/// no other version has served: a router that is cut off, or has just started,
-/// may not have heard of a second version.
+/// A stream with a name goes on only at the version that some record names: a
+/// router that is cut off, or stood still, may not have heard of a second
+/// version, and neither may a planner in it. One without a name, which nobody
+/// can have recorded, goes on at the only version that this router knows of.
 version_binding bind_version(const stream_resumption& stream);
 
 }  // namespace boragehill::decide
--- a/test/decide-test/stream_resumption_test.cpp
+++ b/test/decide-test/stream_resumption_test.cpp
@@ -30,18 +30,22 @@
 const std::vector<known_case> cases{
     {unlinked, false, false, true, nowhere, nowhere},
     {unlinked, false, true, true, asked, nowhere},
-    {unlinked, true, false, false, bound_to_sole, bound_to_sole},
+    // A second version may have left before this router started.
+    {unlinked, true, false, false, nowhere, nowhere},
+    {unlinked, true, false, true, bound_to_sole, bound_to_sole},
     // The planner may know of a second version, and this router be cut off.
     {unlinked, true, true, true, asked, nowhere},
     {awaited, false, false, true, nowhere, nowhere},
     {awaited, false, true, true, asked, nowhere},
-    {awaited, true, false, false, bound_to_sole, bound_to_sole},
+    {awaited, true, false, false, nowhere, nowhere},
+    {awaited, true, false, true, bound_to_sole, bound_to_sole},
     {awaited, true, true, true, asked, nowhere},
     {unknown, false, false, true, nowhere, nowhere},
     {unknown, false, true, true, nowhere, nowhere},
-    {unknown, true, false, false, bound_to_sole, bound_to_sole},
-    {unknown, true, true, true, bound_to_sole, bound_to_sole},
-    // A second version may have left before this router started.
+    {unknown, true, false, false, nowhere, nowhere},
+    {unknown, true, false, true, bound_to_sole, bound_to_sole},
+    // A planner that is cut off together with this router knows as little.
+    {unknown, true, true, true, nowhere, nowhere},
     {unknown, true, true, false, nowhere, nowhere},
 };
 
@@ -90,7 +94,7 @@
 TEST(stream_resumption_test, a_server_that_tells_no_version_has_one) {
   EXPECT_EQ(bind_version({.origin = "", .sole_version = "sole"}),
             version_binding(only_version{""}));
-  EXPECT_EQ(bind_version({.sole_version = ""}),
+  EXPECT_EQ(bind_version({.sole_version = "", .is_history_known = true}),
             version_binding(only_version{""}));
 }
 
--- a/test/fleet-test/software_version_test.cpp
+++ b/test/fleet-test/software_version_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <deque>
 #include <gtest/gtest.h>
 #include <set>
@@ -252,6 +253,53 @@
   this->expect_all_whole();
 }
 
+/// A planner that stood still while servers of another version joined and
+/// streams began there at the other router, which is then lost.
+class paused_planner_test : public taken_up_stream_test {
+ protected:
+  void SetUp() override {
+    this->begin("v1", "v1", "v1");
+    std::this_thread::sleep_for(history_time);
+  }
+
+  void play() {
+    const killed_router routers(this->fleet, false);
+    auto& planner = this->fleet[numbered("router", routers.left)];
+    planner.signal(SIGSTOP);
+    this->fleet["worker-2"].kill();
+    this->fleet.set_worker(2, "v2", "model-1");
+    this->fleet["worker-2"].start();
+    std::this_thread::sleep_for(joined_within);
+    slow_events(this->fleet, workers);
+    this->callers.call(this->fleet.caller_address(routers.killed));
+    std::this_thread::sleep_for(some_events);
+    this->fleet[numbered("router", routers.killed)].kill();
+    this->callers.call(this->fleet.caller_address(routers.left));
+    std::this_thread::sleep_for(unread_for);
+    planner.signal(SIGCONT);
+    // As callers that come back after a refusal.
+    constexpr int tries = 6;
+    for (int each = 0; each < tries; ++each) {
+      this->callers.wait();
+      std::this_thread::sleep_for(some_events);
+      this->callers.call(this->fleet.caller_address(routers.left));
+    }
+    this->callers.wait();
+  }
+
+  /// After it a router trusts its list for the streams of the route.
+  static constexpr milliseconds history_time{16000};
+  static constexpr milliseconds joined_within{4000};
+  static constexpr milliseconds unread_for{200};
+};
+
+// Guards against streams that go on at the version that a planner knew before
+// it stood still.
+TEST_F(paused_planner_test, lets_streams_go_on_at_the_version_that_joined) {
+  this->play();
+  this->expect_all_whole();
+}
+
 // Guards against streams that are refused though there is one version only.
 TEST_F(taken_up_stream_test, goes_on_after_a_loss_if_versions_are_alike) {
   this->begin("v1", "v1", "v1");
