--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -391,8 +391,13 @@
 
 void small_fleet::write_entry(const std::string& key,
                               const std::string& bytes) {
+  this->write_row("servers", key, bytes);
+}
+
+void small_fleet::write_row(const std::string& table, const std::string& key,
+                            const std::string& bytes) {
   Json::Value call;
-  call["table"] = "servers";
+  call["table"] = table;
   call["key"] = key;
   call["value"] = absl::Base64Escape(bytes);
   this->post("store", "/standin/put", kernel::write_json(call));
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -148,6 +148,9 @@
       std::chrono::milliseconds register_delay = std::chrono::milliseconds(0));
   /// Waits until a stand-in answers, five seconds at most.
   void await_standin(const std::string& name) const;
+  /// Writes bytes into a row of the store, as another program might.
+  void write_row(const std::string& table, const std::string& key,
+                 const std::string& bytes);
   /// Writes bytes among the servers' entries, as another program might.
   void write_entry(const std::string& key, const std::string& bytes);
   /// \return The bytes of a server's entry; empty if the store has none.
--- a/test/standin/row_standin.cpp
+++ b/test/standin/row_standin.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Of one answer.
+constexpr Json::ArrayIndex most_rows = 500;
 constexpr int ok_status = 200;
 constexpr int condition_failed_status = 412;
 
@@ -87,12 +89,14 @@
   const std::scoped_lock lock(this->mutex);
   Json::Value answer;
   answer["rows"] = Json::Value(Json::arrayValue);
+  answer["hasMore"] = false;
   for (const auto& [name, found] : this->rows) {
     if (name.first != parameter(request, "table") || found.deleted) continue;
     if (name.second < parameter(request, "from")) continue;
+    answer["hasMore"] = answer["rows"].size() == most_rows;
+    if (answer["hasMore"].asBool()) break;
     answer["rows"].append(this->shown(name, found));
   }
-  answer["hasMore"] = false;
   answer["ver"] = Json::Int64(this->version);
   reply(response, ok_status, answer);
 }
