--- a/src/decide/attempt_history.hpp
+++ b/src/decide/attempt_history.hpp
@@ -43,6 +43,8 @@
   bool is_known_not_run() const {
     return this->possible_runs == 0 && !this->is_in_flight;
   }
+  /// \return True if the request may run more than once.
+  bool may_run_again() const;
   bool was_attempted() const { return this->attempts_made > 0; }
   /// \return True if a server may have received the request, so that another
   ///     attempt adds to the load of the service.
@@ -68,9 +70,6 @@
  private:
   /// \return True if another run can continue an interrupted response.
   bool can_resume() const;
-  /// \return True if the request may run more than once.
-  bool may_run_again() const;
-
   fleet::repeat_rule rule;
   bool resumable;
   int max_runs;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -29,23 +29,6 @@
   return request.at_most_once() ? idle_use::young : idle_use::any;
 }
 
-/// Logs an answer that names another request, or says that this one didn't run.
-void log_unusual_answer(const exchange& request,
-                        const fleet::answer_fields& answer) {
-  const auto& attempt = request.fields().attempt;
-  const bool is_others = !answer.attempt.empty() && answer.attempt != attempt;
-  if (!is_others && !answer.not_run) return;
-  kernel::log_event(
-      is_others ? kernel::event::answer_skipped : kernel::event::rejection_read,
-      {{"request", attempt},
-       {"server", request.server()},
-       {"named", answer.attempt},
-       {"misdirected", answer.misdirected},
-       {"rest_ms", answer.rest ? answer.rest->count() : 0},
-       {"sends", request.sends().attempt_count()},
-       {"on_connection", request.connection_requests()}});
-}
-
 }  // namespace
 
 dispatcher::dispatcher(asio::io_context& context,
@@ -411,45 +394,6 @@
   this->pool.forget(server.entry.id);
 }
 
-void dispatcher::on_answer_head(const exchange& request,
-                                const fleet::answer_fields& answer) {
-  log_unusual_answer(request, answer);
-  const auto found = this->servers.find(request.server());
-  if (found == this->servers.end()) return;
-  this->take_notice(found->second, answer, request.fields().attempt);
-}
-
-void dispatcher::take_notice(server_state& server,
-                             const fleet::answer_fields& answer,
-                             const std::string& by) {
-  const auto& id = server.entry.id;
-  const bool other_lifetime =
-      !answer.server.empty() && !this->headers.is_server(answer.server, id);
-  if (other_lifetime) return;
-  if (answer.leaving && this->leaving.add(id)) {
-    kernel::log_event(kernel::event::server_leaving,
-                      {{"server", id},
-                       {"by", "answer"},
-                       {"request", by},
-                       {"listed", server.listed},
-                       {"list_says", server.entry.draining}});
-  }
-  this->take_rate_limit(id, answer, by);
-  const auto now = time_point::clock::now();
-  if (answer.pace && answer.running && answer.waiting) {
-    server.load.on_figures({.running = *answer.running,
-                            .waiting = *answer.waiting,
-                            .pace = *answer.pace},
-                           static_cast<int>(server.requests.size()), now);
-  }
-  if (!answer.rest) return;
-  if (this->resting.on_retry_after(id, now + *answer.rest, now)) {
-    kernel::log_event(
-        kernel::event::server_rests,
-        {{"server", id}, {"request", by}, {"rest_ms", answer.rest->count()}});
-  }
-}
-
 void dispatcher::on_model_missing(const exchange& request) {
   const auto found = this->servers.find(request.server());
   if (found == this->servers.end()) return;
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -68,10 +68,6 @@
   return this->way->rule != fleet::repeat_rule::idempotent;
 }
 
-bool exchange::may_run_again() const {
-  return !this->at_most_once() || this->way->is_resumable_stream();
-}
-
 bool exchange::is_wanted(time_point now) const {
   if (now >= this->limit) return false;
   const auto caller = this->session.lock();
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -155,8 +155,6 @@
   /// \return False if it needs one and shows none that is known.
   bool authenticate();
   void choose_service();
-  /// \return True if it is idempotent, or a stream that may be resumed.
-  bool may_run_again() const;
   void on_limit();
   void again(const char* why);
   /// \return True if another server may give the answer or the rest of it.
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -74,7 +74,7 @@
                      !this->host.codec().is_server(answer.server, this->at);
     return true;
   }
-  if (promises_no_run(head.status) && !this->may_run_again()) {
+  if (promises_no_run(head.status) && !this->record.may_run_again()) {
     this->give_up("its server failed it with a status that promises no run");
     return true;
   }
--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -328,7 +328,7 @@
                                .born = worker.list_entry.born,
                                .service = worker.list_entry.service,
                                .target = worker.target};
-    auto streams = this->news_for(found->second, now);
+    auto streams = this->untold_streams(found->second, now);
     if (target == found->second.told && streams.empty()) continue;
     found->second.told = target;
     target.streams = std::move(streams);
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -139,8 +139,8 @@
   /// all routers were lost.
   void choose_agent_keepers();
   /// \return The streams that an agent which keeps them hasn't been told of.
-  std::map<std::string, decide::stream_origin> news_for(agent_link& agent,
-                                                        time_point now) const;
+  std::map<std::string, decide::stream_origin> untold_streams(
+      agent_link& agent, time_point now) const;
   /// Chooses the routers that keep all streams for the next planner.
   void choose_keepers();
   /// Adds the streams that a router which keeps them hasn't been told of.
--- a/src/serve/planner_streams.cpp
+++ b/src/serve/planner_streams.cpp
@@ -103,7 +103,7 @@
   }
 }
 
-std::map<std::string, decide::stream_origin> planner_duty::news_for(
+std::map<std::string, decide::stream_origin> planner_duty::untold_streams(
     agent_link& agent, time_point now) const {
   if (!agent.keeps_streams) return {};
   const bool is_told = std::exchange(agent.knows_streams, true);
