--- a/test/fleet-test/false_rejection_test.cpp
+++ b/test/fleet-test/false_rejection_test.cpp
@@ -1,3 +1,4 @@
+#include <absl/strings/str_cat.h>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <string>
@@ -90,10 +91,10 @@
 TEST_F(false_rejection_test, a_failure_after_a_run_is_no_promise) {
   for (const std::string status : {"503", "429", "408"}) {
     late_copy_server server([&status](const std::string& attempt, int) {
-      return scripted_reply{
-          true,
-          "HTTP/1.1 " + status + " X\r\n" + named(attempt) + proof + body,
-          {}};
+      return scripted_reply{true,
+                            absl::StrCat("HTTP/1.1 ", status, " X\r\n",
+                                         named(attempt), proof, body),
+                            {}};
     });
     this->list_only(server);
     EXPECT_EQ(this->call_once_each(server), 0);
--- a/test/fleet-test/odd_entry_test.cpp
+++ b/test/fleet-test/odd_entry_test.cpp
@@ -1,3 +1,4 @@
+#include <absl/strings/str_cat.h>
 #include <chrono>
 #include <gtest/gtest.h>
 #include <string>
@@ -37,14 +38,14 @@
        {nested("[", "]", too_deep), nested(R"({"a":)", "}", too_deep / 2),
         nested("[", "]", deep)}) {
     for (const std::string field : {"models", "atHand", "other", "version"}) {
-      values.push_back(entry_with('"' + field + "\":" + value));
+      values.push_back(entry_with(absl::StrCat("\"", field, "\":", value)));
     }
   }
   for (const std::string number :
        {"1e400", "-1e400", "1e308", "18446744073709551616", "1e19",
         "-9223372036854775809", "9223372036854775807", "0.5", "-1"}) {
     for (const std::string field : {"slots", "seq", "born", "version"}) {
-      values.push_back(entry_with('"' + field + "\":" + number));
+      values.push_back(entry_with(absl::StrCat("\"", field, "\":", number)));
     }
   }
   for (const std::string port :
