Let the codec say which statuses promise that a request never runs

The statuses are the platform's; they stood in the exchange, beside the codec that already reads 421 and 503.

header_codec_test and false_rejection_test pass.

--- a/src/fleet/answer_fields.hpp
+++ b/src/fleet/answer_fields.hpp
@@ -14,6 +14,8 @@
   std::string attempt;
   /// The worker states that it did not run the request and never will.
   bool not_run = false;
+  /// Its status alone tells callers that the request never runs.
+  bool promises_no_run = false;
   /// Another lifetime holds the address, or the model isn't loaded.
   bool misdirected = false;
   /// What the server that answered registered under; empty if not told.
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -17,9 +17,6 @@
 constexpr int ok_status = 200;
 constexpr int first_failure_status = 300;
 constexpr int first_server_failure = 500;
-constexpr int request_timeout_status = 408;
-constexpr int too_many_requests_status = 429;
-constexpr int unavailable_status = 503;
 
 /// Answers up to this length are passed on in one piece once they are whole, so
 /// that a broken one can still be answered otherwise. Longer ones and streams
@@ -35,12 +32,6 @@
   return head.status >= ok_status && head.status < first_failure_status;
 }
 
-/// \return True if the status tells callers that the request never runs.
-bool promises_no_run(int status) {
-  return status == request_timeout_status ||
-         status == too_many_requests_status || status == unavailable_status;
-}
-
 /// A success of a stream route is an event stream unless it names another type.
 bool holds_events(const http::message_head& head, const fleet::route& route) {
   if (!is_success(head)) return false;
@@ -74,7 +65,7 @@
                      !this->host.codec().is_server(answer.server, this->at);
     return true;
   }
-  if (promises_no_run(head.status) && !this->record.may_run_again()) {
+  if (answer.promises_no_run && !this->record.may_run_again()) {
     this->give_up("its server failed it with a status that promises no run");
     return true;
   }
--- a/test/adapter-test/header_codec_test.cpp
+++ b/test/adapter-test/header_codec_test.cpp
@@ -197,6 +197,15 @@
   EXPECT_EQ(good.waiting, 1);
 }
 
+TEST(header_codec_test, knows_the_statuses_that_promise_no_run) {
+  for (const int status : {408, 421, 429, 503}) {
+    EXPECT_TRUE(codec()->read_answer(status, {}).promises_no_run) << status;
+  }
+  for (const int status : {200, 400, 404, 500, 502, 504}) {
+    EXPECT_FALSE(codec()->read_answer(status, {}).promises_no_run) << status;
+  }
+}
+
 TEST(header_codec_test, reads_the_pace_of_a_server_that_tells_it) {
   const auto pace = [](const char* load) {
     return codec()
