Judge in one place whose answer a head is

The exchange and the log each compared the attempts' ids, and not alike: an unnamed rejection on a connection that had carried others was logged as believed (622), though the exchange ends that connection. It is logged as skipped (621) now; what callers and servers see is as before.

docs_test, false_rejection_test, endless_bytes_test and stream_end_test pass.

--- a/src/serve/dispatcher_notices.cpp
+++ b/src/serve/dispatcher_notices.cpp
@@ -9,15 +9,14 @@
 
 namespace {
 
-/// Logs an answer that names another request, or says that this one didn't run.
+/// Logs an answer that isn't the request's, or says that it didn't run.
 void log_unusual_answer(const exchange& request,
                         const fleet::answer_fields& answer) {
-  const auto& attempt = request.fields().attempt;
-  const bool is_others = !answer.attempt.empty() && answer.attempt != attempt;
-  if (!is_others && !answer.not_run) return;
+  const bool is_own = request.is_answered_by(answer);
+  if (is_own && !answer.not_run) return;
   kernel::log_event(
-      is_others ? kernel::event::answer_skipped : kernel::event::rejection_read,
-      {{"request", attempt},
+      is_own ? kernel::event::rejection_read : kernel::event::answer_skipped,
+      {{"request", request.fields().attempt},
        {"server", request.server()},
        {"named", answer.attempt},
        {"misdirected", answer.misdirected},
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -25,6 +25,7 @@
 
 namespace boragehill::fleet {
 struct account;
+struct answer_fields;
 struct server;
 }  // namespace boragehill::fleet
 
@@ -92,6 +93,8 @@
   /// \return How many requests its connection to the server has carried, this
   ///     one included; 0 if no server has it.
   int connection_requests() const;
+  /// \return True if a head on its connection is provably that of its answer.
+  bool is_answered_by(const fleet::answer_fields& answer) const;
   /// \return Equal for requests that are alike in caller, method, host, target
   ///     and body.
   const std::string& fingerprint() const { return this->print; }
--- a/src/serve/exchange_response.cpp
+++ b/src/serve/exchange_response.cpp
@@ -42,19 +42,22 @@
 
 }  // namespace
 
+bool exchange::is_answered_by(const fleet::answer_fields& answer) const {
+  // Nothing tells an unnamed one from a late answer to an earlier request.
+  if (answer.attempt.empty()) return this->connection_requests() == 1;
+  return answer.attempt == this->asked.attempt;
+}
+
 bool exchange::on_head(const http::message_head& head) {
   const auto answer = this->host.codec().read_answer(head.status, head.headers);
   this->host.on_answer_head(*this, answer);
-  const bool follows_others = this->connection_requests() > 1;
-  if (answer.attempt.empty() && follows_others) {
-    // Nothing tells it from a late answer to an earlier request.
+  if (!this->is_answered_by(answer)) {
+    if (!answer.attempt.empty()) return false;
+    // Ours may be the next one, or this one.
     this->connection->abort();
     this->on_broken();
     return true;
   }
-  if (!answer.attempt.empty() && answer.attempt != this->asked.attempt) {
-    return false;
-  }
   this->answer_began();
   if (answer.not_run) {
     this->not_run_answer = true;
