Choose the agents that keep streams in a decision of its own

The choice stood in the planner's duty, and the planner looked through all workers in each plan, though keepers seldom change: it counts them first now. Routers and agents that keep streams were marked and told by two copies of the same code; a stream_keeper serves both. The address of an agent is made in one place. No change of behaviour: the same agents are chosen.

--- a/src/serve/planner_duty.cpp
+++ b/src/serve/planner_duty.cpp
@@ -170,6 +170,11 @@
   this->demands.erase(router);
 }
 
+endpoint planner_duty::agent_address(
+    const decide::planned_worker& worker) const {
+  return {worker.list_entry.address.address, this->settings.link_port};
+}
+
 void planner_duty::link_agents() {
   std::set<endpoint> wanted;
   for (const auto& [id, worker] : this->planner.workers()) {
@@ -179,8 +184,7 @@
         this->catalog ? this->catalog->find_service(worker.list_entry.service)
                       : nullptr;
     if (!service || !service->has_engine) continue;
-    wanted.insert(
-        {worker.list_entry.address.address, this->settings.link_port});
+    wanted.insert(this->agent_address(worker));
   }
   for (auto each = this->agents.begin(); each != this->agents.end();) {
     if (wanted.contains(each->first)) {
@@ -318,9 +322,7 @@
   this->choose_agent_keepers();
   for (const auto& [id, worker] : this->planner.workers()) {
     if (!worker.report) continue;
-    const endpoint address{worker.list_entry.address.address,
-                           this->settings.link_port};
-    const auto found = this->agents.find(address);
+    const auto found = this->agents.find(this->agent_address(worker));
     if (found == this->agents.end()) continue;
     if (!worker.report->server.empty() && worker.report->server != id) continue;
     wire::worker_target target{.term = this->term,
@@ -328,7 +330,7 @@
                                .born = worker.list_entry.born,
                                .service = worker.list_entry.service,
                                .target = worker.target};
-    auto streams = this->untold_streams(found->second, now);
+    auto streams = this->untold_streams(found->second.keeper, now);
     if (target == found->second.told && streams.empty()) continue;
     found->second.told = target;
     target.streams = std::move(streams);
@@ -437,7 +439,10 @@
         !add_suspects(crashing_parts, each.crashing_parts,
                       {update.quarantined_parts, update.suspected_parts}, now);
     this->answer_streams(each, update, now);
-    this->share_streams(each, update, now);
+    for (const auto& [stream, origin] :
+         this->untold_streams(each.keeper, now)) {
+      update.streams[stream] = origin;
+    }
     update.trials =
         this->trials.grant(std::exchange(each.wanted_trials, {}), now);
     // A router may have two links for a moment; one of them gets its tokens.
--- a/src/serve/planner_duty.hpp
+++ b/src/serve/planner_duty.hpp
@@ -75,6 +75,12 @@
     std::optional<std::vector<std::string>>& quarantined;
     std::optional<std::map<std::string, milliseconds>>& suspected;
   };
+  /// Whether a router or agent keeps all streams for the next planner.
+  struct stream_keeper {
+    bool keeps = false;
+    /// It was told all that were known when it began.
+    bool is_told = false;
+  };
   struct router_link {
     std::shared_ptr<wire::message_link> link;
     time_point linked_at;
@@ -89,9 +95,7 @@
     std::map<std::string, decide::rate_limit> rate_limits;
     /// Streams that it asked for and wasn't answered.
     std::set<std::string> wanted_streams;
-    /// It keeps all streams for the next planner.
-    bool keeps_streams = false;
-    bool knows_streams = false;
+    stream_keeper keeper;
     int told_routers = 0;
     /// It knows that tokens of quotas are granted.
     bool knows_quotas = false;
@@ -100,9 +104,7 @@
   struct agent_link {
     std::shared_ptr<wire::message_link> link;
     wire::worker_target told;
-    /// It keeps all streams for the next planner.
-    bool keeps_streams = false;
-    bool knows_streams = false;
+    stream_keeper keeper;
   };
 
   void on_router(const std::shared_ptr<wire::message_link>& link);
@@ -138,14 +140,14 @@
   /// Chooses the agents that keep all streams for a planner that follows after
   /// all routers were lost.
   void choose_agent_keepers();
-  /// \return The streams that an agent which keeps them hasn't been told of.
-  std::map<std::string, decide::stream_origin> untold_streams(
-      agent_link& agent, time_point now) const;
   /// Chooses the routers that keep all streams for the next planner.
   void choose_keepers();
-  /// Adds the streams that a router which keeps them hasn't been told of.
-  void share_streams(router_link& router, wire::view_update& update,
-                     time_point now) const;
+  /// \return The streams that a keeper hasn't been told of; none if it keeps
+  ///     none.
+  std::map<std::string, decide::stream_origin> untold_streams(
+      stream_keeper& keeper, time_point now) const;
+  /// \return Where the agent beside a worker is reached.
+  endpoint agent_address(const decide::planned_worker& worker) const;
   void link_agents();
   void connect_agent(const endpoint& address);
   void on_agent_message(const endpoint& address, const Json::Value& message);
--- a/src/serve/planner_streams.cpp
+++ b/src/serve/planner_streams.cpp
@@ -1,7 +1,10 @@
 // What the planner knows of the streams that began at all routers.
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
+#include "decide/stream_keeper_choice.hpp"
 #include "kernel/event_log.hpp"
 #include "serve/planner_duty.hpp"
 
@@ -65,59 +68,40 @@
   for (auto& [number, each] : this->routers) {
     if (each.router.empty() || each.router == this->settings.id) continue;
     // A router may have two links for a moment; both are told.
-    each.keeps_streams =
+    each.keeper.keeps =
         keepers.size() < most_keepers || keepers.contains(each.router);
-    if (each.keeps_streams) keepers.insert(each.router);
-    if (!each.keeps_streams) each.knows_streams = false;
+    if (each.keeper.keeps) keepers.insert(each.router);
+    if (!each.keeper.keeps) each.keeper.is_told = false;
   }
 }
 
 void planner_duty::choose_agent_keepers() {
-  std::set<std::string> domains;
-  std::size_t keepers = 0;
-  for (const auto& [address, each] : this->agents) {
-    if (each.keeps_streams) ++keepers;
-  }
-  const auto agent_of = [this](const decide::planned_worker& worker) {
-    return this->agents.find(
-        {worker.list_entry.address.address, this->settings.link_port});
-  };
+  const auto keeping = static_cast<std::size_t>(
+      std::count_if(this->agents.begin(), this->agents.end(),
+                    [](const auto& each) { return each.second.keeper.keeps; }));
+  if (keeping >= most_keepers) return;
+  std::vector<decide::stream_keeper_candidate> candidates;
+  std::vector<stream_keeper*> keepers;
   for (const auto& [id, worker] : this->planner.workers()) {
-    const auto found = agent_of(worker);
-    if (found == this->agents.end() || !found->second.keeps_streams) continue;
-    domains.insert(worker.list_entry.failure_domain);
+    const auto found = this->agents.find(this->agent_address(worker));
+    if (found == this->agents.end()) continue;
+    auto& keeper = found->second.keeper;
+    candidates.push_back({.failure_domain = worker.list_entry.failure_domain,
+                          .keeps = keeper.keeps,
+                          .may_begin = worker.report && !worker.is_draining()});
+    keepers.push_back(&keeper);
   }
-  for (const bool elsewhere : {true, false}) {
-    for (const auto& [id, worker] : this->planner.workers()) {
-      if (keepers >= most_keepers) return;
-      const auto found = agent_of(worker);
-      const bool may_keep = found != this->agents.end() && worker.report &&
-                            !worker.is_draining() &&
-                            !found->second.keeps_streams;
-      const auto& domain = worker.list_entry.failure_domain;
-      if (!may_keep || (elsewhere && domains.contains(domain))) continue;
-      found->second.keeps_streams = true;
-      domains.insert(domain);
-      ++keepers;
-    }
+  for (const auto each :
+       decide::choose_stream_keepers(candidates, most_keepers - keeping)) {
+    keepers[each]->keeps = true;
   }
 }
 
 std::map<std::string, decide::stream_origin> planner_duty::untold_streams(
-    agent_link& agent, time_point now) const {
-  if (!agent.keeps_streams) return {};
-  const bool is_told = std::exchange(agent.knows_streams, true);
+    stream_keeper& keeper, time_point now) const {
+  if (!keeper.keeps) return {};
+  const bool is_told = std::exchange(keeper.is_told, true);
   return is_told ? this->new_streams : this->streams.all(now);
 }
 
-void planner_duty::share_streams(router_link& router, wire::view_update& update,
-                                 time_point now) const {
-  if (!router.keeps_streams) return;
-  const bool is_told = std::exchange(router.knows_streams, true);
-  for (const auto& [stream, origin] :
-       is_told ? this->new_streams : this->streams.all(now)) {
-    update.streams[stream] = origin;
-  }
-}
-
 }  // namespace boragehill::serve
