Let two scripted servers of tests share one

late_copy_server and wide_server read, answered and accepted by two copies of the same code. answering_server does that for both; they choose the bytes. The long body of wide_server is still shared by all its answers.

--- a/test/fleet-test/late_copy_server.hpp
+++ b/test/fleet-test/late_copy_server.hpp
@@ -1,15 +1,12 @@
 #ifndef BORAGEHILL_FLEET_TEST_LATE_COPY_SERVER_HPP
 #define BORAGEHILL_FLEET_TEST_LATE_COPY_SERVER_HPP
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
 
-#include <boragehill/endpoint.hpp>
+#include "fleet-test/answering_server.hpp"
 
 namespace boragehill::fleet_test {
 
@@ -31,9 +28,6 @@
   using replier = std::function<scripted_reply(const std::string&, int)>;
 
   explicit late_copy_server(replier reply);
-  ~late_copy_server();
-  late_copy_server(const late_copy_server&) = delete;
-  late_copy_server& operator=(const late_copy_server&) = delete;
 
   /// \return What it writes to the store, as JSON.
   std::string entry() const;
@@ -43,18 +37,13 @@
   int sends_of(const std::string& attempt);
 
  private:
-  class connection;
-
-  void accept();
-  scripted_reply reply_to(const std::string& attempt);
+  server_answer_bytes answer(const std::string& attempt);
 
   replier reply;
-  asio::io_context context{1};
-  asio::ip::tcp::acceptor acceptor;
   std::mutex mutex;
   std::map<std::string, int> sends;
   std::map<std::string, int> runs;
-  std::thread thread;
+  answering_server server;
 };
 
 }  // namespace boragehill::fleet_test
--- a/test/fleet-test/wide_server.hpp
+++ b/test/fleet-test/wide_server.hpp
@@ -1,13 +1,10 @@
 #ifndef BORAGEHILL_FLEET_TEST_WIDE_SERVER_HPP
 #define BORAGEHILL_FLEET_TEST_WIDE_SERVER_HPP
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <cstddef>
 #include <string>
-#include <thread>
 
-#include <boragehill/endpoint.hpp>
+#include "fleet-test/answering_server.hpp"
 
 namespace boragehill::fleet_test {
 
@@ -18,22 +15,16 @@
   /// \param id What it registers under.
   /// \param long_bytes Of a long body.
   wide_server(const endpoint& address, std::string id, std::size_t long_bytes);
-  ~wide_server();
 
   /// \return What it writes to the store, as JSON.
   std::string entry() const;
 
  private:
-  class connection;
+  server_answer_bytes answer(const http::message_head& request) const;
 
-  void accept();
-
-  endpoint address;
   std::string id;
   std::string long_body;
-  asio::io_context context{1};
-  asio::ip::tcp::acceptor acceptor{this->context};
-  std::thread thread;
+  answering_server server;
 };
 
 }  // namespace boragehill::fleet_test
