Name the attempt once in the stand-in's answers; write odd rows once

The stand-in set the header in each of its rejections and once more in its answers; now before it decides. The test of a page's last key wrote the 499 rows before it anew for each key, and listed the nested values twice. Its assertions are as before: without the encoding of the key it still fails (a space, line breaks).

--- a/test/fleet-test/odd_entry_test.cpp
+++ b/test/fleet-test/odd_entry_test.cpp
@@ -31,12 +31,11 @@
 std::vector<std::string> odd_values() {
   constexpr int too_deep = 15000;
   constexpr int deep = 900;
-  std::vector<std::string> values{nested("[", "]", too_deep),
-                                  nested(R"({"a":)", "}", too_deep / 2),
-                                  nested("[", "]", deep)};
-  for (const std::string& value :
-       {nested("[", "]", too_deep), nested(R"({"a":)", "}", too_deep / 2),
-        nested("[", "]", deep)}) {
+  const std::vector<std::string> nests{nested("[", "]", too_deep),
+                                       nested(R"({"a":)", "}", too_deep / 2),
+                                       nested("[", "]", deep)};
+  std::vector<std::string> values = nests;
+  for (const auto& value : nests) {
     for (const std::string field : {"models", "atHand", "other", "version"}) {
       values.push_back(entry_with(absl::StrCat("\"", field, "\":", value)));
     }
@@ -128,12 +127,12 @@
 // Guards against a key that ends the reading of a list of several pages.
 TEST_F(odd_entry_test, a_key_at_the_end_of_a_page_hides_no_entry_behind_it) {
   constexpr int rows_of_a_page = 500;
+  for (int each = 1; each < rows_of_a_page; ++each) {
+    this->fleet.write_entry("!" + std::to_string(each), "odd");
+  }
   for (const std::string key : {"a b", "a&table=op", "a%41", "a#", "a\r\n\r\n",
                                 "a+b", "a\"\\", "\xc3\xa4"}) {
-    // The key is the last of the first page, behind its neighbours.
-    for (int each = 1; each < rows_of_a_page; ++each) {
-      this->fleet.write_entry("!" + std::to_string(each), "odd");
-    }
+    // It is the last of the first page.
     this->fleet.write_entry(key, "odd");
     this->fleet["router-1"].kill();
     this->fleet["router-1"].start();
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -197,14 +197,9 @@
   const auto [model, adapter] =
       split_model(request.get_header_value("Boragehill-Model"));
   const auto held = this->models.find(model);
-  const auto name_attempt = [&] {
-    response.set_header("Boragehill-Attempt-Id",
-                        request.get_header_value("Boragehill-Attempt-Id"));
-  };
   const auto rest = this->faults.shed_rest();
   if (rest) {
     ++this->turned_away;
-    name_attempt();
     response.status = unavailable_status;
     response.set_header("Boragehill-Not-Run", "1");
     response.set_header(
@@ -216,7 +211,6 @@
       model.empty() || (held != this->models.end() &&
                         (adapter.empty() || held->second.contains(adapter)));
   if (meant == this->id && there) return false;
-  name_attempt();
   response.status = misdirected_status;
   response.set_header("Boragehill-Instance-Id", this->id);
   return true;
@@ -247,6 +241,7 @@
 void worker_standin::run(const httplib::Request& request,
                          httplib::Response& response) {
   const std::string attempt = request.get_header_value("Boragehill-Attempt-Id");
+  response.set_header("Boragehill-Attempt-Id", attempt);
   {
     const std::scoped_lock lock(this->mutex);
     if (this->refuses(request, response)) return;
@@ -254,7 +249,6 @@
     ++this->running;
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(this->delay_ms));
-  response.set_header("Boragehill-Attempt-Id", attempt);
   response.set_header("Seen-Account",
                       request.get_header_value("Boragehill-Tenant"));
   response.set_header("Seen-Key", request.get_header_value("Authorization"));
@@ -272,12 +266,12 @@
 void worker_standin::stream(const httplib::Request& request,
                             httplib::Response& response) {
   const std::string attempt = request.get_header_value("Boragehill-Attempt-Id");
+  response.set_header("Boragehill-Attempt-Id", attempt);
   {
     const std::scoped_lock lock(this->mutex);
     if (this->refuses(request, response)) return;
     this->note_run(attempt);
   }
-  response.set_header("Boragehill-Attempt-Id", attempt);
   response.set_header("Boragehill-Response-Stamp", this->id);
   const auto gap =
       std::chrono::milliseconds(this->delay_ms) + this->faults.event_delay();
