Keep fences and terms rising when the store is restored

Cause: fences, and the terms of planners, were versions of rows. The store's counter grows within an era only; a store that comes back from an older copy gives versions out again, and nothing read Store-Era.

Change: the adapter makes one number of era and version (platform/store_position), from the header and the body of the same answer. It stays exact in JSON up to a million eras; without the header the era is 0, and an answer whose era can't be read is refused, so that no fence is taken for want of it. Conditions on rows still name the bare version, which planner_row now carries beside its term.

Why it works: a later era outweighs any version that a copy can lack, so a number that is given out later is higher, whatever the counter does.

orders_were_sound now also fails if any worker got a lower fence than before, in all tests and soaks that ask it.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -90,7 +90,7 @@
   (void)boragehill::platform::decode_server("i-1", text);
   (void)boragehill::platform::decode_report(text);
   (void)boragehill::platform::decode_rows(text);
-  (void)boragehill::platform::decode_planner(text, 1);
+  (void)boragehill::platform::decode_planner(text, {1, 1});
   (void)boragehill::platform::decode_quarantine(text, 1);
   read_entries(text);
   read_message(boragehill::http::message_kind::request, text);
--- a/src/fleet/planner_row.hpp
+++ b/src/fleet/planner_row.hpp
@@ -12,6 +12,8 @@
 struct planner_row {
   /// Increases with each change of planner; 0 if there never was one.
   std::int64_t term = 0;
+  /// Guards the write that replaces the row; 0 if there is none yet.
+  std::int64_t version = 0;
   /// The router's id.
   std::string router;
   /// Where its planner listens for routers.
--- a/test/adapter-test/decoder_test.cpp
+++ b/test/adapter-test/decoder_test.cpp
@@ -1,9 +1,11 @@
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <map>
+#include <rapidcheck/gtest.h>
 
 #include <boragehill/result_code.hpp>
 
+#include "http/whole_answer.hpp"
 #include "platform/catalog_decoder.hpp"
 #include "platform/lifetime.hpp"
 #include "platform/planner_row_codec.hpp"
@@ -244,15 +246,15 @@
   // another type threw, the answer never reached who had asked, and that router
   // looked for a planner no more.
   const fleet::planner_row own{
-      .term = 4, .router = "r1", .address = {"10.0.0.1", 7}};
-  EXPECT_EQ(decode_planner(encode_planner(own), 4), own);
+      .term = 4, .version = 4, .router = "r1", .address = {"10.0.0.1", 7}};
+  EXPECT_EQ(decode_planner(encode_planner(own), {0, 4}), own);
   for (const char* text :
        {"", "7", "[]", R"({"router":{},"address":[]})", R"({"router":"r1"})",
         R"({"router":"r1","address":7})",
         R"({"router":"r1","address":"10.0.0.1:0"})",
         R"({"router":"r1","address":"x"})"}) {
-    const auto decoded = decode_planner(text, 9);
-    EXPECT_EQ(decoded, (fleet::planner_row{.term = 9})) << text;
+    const auto decoded = decode_planner(text, {0, 9});
+    EXPECT_EQ(decoded, (fleet::planner_row{.term = 9, .version = 9})) << text;
   }
 }
 
@@ -271,6 +273,49 @@
   EXPECT_FALSE(decode_rows("rows"));
 }
 
+http::whole_answer answer_in_era(const std::string& era) {
+  http::whole_answer answer{.body = R"({"rows":[],"ver":9})"};
+  answer.head.headers.add("Store-Era", era);
+  return answer;
+}
+
+TEST(row_codec_test, reads_the_era_of_an_answer) {
+  const auto decoded = decode_answer(answer_in_era("3"));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded.value().position(), (store_position{3, 9}));
+  const auto unnamed =
+      decode_answer(http::whole_answer{.body = R"({"rows":[],"ver":9})"});
+  ASSERT_TRUE(unnamed);
+  EXPECT_EQ(unnamed.value().position(), (store_position{0, 9}));
+}
+
+TEST(row_codec_test, an_answer_of_an_unknown_era_is_refused) {
+  // Guards against fences that are lower for want of their era.
+  for (const char* era :
+       {"", "x", "-1", "1.5", "1048577", "1e3", "99999999999999999999"}) {
+    EXPECT_FALSE(decode_answer(answer_in_era(era))) << era;
+  }
+}
+
+RC_GTEST_PROP(store_position_test, a_later_position_has_the_higher_number,
+              (std::uint32_t version, std::uint32_t lost, std::uint8_t era)) {
+  // Guards against numbers that are given out twice, or lower than before,
+  // after the store was restored from an older copy.
+  const std::int64_t newest = std::int64_t{version} + lost;
+  const store_position last{era, newest};
+  const store_position next{era, newest + 1};
+  const store_position restored{std::int64_t{era} + 1, std::int64_t{version}};
+  RC_ASSERT(last.fencing_number() < next.fencing_number());
+  RC_ASSERT(last.fencing_number() < restored.fencing_number());
+}
+
+TEST(store_position_test, numbers_are_exact_in_json) {
+  constexpr std::int64_t exact_limit = std::int64_t{1} << 53;
+  const store_position last{store_position::max_era,
+                            store_position::max_lost_versions};
+  EXPECT_LT(last.fencing_number(), exact_limit);
+}
+
 TEST(row_codec_test, writes_a_condition_only_where_there_is_one) {
   const auto any = write_request("t", "k", "v", std::nullopt, "h:1");
   EXPECT_NE(any.find(R"("expected":[])"), std::string::npos) << any;
--- a/test/fleet-test/small_fleet.cpp
+++ b/test/fleet-test/small_fleet.cpp
@@ -318,6 +318,7 @@
     const auto told = this->truth(numbered("worker", each));
     if (told["overcommitted"].asInt() > 0) return false;
     if (told["holders"].asInt() > 1) return false;
+    if (told["lowered_fences"].asInt() > 0) return false;
   }
   return true;
 }
@@ -447,14 +448,18 @@
   this->post(worker, "/standin/fault", kernel::write_json(fault));
 }
 
-std::string small_fleet::row(const std::string& table, const std::string& key) {
+Json::Value small_fleet::rows(const std::string& table) {
   httplib::Client client(this->address_of("store"),
                          this->port_base + store_port_offset);
   const auto answer = client.Get("/rows-get?table=" + table + "&part=");
   if (!answer) return {};
-  const auto rows = kernel::parse_json(answer->body);
+  return kernel::parse_json(answer->body).value_or(Json::Value());
+}
+
+std::string small_fleet::row(const std::string& table, const std::string& key) {
+  const auto found = this->rows(table);
   std::string value;
-  for (const auto& each : (*rows)["rows"]) {
+  for (const auto& each : found["rows"]) {
     if (each["key"].asString() != key) continue;
     absl::Base64Unescape(each["value"].asString(), &value);
   }
@@ -465,6 +470,16 @@
   return this->row("servers", id);
 }
 
+std::int64_t small_fleet::store_version() {
+  return this->rows("boragehill")["ver"].asInt64();
+}
+
+void small_fleet::restore_store(std::int64_t version) {
+  Json::Value call;
+  call["version"] = Json::Int64(version);
+  this->post("store", "/standin/restore", kernel::write_json(call));
+}
+
 std::string small_fleet::planner() {
   const auto row = kernel::parse_json(this->row("boragehill", "planner"));
   return row ? (*row)["router"].asString() : std::string();
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -133,7 +133,8 @@
   Json::Value truth(const std::string& standin);
   /// \return How often an attempt ran, over all workers.
   int runs_of(const std::string& attempt);
-  /// \return True if no worker was ordered beyond its memory or by two.
+  /// \return True if no worker was ordered beyond its memory, by two, or with a
+  ///     lower fence than before.
   bool orders_were_sound();
   void drain(const std::string& worker);
   /// Lets a worker's process end when a request's body holds the marker.
@@ -155,6 +156,11 @@
   void write_entry(const std::string& key, const std::string& bytes);
   /// \return The bytes of a server's entry; empty if the store has none.
   std::string entry(const std::string& id);
+  /// \return The newest version that the store has given out.
+  std::int64_t store_version();
+  /// Lets the store come back from the copy of a version: what the system wrote
+  /// since is gone, what others wrote is written again.
+  void restore_store(std::int64_t version);
   /// Takes a server's entry out of the store.
   void forget_server(const std::string& id);
   /// \return Where a stand-in listens, and where others take it to be.
@@ -191,6 +197,8 @@
   std::vector<invariants::service_event> logged(const std::string& what) const;
   /// \return A number among a router's metrics; nothing if it tells none.
   std::optional<double> metric(int router, const std::string& name);
+  /// \return What the store answers for a table.
+  Json::Value rows(const std::string& table);
   /// \return The value of a row of the store; empty if there is none.
   std::string row(const std::string& table, const std::string& key);
   /// \return The names of all backend servers, model workers first.
--- a/test/standin/row_standin.cpp
+++ b/test/standin/row_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <utility>
 
 #include "standin/standin_server.hpp"
 
@@ -12,7 +13,10 @@
 /// Of one answer.
 constexpr Json::ArrayIndex most_rows = 500;
 constexpr int ok_status = 200;
+constexpr int history_gone_status = 410;
 constexpr int condition_failed_status = 412;
+/// The system's own table.
+constexpr auto own_table = "boragehill";
 
 std::string parameter(const httplib::Request& request, const char* name) {
   return request.get_param_value(name);
@@ -34,6 +38,16 @@
                     [this](const auto& request, auto& response) {
                       this->put(request, response);
                     });
+  server.on_control("/standin/restore",
+                    [this](const auto& request, auto& response) {
+                      this->restore(request, response);
+                    });
+}
+
+void row_standin::respond(httplib::Response& response, int status,
+                          const Json::Value& body) const {
+  response.set_header("Store-Era", std::to_string(this->era));
+  reply(response, status, body);
 }
 
 Json::Value row_standin::shown(const row_name& name, const row& found) const {
@@ -72,7 +86,7 @@
   answer["rows"] = Json::Value(Json::arrayValue);
   if (!this->holds(call["expected"], answer["rows"])) {
     answer["ver"] = Json::Int64(this->version);
-    return reply(response, condition_failed_status, answer);
+    return this->respond(response, condition_failed_status, answer);
   }
   ++this->version;
   for (const auto& each : call["setKeys"]) {
@@ -81,7 +95,7 @@
   }
   answer["ver"] = Json::Int64(this->version);
   this->changed.notify_all();
-  reply(response, ok_status, answer);
+  this->respond(response, ok_status, answer);
 }
 
 void row_standin::get(const httplib::Request& request,
@@ -98,7 +112,7 @@
     answer["rows"].append(this->shown(name, found));
   }
   answer["ver"] = Json::Int64(this->version);
-  reply(response, ok_status, answer);
+  this->respond(response, ok_status, answer);
 }
 
 void row_standin::feed(const httplib::Request& request,
@@ -116,11 +130,15 @@
     return !news.empty();
   };
   std::unique_lock lock(this->mutex);
+  if (after > this->version) {
+    return this->respond(response, history_gone_status,
+                         Json::Value(Json::objectValue));
+  }
   this->changed.wait_for(lock, wait, look);
   Json::Value answer;
   answer["rows"] = news;
   answer["ver"] = Json::Int64(this->version);
-  reply(response, ok_status, answer);
+  this->respond(response, ok_status, answer);
 }
 
 void row_standin::write(const row_name& name, row written) {
@@ -137,7 +155,27 @@
       {call["table"].asString(), call["key"].asString()},
       {call["value"].asString(), this->version, call["deleted"].asBool()});
   this->changed.notify_all();
-  reply(response, ok_status, Json::Value(Json::objectValue));
+  this->respond(response, ok_status, Json::Value(Json::objectValue));
+}
+
+void row_standin::restore(const httplib::Request& request,
+                          httplib::Response& response) {
+  const auto copied = body_of(request)["version"].asInt64();
+  const std::scoped_lock lock(this->mutex);
+  const auto newest = std::exchange(this->rows, {});
+  std::erase_if(this->history, [copied](const auto& each) {
+    return each.second.version > copied;
+  });
+  for (const auto& [name, written] : this->history) this->rows[name] = written;
+  this->version = copied;
+  ++this->era;
+  for (const auto& [name, lost] : newest) {
+    if (lost.version <= copied || name.first == own_table) continue;
+    ++this->version;
+    this->write(name, {lost.value, this->version, lost.deleted});
+  }
+  this->changed.notify_all();
+  this->respond(response, ok_status, Json::Value(Json::objectValue));
 }
 
 }  // namespace boragehill::standin
--- a/test/standin/row_standin.hpp
+++ b/test/standin/row_standin.hpp
@@ -18,7 +18,8 @@
 /// Stands in for the platform's store of rows: tables of rows with versions
 /// from one counter, conditional transactions, and feeds that wait for changes
 /// and hold each of them. A test writes the operator's and the workers' rows by
-/// `POST /standin/put`.
+/// `POST /standin/put`, and lets the store come back from an older copy by
+/// `POST /standin/restore`.
 class row_standin {
  public:
   explicit row_standin(standin_server& server);
@@ -36,6 +37,12 @@
   void get(const httplib::Request& request, httplib::Response& response);
   void feed(const httplib::Request& request, httplib::Response& response);
   void put(const httplib::Request& request, httplib::Response& response);
+  /// Drops what was written after a version; what others than the system wrote
+  /// is written again.
+  void restore(const httplib::Request& request, httplib::Response& response);
+  /// Answers with the era.
+  void respond(httplib::Response& response, int status,
+               const Json::Value& body) const;
   void write(const row_name& name, row written);
   bool holds(const Json::Value& expected, Json::Value& current) const;
   Json::Value shown(const row_name& name, const row& found) const;
@@ -46,6 +53,7 @@
   /// Each row as it was written, in order.
   std::vector<std::pair<row_name, row>> history;
   std::int64_t version = 0;
+  std::int64_t era = 1;
 };
 
 }  // namespace boragehill::standin
--- a/test/standin/worker_standin.cpp
+++ b/test/standin/worker_standin.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -327,6 +328,9 @@
     return;
   }
   this->holders.insert(call["holder"].asString());
+  const auto fence = call["fence"].asInt64();
+  if (fence < this->highest_fence) ++this->lowered_fences;
+  this->highest_fence = std::max(this->highest_fence, fence);
   ++this->sequence;
   response.status = accepted_status;
   if (!adapter.empty()) {
@@ -386,6 +390,7 @@
   told["overcommitted"] = this->overcommitted;
   told["turned_away"] = this->turned_away;
   told["holders"] = Json::UInt64(this->holders.size());
+  told["lowered_fences"] = this->lowered_fences;
   told["models"] = this->models_shown();
   return told;
 }
--- a/test/standin/worker_standin.hpp
+++ b/test/standin/worker_standin.hpp
@@ -65,6 +65,9 @@
   std::int64_t sequence = 0;
   std::map<std::string, int> runs;
   std::set<std::string> holders;
+  std::int64_t highest_fence = 0;
+  /// Orders with a lower fence than one before.
+  int lowered_fences = 0;
   int overcommitted = 0;
   int turned_away = 0;
   int running = 0;
