Refuse streams that come late in a stop and may outlast it

Cause: whether an answer would end in time was estimated, from other answers of its service, and the estimate was taken for a certainty. A slow model, a full worker or an answer far beyond its hint lasts longer.

Change: a stream that comes later than the load balancer needs to remove a router is refused at once, with a Retry-After, unless its own limit comes before the process ends. Streams of before, and plain calls, are judged as they were. Event 827 tells the size, estimate and time left of what a stopping router sends on.

Why it works: what may last until its limit is sent on late only if that limit comes first; nothing is left to be estimated. A refused caller reaches another router, and one that takes less ends and is back sooner.

--- a/src/decide/shutdown_gate.hpp
+++ b/src/decide/shutdown_gate.hpp
@@ -11,9 +11,9 @@
 /// shutdown.
 ///
 /// The load balancer needs some seconds to direct callers to other routers;
-/// requests until then are served. A later one is served only if it is certain
-/// to end before the process does. A longer one would be cut off, while a
-/// caller that is rejected at once soon reaches another router.
+/// requests until then are served. A later one is served only if it ends before
+/// the process does. A longer one would be cut off, while a caller that is
+/// rejected at once soon reaches another router.
 ///
 /// Not all later requests are rejected: if all routers shut down in quick
 /// succession, a rejected caller reaches only others that are shutting down.
@@ -41,7 +41,21 @@
   /// \return True if the request must be rejected.
   bool rejects(milliseconds response_time, time_point start) const;
 
+  /// A response that may last until its limit has no estimate: it is cut off if
+  /// it turns out longer than others were.
+  ///
+  /// \param received When the request came.
+  /// \param limit When its response ends at the latest.
+  /// \return True if such a request must be rejected.
+  bool rejects_long_response(time_point received, time_point limit) const;
+
+  /// \return Time until the process ends; nothing before the shutdown.
+  std::optional<milliseconds> time_left(time_point now) const;
+
  private:
+  /// \return True once the load balancer has had time to stop sending callers.
+  bool is_after_removal(time_point time) const;
+
   std::optional<time_point> shutdown_start;
   time_point shutdown_end;
   bool is_rejecting_all = false;
--- a/src/serve/dispatcher.cpp
+++ b/src/serve/dispatcher.cpp
@@ -310,6 +310,7 @@
   ++this->flights[{server.entry.id, request->fields().model,
                    request->fields().adapter}];
   this->note_stream(*request, server.entry.software, now);
+  this->log_sent_while_stopping(*request, server.entry.id, now);
   request->send_to(server.entry, connection);
   return true;
 }
--- a/src/serve/dispatcher.hpp
+++ b/src/serve/dispatcher.hpp
@@ -242,6 +242,9 @@
   bool would_be_cut(const exchange& request, time_point start) const;
   /// \return From a send to the end of the answer, at the most.
   milliseconds answer_time(const exchange& request, time_point now) const;
+  /// Logs a send after the shutdown has begun.
+  void log_sent_while_stopping(const exchange& request,
+                               const std::string& server, time_point now) const;
   /// \return True if the server may get the request now.
   bool can_take(const server_state& server, const exchange& request,
                 time_point now) const;
--- a/src/serve/dispatcher_waiting.cpp
+++ b/src/serve/dispatcher_waiting.cpp
@@ -30,6 +30,11 @@
   // Nobody knows what is left of an answer that has begun, and without another
   // run it is cut for sure.
   if (request.answered()) return false;
+  if (request.is_long_running() &&
+      this->gate.rejects_long_response(request.request().received,
+                                       request.due())) {
+    return true;
+  }
   return this->gate.rejects(this->answer_time(request, start), start);
 }
 
@@ -44,6 +49,23 @@
   return pace.max_response_time(size.safe_tokens(), now);
 }
 
+void dispatcher::log_sent_while_stopping(const exchange& request,
+                                         const std::string& server,
+                                         time_point now) const {
+  const auto left = this->gate.time_left(now);
+  if (!left) return;
+  const auto& asked = request.fields();
+  kernel::log_event(
+      kernel::event::sent_while_stopping,
+      {{"request", asked.attempt},
+       {"server", server},
+       {"max_tokens", asked.output_tokens},
+       {"hint", asked.output_hint.value_or(-1)},
+       {"needed_ms", this->answer_time(request, now).count()},
+       {"left_ms", left->count()},
+       {"waited_ms", ms_between(request.request().received, now)}});
+}
+
 decide::wait_state dispatcher::waiting_of(const exchange& request,
                                           time_point now) const {
   const auto& route = *request.route();
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -68,6 +68,11 @@
   return this->way->rule != fleet::repeat_rule::idempotent;
 }
 
+bool exchange::is_long_running() const {
+  return this->way->rule == fleet::repeat_rule::stream ||
+         this->asked.output_tokens > 0;
+}
+
 bool exchange::is_wanted(time_point now) const {
   if (now >= this->limit) return false;
   const auto caller = this->session.lock();
--- a/src/serve/exchange.hpp
+++ b/src/serve/exchange.hpp
@@ -125,6 +125,8 @@
   const exchange_result& result() const { return this->ended; }
   /// \return What is known of the end of the last server's response.
   decide::response_end response_end() const;
+  /// \return True if nothing tells how long its response lasts.
+  bool is_long_running() const;
   /// \return When its final answer is due at the latest.
   time_point due() const { return this->limit; }
   /// \return True if it must run at most once.
--- a/test/decide-test/shutdown_gate_test.cpp
+++ b/test/decide-test/shutdown_gate_test.cpp
@@ -37,6 +37,20 @@
   EXPECT_TRUE(gate.rejects(plain_call, begin + milliseconds(7500)));
 }
 
+TEST(shutdown_gate_test, rejects_a_late_stream_that_may_outlast_the_process) {
+  // Guards against streams that are cut off because they were longer than
+  // estimated.
+  shutdown_gate gate;
+  const auto end = begin + std::chrono::seconds(8);
+  EXPECT_FALSE(gate.rejects_long_response(begin, end));
+  gate.begin_shutdown(begin, end);
+  const auto early = begin + std::chrono::seconds(2);
+  const auto late = begin + std::chrono::seconds(3);
+  EXPECT_FALSE(gate.rejects_long_response(early, end));
+  EXPECT_TRUE(gate.rejects_long_response(late, end));
+  EXPECT_FALSE(gate.rejects_long_response(late, end - milliseconds(1)));
+}
+
 TEST(shutdown_gate_test, rejects_a_request_that_has_waited_too_long) {
   // Guards against responses that are cut off because their requests have
   // waited for a server.
