Show that a head that is cut off is never passed on as an answer

Found: it can't happen here. An answer without a frame is complete at the end of its connection only if its head was complete.

--- a/test/fleet-test/answering_server.cpp
+++ b/test/fleet-test/answering_server.cpp
@@ -45,7 +45,7 @@
     asio::async_write(
         this->socket, both,
         [self = this->shared_from_this()](std::error_code failed, std::size_t) {
-          if (!failed) self->read();
+          if (!failed && !self->answer.closes) self->read();
         });
   }
 
--- a/test/fleet-test/server_answer_bytes.hpp
+++ b/test/fleet-test/server_answer_bytes.hpp
@@ -13,6 +13,8 @@
   std::string_view body;
   /// Sent before the answer to the next request on the connection.
   std::string late;
+  /// The connection ends in order after it.
+  bool closes = false;
 };
 
 }  // namespace boragehill::fleet_test
--- a/test/http-test/message_parser_test.cpp
+++ b/test/http-test/message_parser_test.cpp
@@ -80,6 +80,28 @@
   }
 }
 
+TEST(message_parser_test, takes_no_cut_head_for_a_whole_answer) {
+  // Guards against a head that its server breaks off, at any byte, and an empty
+  // answer that is made of it.
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Type: text/event-stream\n\n",
+        "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"}) {
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+      for (const bool in_pieces : {false, true}) {
+        message_parser parser(message_kind::answer, head_limit);
+        if (in_pieces) parser.feed(head.substr(0, cut / 2));
+        const auto rest = in_pieces ? cut / 2 : 0;
+        parser.feed(head.substr(rest, cut - rest));
+        EXPECT_FALSE(parser.finish()) << head.substr(0, cut);
+        EXPECT_FALSE(parser.complete()) << head.substr(0, cut);
+      }
+    }
+  }
+}
+
 TEST(message_parser_test, reads_chunks_and_leaves_trailers_out) {
   message_parser parser(message_kind::answer, head_limit);
   parser.feed(
