Let a stopping router hand over what callers still take

Cause: a stop counted requests at servers and in line. An answer that had come whole from its server counted no more, though its caller's kernel hadn't got it; a connection that was to be closed was closed 1 s after the server's last byte.

Change: a stop ends when the router holds no bytes for callers, or when its time is over; event 828 tells what is left then, by request. The memory for slow callers is bounded as before.

--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -109,6 +109,7 @@
     row{event::local_quotas_ended, "local_quotas_ended", severity::info},
     row{event::slow_callers_closed, "slow_callers_closed", severity::warning},
     row{event::sent_while_stopping, "sent_while_stopping", severity::info},
+    row{event::response_undelivered, "response_undelivered", severity::warning},
     row{event::planner_followed, "planner_followed", severity::info},
     row{event::planner_lost, "planner_lost", severity::warning},
     row{event::planner_leads, "planner_leads", severity::info},
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -119,6 +119,7 @@
   local_quotas_ended = 825,
   slow_callers_closed = 826,
   sent_while_stopping = 827,
+  response_undelivered = 828,
 
   // 900: planning.
   planner_followed = 901,
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -204,6 +204,7 @@
 void caller_session::end_answer() {
   if (this->closed) return;
   if (this->chunked && !this->head_request) this->queue(http::chunk({}));
+  this->last_attempt = this->answered_attempt();
   this->current.reset();
   this->let_go_body();
   if (!this->keep_alive) return this->finish_sending();
@@ -276,19 +277,25 @@
     this->current->on_caller_ready();
   }
   this->write();
-  if (this->lingering && !this->writing) {
-    std::error_code ignored;
-    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  }
+  if (this->lingering) this->wait_for_close();
 }
 
 void caller_session::finish_sending() {
   this->lingering = true;
-  this->arm(linger_limit, "linger");
-  if (!this->writing && this->outgoing.empty()) {
-    std::error_code ignored;
-    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->wait_for_close();
+}
+
+void caller_session::wait_for_close() {
+  if (this->writing) {
+    return this->arm(this->host.limits().idle_timeout, "unread response");
   }
+  std::error_code ignored;
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->arm(linger_limit, "linger");
+}
+
+const std::string& caller_session::answered_attempt() const {
+  return this->current ? this->current->fields().attempt : this->last_attempt;
 }
 
 bool caller_session::has_left() {
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -53,6 +53,10 @@
   /// \return What it holds for its caller.
   decide::held_response held_response() const;
 
+  /// \return The request whose response it writes, or wrote last; empty if none
+  ///     was answered by a server.
+  const std::string& answered_attempt() const;
+
   /// Ends it and its request, as if the caller had.
   void disconnect() { this->on_gone(); }
 
@@ -87,7 +91,9 @@
   void write();
   void on_written();
   void next_request();
+  /// Ends the connection when the caller's kernel has all that is held.
   void finish_sending();
+  void wait_for_close();
   void on_gone();
 
   asio::ip::tcp::socket socket;
@@ -95,6 +101,8 @@
   session_host& host;
   http::message_parser parser;
   std::shared_ptr<exchange> current;
+  /// Of the last response that is complete.
+  std::string last_attempt;
   std::array<char, 16384> buffer{};
   std::string incoming;
   std::string body;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -345,6 +345,7 @@
 void entry::say_goodbye() {
   const auto ended = std::make_shared<std::promise<void>>();
   this->loop.post([this, ended] {
+    this->log_undelivered();
     this->requests.end_stop();
     std::error_code ignored;
     this->acceptor.close(ignored);
@@ -357,6 +358,19 @@
   std::this_thread::sleep_for(flush);
 }
 
+void entry::log_undelivered() const {
+  const auto now = time_point::clock::now();
+  for (const auto& [session, weak] : this->sessions) {
+    const auto found = weak.lock();
+    if (!found || found->held_response().bytes == 0) continue;
+    const auto held = found->held_response();
+    kernel::log_event(kernel::event::response_undelivered,
+                      {{"request", found->answered_attempt()},
+                       {"held_bytes", held.bytes},
+                       {"untaken_ms", ms_between(held.last_taken, now)}});
+  }
+}
+
 void entry::drain() {
   const auto begin = time_point::clock::now();
   const auto end = begin + this->settings.stop_within - stop_margin;
@@ -368,7 +382,8 @@
   while (!this->shut && time_point::clock::now() < end) {
     this->loop.post([this] {
       this->close_idle();
-      this->shut = this->requests.shut_if_idle();
+      const bool delivered = this->responses.held() == 0;
+      this->shut = delivered && this->requests.shut_if_idle();
     });
     std::this_thread::sleep_for(drain_poll);
   }
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -82,6 +82,8 @@
   void tidy();
   void close_idle();
   void say_goodbye();
+  /// Logs the responses that callers have not taken.
+  void log_undelivered() const;
   void on_quarantine(const fleet::quarantine_row& row);
   bool is_ready() const;
   /// Closes connections whose callers don't read, until the memory of all
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -1,9 +1,18 @@
+#include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
+#include <cstddef>
+#include <future>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 #include <string>
+#include <string_view>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
+#include <vector>
 
+#include "fleet-test/answering_server.hpp"
 #include "fleet-test/small_fleet.hpp"
 
 namespace boragehill::fleet_test {
@@ -97,6 +106,102 @@
   EXPECT_NE(open_answer.find("id: 8\n"), std::string::npos) << open_answer;
 }
 
+/// A caller on a slow link, whose buffers and segments are small.
+class slow_caller {
+ public:
+  explicit slow_caller(const endpoint& router) {
+    constexpr int buffer_bytes = 65536;
+    constexpr int segment_bytes = 1460;
+    this->socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    ::setsockopt(this->socket, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                 sizeof(buffer_bytes));
+    ::setsockopt(this->socket, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                 sizeof(segment_bytes));
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(router.port);
+    ::inet_pton(AF_INET, router.address.c_str(), &name.sin_addr);
+    EXPECT_EQ(::connect(this->socket, reinterpret_cast<sockaddr*>(&name),
+                        sizeof(name)),
+              0);
+  }
+  ~slow_caller() { ::close(this->socket); }
+  slow_caller(const slow_caller&) = delete;
+  slow_caller& operator=(const slow_caller&) = delete;
+
+  /// Sends a request and reads 400 kB a second until the connection ends.
+  /// \return The bytes of the response's body that came.
+  std::size_t take(const std::string& request) const {
+    constexpr std::size_t piece_bytes = 20000;
+    constexpr milliseconds piece_interval{50};
+    ::send(this->socket, request.data(), request.size(), MSG_NOSIGNAL);
+    std::string taken;
+    std::string piece(piece_bytes, '\0');
+    for (auto next = steady_clock::now();; next += piece_interval) {
+      std::this_thread::sleep_until(next);
+      const auto size =
+          ::recv(this->socket, piece.data(), piece.size(), MSG_WAITALL);
+      if (size <= 0) break;
+      taken.append(piece, 0, static_cast<std::size_t>(size));
+    }
+    const std::string head_end = "\r\n\r\n";
+    const auto found = taken.find(head_end);
+    if (found == std::string::npos) return 0;
+    return taken.size() - found - head_end.size();
+  }
+
+ private:
+  int socket;
+};
+
+/// \return A server's answer of so many bytes.
+server_answer_bytes long_answer(const std::string& attempt,
+                                std::string_view body) {
+  return {.head =
+              "HTTP/1.1 200 OK\r\nBoragehill-Response-Stamp: s\r\n"
+              "Boragehill-Attempt-Id: " +
+              attempt + "\r\nContent-Length: " + std::to_string(body.size()) +
+              "\r\n\r\n",
+          .body = body};
+}
+
+TEST(stopping_router_test, ends_when_slow_callers_have_their_answers) {
+  // Guards against answers that are complete at the router and lost with its
+  // process.
+  constexpr int callers = 12;
+  constexpr std::size_t least_bytes = 2'500'000;
+  constexpr std::size_t step_bytes = 23'000;
+  const std::string bytes(least_bytes + callers * step_bytes, 'x');
+  // The attempts are numbers.
+  const auto size_of = [](const std::string& attempt) {
+    return least_bytes + std::stoul(attempt) * step_bytes;
+  };
+  answering_server server(
+      {.address = "127.0.0.1"}, [&](const http::message_head& head) {
+        const auto& attempt = *head.headers.find("Boragehill-Attempt-Id");
+        return long_answer(attempt,
+                           std::string_view(bytes).substr(0, size_of(attempt)));
+      });
+  small_fleet fleet(1, 0, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.write_entry("i-long", server.entry(callers));
+  fleet.forget_server("i-plain-1");
+  std::this_thread::sleep_for(milliseconds(1500));
+  std::vector<std::future<std::size_t>> answers;
+  for (int each = 0; each < callers; ++each) {
+    answers.push_back(std::async(std::launch::async, [&fleet, each] {
+      const slow_caller caller(fleet.caller_address(1));
+      return caller.take(request_of(std::to_string(each), "/plain/x", "", 0));
+    }));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet["router-1"].signal(SIGTERM);
+  for (int each = 0; each < callers; ++each) {
+    EXPECT_EQ(answers[static_cast<std::size_t>(each)].get(),
+              size_of(std::to_string(each)));
+  }
+}
+
 TEST(stopping_router_test, lets_a_broken_stream_go_on_while_there_is_time) {
   // Guards against answers that are cut off for the length that they might
   // have had.
