--- a/test/fleet-test/restored_store_test.cpp
+++ b/test/fleet-test/restored_store_test.cpp
@@ -33,7 +33,7 @@
                              const std::string& before = {}) {
   const auto end = steady_clock::now() + milliseconds(5000);
   while (steady_clock::now() < end) {
-    const auto found = fleet.planner();
+    auto found = fleet.planner();
     if (!found.empty() && found != before) return found;
     std::this_thread::sleep_for(milliseconds(20));
   }
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -188,6 +188,7 @@
   fleet.forget_server("i-plain-1");
   std::this_thread::sleep_for(milliseconds(1500));
   std::vector<std::future<std::size_t>> answers;
+  answers.reserve(callers);
   for (int each = 0; each < callers; ++each) {
     answers.push_back(std::async(std::launch::async, [&fleet, each] {
       const slow_caller caller(fleet.caller_address(1));
