Refuse an answer whose status line is none

What callers saw: an answer with the status 000, or with its body in the place of a status line ("from-the-serverHTTP/1.1 502 Bad Gateway"), which a body that begins with "HTTP/1.1 200" would have made a success of. 600 and 999 were passed on as they came; 0200, HTTP/0.9 and HTTP/2.0 as a 200.

Cause: http_parser takes any number below 1,000 for a status and any version. All below 200 counted as interim responses, whose bytes went to the caller as a body though no head was passed on: an interim response has none, and nothing had said so to the parser.

Change: head_checker reads the status line before the parser's values are used and wants a version 1.x and three digits from 100 to 599; else the answer is broken, for callers' requests and for calls of our own alike. An interim response ends with its head, so that bytes behind it are read as the next head. 101 breaks off, since no request asks for it, and no interim response is the answer to a call of our own: an order that got one counted as refused.

--- a/src/http/call_connection.cpp
+++ b/src/http/call_connection.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t max_head_bytes = 16384;
 /// Above what the store's answers take with their values encoded.
 constexpr std::size_t max_body_bytes = 4U << 20U;
+constexpr int first_final_status = 200;
 
 }  // namespace
 
@@ -134,6 +135,10 @@
     return this->fail(call_failure::malformed);
   }
   if (!this->parser.complete()) return this->read();
+  // No call asks for interim responses, and none of them is its answer.
+  if (this->parser.head().status < first_final_status) {
+    return this->fail(call_failure::malformed);
+  }
   const bool too_long = used < size;
   if (too_long) this->why_failed = call_failure::too_long;
   if (too_long || !this->parser.head().keep_alive) this->drop_socket();
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -11,11 +11,12 @@
 constexpr int stop_parsing = -1;
 /// Tells http_parser that no body follows.
 constexpr int skip_body = 1;
+constexpr int first_final_status = 200;
 
 }  // namespace
 
 message_parser::message_parser(message_kind kind, std::size_t max_head_bytes)
-    : kind(kind), max_head_bytes(max_head_bytes) {
+    : kind(kind), checker(kind), max_head_bytes(max_head_bytes) {
   // The library's own limit is for the whole process; ours is counted here.
   http_parser_set_max_header_size(std::numeric_limits<int>::max());
   this->next();
@@ -54,7 +55,7 @@
   calls.on_headers_complete = [](http_parser* raw) {
     auto& self = message_parser::owner(raw);
     self.on_head();
-    return self.bodiless ? skip_body : go_on;
+    return self.lacks_body() ? skip_body : go_on;
   };
   calls.on_body = [](http_parser* raw, const char* at, std::size_t size) {
     message_parser::owner(raw).body.append(at, size);
@@ -73,6 +74,11 @@
   static const http_parser_settings calls = make_callbacks();
   if (bytes.empty() || this->message_done || this->broken) return 0;
   this->any_byte = true;
+  if (!this->head_done) this->checker.feed(bytes);
+  if (this->checker.failed()) {
+    this->broken = true;
+    return 0;
+  }
   const std::size_t held = this->body.size();
   const std::size_t used =
       http_parser_execute(&this->raw, &calls, bytes.data(), bytes.size());
@@ -105,6 +111,7 @@
                                    ? HTTP_REQUEST
                                    : HTTP_RESPONSE);
   this->raw.data = this;
+  this->checker.restart();
   this->current = {};
   this->body.clear();
   this->field.clear();
@@ -144,14 +151,18 @@
   this->current.keep_alive = http_should_keep_alive(&this->raw) != 0;
 }
 
+bool message_parser::lacks_body() const {
+  const bool interim = this->kind == message_kind::answer &&
+                       this->current.status < first_final_status;
+  return this->bodiless || interim;
+}
+
 bool message_parser::has_open_end() const {
-  constexpr int first_final_status = 200;
   constexpr int no_content_status = 204;
   constexpr int not_modified_status = 304;
-  if (this->kind == message_kind::request || this->bodiless) return false;
+  if (this->kind == message_kind::request || this->lacks_body()) return false;
   const int status = this->current.status;
-  if (status < first_final_status || status == no_content_status ||
-      status == not_modified_status) {
+  if (status == no_content_status || status == not_modified_status) {
     return false;
   }
   return !this->current.chunked && !this->current.content_length;
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "http/head_checker.hpp"
 #include "http/message_head.hpp"
 #include "http/message_kind.hpp"
 
@@ -65,12 +66,15 @@
   void on_head();
   /// \return True for an answer without a length.
   bool has_open_end() const;
+  /// \return True for an answer that has no body whatever its head says.
+  bool lacks_body() const;
   void count_head(std::size_t bytes);
   /// Counts bytes that were read and hold `body_bytes` of the body.
   void count_framing(std::size_t bytes, std::size_t body_bytes);
 
   http_parser raw{};
   message_kind kind;
+  head_checker checker;
   std::size_t max_head_bytes;
   message_head current;
   std::string body;
--- a/src/serve/server_connection.cpp
+++ b/src/serve/server_connection.cpp
@@ -26,6 +26,8 @@
 /// Used this much before the server would close it: a close that crosses a
 /// request leaves open whether it ran.
 constexpr milliseconds keep_margin{700};
+constexpr int switching_protocols_status = 101;
+constexpr int first_final_status = 200;
 
 milliseconds told_keep(const http::header_list& headers) {
   const auto* found = headers.find("Keep-Alive");
@@ -137,8 +139,11 @@
     bytes.remove_prefix(used);
     if (this->parser.failed()) return this->broken();
     if (!this->parser.head_complete()) return;
+    const int status = this->parser.head().status;
+    // No request asks for another protocol.
+    if (status == switching_protocols_status) return this->broken();
     // Interim answers (100, 103) come before the one that counts.
-    const bool interim = this->parser.head().status < 200;
+    const bool interim = status < first_final_status;
     if (!this->head_told && !interim) {
       this->head_told = true;
       const auto told = this->receiver.lock();
--- a/test/http-test/call_connection_test.cpp
+++ b/test/http-test/call_connection_test.cpp
@@ -50,6 +50,17 @@
   }
 }
 
+// Guards against an order that counts as refused, though its answer was none
+// and it may have been carried out.
+TEST(call_connection_test, takes_no_answer_without_a_final_status) {
+  for (const char* status : {"000", "099", "100", "101", "600", "999"}) {
+    const auto answer = answer_of("HTTP/1.1 " + std::string(status) +
+                                  " X\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_FALSE(answer) << status;
+    EXPECT_EQ(answer.error(), result_code::platform_answer_lost) << status;
+  }
+}
+
 // Guards against a body without end that fills the memory of who asked.
 TEST(call_connection_test, breaks_off_a_body_that_is_too_long) {
   constexpr std::size_t too_long = 8U << 20U;
--- a/test/http-test/message_parser_test.cpp
+++ b/test/http-test/message_parser_test.cpp
@@ -150,5 +150,47 @@
   EXPECT_EQ(parser.take_body(), std::string(head_limit, 'x'));
 }
 
+// Guards against bytes that are no answer, taken for one since only the value
+// of a status is looked at.
+TEST(message_parser_test, refuses_an_invalid_status_line) {
+  for (const char* line :
+       {"HTTP/1.1 000 X", "HTTP/1.1 0 X", "HTTP/1.1 99 X", "HTTP/1.1 099 X",
+        "HTTP/1.1 0200 X", "HTTP/1.1 2 0 0 X", "HTTP/1.1 600 X",
+        "HTTP/1.1 999 X", "HTTP/1.1 2000 X", "HTTP/1.1 -20 X",
+        "HTTP/1.1  200 X", "HTTP/1.1 200X", "HTTP/1.1", "HTTP/0.9 200 X",
+        "HTTP/2.0 200 X", "HTTP/1.10 200 X", "http/1.1 200 X", "200 OK"}) {
+    for (const std::size_t piece : {1, 5, 1000}) {
+      message_parser parser(message_kind::answer, head_limit);
+      std::string rest = std::string(line) + "\r\nContent-Length: 2\r\n\r\nok";
+      while (!rest.empty() && !parser.failed()) {
+        rest.erase(0, parser.feed(rest.substr(0, piece)));
+      }
+      EXPECT_TRUE(parser.failed()) << line;
+      EXPECT_FALSE(parser.head_complete()) << line;
+      EXPECT_TRUE(parser.take_body().empty()) << line;
+    }
+  }
+}
+
+TEST(message_parser_test, reads_valid_status_lines) {
+  for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.0 599 X", "HTTP/1.1 404",
+                           "HTTP/1.1 201 ", "\r\n\r\nHTTP/1.1 200 OK"}) {
+    message_parser parser(message_kind::answer, head_limit);
+    parser.feed(std::string(line) + "\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(parser.complete()) << line;
+    EXPECT_EQ(parser.take_body(), "ok") << line;
+  }
+}
+
+// Guards against bytes behind an interim response that count as its body.
+TEST(message_parser_test, reads_no_body_of_an_interim_response) {
+  const std::string head =
+      "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n";
+  message_parser parser(message_kind::answer, head_limit);
+  EXPECT_EQ(parser.feed(head + "ok"), head.size());
+  EXPECT_TRUE(parser.complete());
+  EXPECT_TRUE(parser.take_body().empty());
+}
+
 }  // namespace
 }  // namespace boragehill::http
