Take no end for orderly while the request is still being written

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. Callers got that part as a whole answer, on plain routes and as a stream.

Cause: a reset is told once, to the first call on the socket that fails. While a request is being written that is the write, whose failure was only noted so that the connection isn't used again; the read after it saw an orderly end, which completes an answer without a frame.

Change: such an answer is complete only if its request has gone out whole. One whose end comes earlier has broken off. A server that refuses an upload early, without a length, and closes is answered for with 502 now, or asked elsewhere; with a length or chunks its answer goes out as before.

Calls of our own can't meet this: they read only once the request is written, and a failed write fails the call. call_connection_test shows it with a reset during 16 MB.

--- a/src/serve/server_connection.cpp
+++ b/src/serve/server_connection.cpp
@@ -108,7 +108,7 @@
   asio::async_write(
       this->socket, asio::buffer(this->request),
       [self = this->shared_from_this()](std::error_code failed, std::size_t) {
-        // A failed write shows at the reading end too, after any early answer.
+        // The reading end tells what becomes of it: an early answer may come.
         self->written = !failed;
       });
 }
@@ -202,7 +202,9 @@
 
 void server_connection::on_end_of_stream(bool in_order) {
   if (!this->busy) return this->close();
-  if (in_order && !this->skipping && this->parser.finish()) {
+  // A reset is told once. If the write has got it, the read ends in order.
+  const bool whole = in_order && this->written && !this->skipping;
+  if (whole && this->parser.finish()) {
     this->reusable = false;
     this->take_body();
     return this->on_complete();
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -60,6 +60,10 @@
   /// written from now on.
   void set_plain_connections(int count) { this->plain_connections = count; }
 
+  /// Sets the largest body of a request in the configurations written from now
+  /// on, in bytes.
+  void set_max_body(std::size_t bytes) { this->max_body_bytes = bytes; }
+
   /// Sets what a model worker is before it starts.
   /// \param software The version of its software.
   /// \param held The model that it holds; none if empty.
@@ -228,6 +232,7 @@
   bool behind_proxies;
   int keep_alive_s;
   int plain_connections = 100;
+  std::size_t max_body_bytes = 4096;
   bool tells_starts = true;
   std::string crash_marker;
   /// A JSON list.
--- a/test/fleet-test/small_fleet_configuration.cpp
+++ b/test/fleet-test/small_fleet_configuration.cpp
@@ -78,7 +78,7 @@
   config["services"].append(sheets);
   auto& limits = config["limits"];
   limits["maxHeaderBytes"] = 2048;
-  limits["maxBodyBytes"] = 4096;
+  limits["maxBodyBytes"] = Json::UInt64(this->max_body_bytes);
   limits["headerTimeoutMs"] = 400;
   limits["idleTimeoutMs"] = 1500;
   if (const auto tenants = kernel::parse_json(this->accounts)) {
--- a/test/http-test/call_connection_test.cpp
+++ b/test/http-test/call_connection_test.cpp
@@ -50,6 +50,26 @@
   }
 }
 
+// Guards against a part of a response that counts as all of it, since its peer
+// reset the connection while the request was still being written.
+TEST(call_connection_test, takes_no_answer_that_a_reset_cut_off) {
+  test::scripted_server server({.bytes = "HTTP/1.1 200 OK\r\n\r\npart",
+                                .then = test::after_bytes::cut,
+                                .read = test::request_read::first_byte});
+  // More than the socket buffers of both ends hold.
+  constexpr std::size_t request_bytes = 16U << 20U;
+  asio::io_context context;
+  const auto call =
+      std::make_shared<call_connection>(context, server.address());
+  std::optional<result<whole_answer>> got;
+  call->call(std::string(request_bytes, 'x'), limit,
+             [&got](const result<whole_answer>& answer) { got = answer; });
+  context.run();
+  ASSERT_TRUE(got);
+  ASSERT_FALSE(*got);
+  EXPECT_EQ(got->error(), result_code::platform_answer_lost);
+}
+
 // Guards against an order that counts as refused, though its answer was none
 // and it may have been carried out.
 TEST(call_connection_test, takes_no_answer_without_a_final_status) {
