Refuse a head with a line that is no field

What callers saw: answers with a field whose name holds a blank were passed on with that line ("X Y: v", "X-Odd : v", a line that begins with a blank right behind the status line), or with a body that wasn't the server's: "Content-Length : 4" cut it after four bytes, and it counted as whole. So did a length behind which a lone carriage return ended the head, and a value that begins with a control byte reached callers.

Cause: Debian builds http_parser without its strict mode. It takes a blank for a byte of a name and a lone carriage return for the end of a head, and then frames the message by a field that nobody else finds under that name. Requests are read by the same parser; theirs went on to servers.

Change: head_checker reads the fields as well, for requests and answers alike: names are tokens, values hold no control bytes but tabs, a carriage return ends a line with its line feed. Else an answer is broken, and a request gets 400. A value that goes on in the next line is read as before.

Tables of fields for the parser, for requests and answers, in pieces of 1, 5 and all bytes.

--- a/src/http/head_checker.hpp
+++ b/src/http/head_checker.hpp
@@ -12,13 +12,13 @@
 /// parser library is more lenient.
 ///
 /// The library reads any number as a status and tells its value, not its
-/// digits.
+/// digits. As Debian builds it, it takes blanks in a field's name, and
+/// "Content-Length " then frames the message though nobody else finds a length.
 class head_checker {
  public:
   explicit head_checker(message_kind kind) : kind(kind) {}
 
-  /// Reads bytes up to the end of the status line; further ones are passed
-  /// over.
+  /// Reads bytes up to the end of the head; further ones are passed over.
   void feed(std::string_view bytes);
 
   /// Makes ready for the next head.
@@ -28,13 +28,26 @@
   bool failed() const { return this->at == place::invalid; }
 
  private:
-  enum class place { start_line, after_start_line, invalid };
+  enum class place {
+    start_line,
+    first_line_begin,
+    line_begin,
+    name,
+    value,
+    end,
+    invalid
+  };
 
   void read(char byte);
-  void end_start_line();
+  void read_start_line(char byte);
+  void read_line_begin(char byte);
+  void read_name(char byte);
+  void read_value(char byte);
 
   message_kind kind;
   place at = place::start_line;
+  /// A carriage return came, which only a line feed may follow.
+  bool line_ends = false;
   /// The beginning of the start line.
   std::string start_line;
 };
--- a/test/fleet-test/bad_input_test.cpp
+++ b/test/fleet-test/bad_input_test.cpp
@@ -41,6 +41,14 @@
       {"POST /plain/x HTTP/1.1\r\n" + host +
            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
        "400"},
+      {"POST /plain/x HTTP/1.1\r\n" + host + "Content-Length : 2\r\n\r\nhi",
+       "400"},
+      {"POST /plain/x HTTP/1.1\r\n" + host +
+           "X Y: v\r\nContent-Length: 2\r\n\r\nhi",
+       "400"},
+      {"POST /plain/x HTTP/1.1\r\n X: v\r\n" + host +
+           "Content-Length: 2\r\n\r\nhi",
+       "400"},
       {"POST /plain/x HTTP/1.1\r\n" + host +
            "Boragehill-Deadline-Ms: soon\r\n" +
            "Connection: close\r\nContent-Length: 0\r\n\r\n",
--- a/test/fleet-test/broken_answer_test.cpp
+++ b/test/fleet-test/broken_answer_test.cpp
@@ -104,5 +104,31 @@
   this->expect_refused(answers);
 }
 
+// Guards against a line that is no field, passed on as one.
+TEST_F(broken_answer_test, passes_on_no_invalid_field) {
+  std::vector<std::string> answers;
+  for (const char* field : {"X Y: v", "X-Odd : v", " X: v", "\tX: v", "X\tY: v",
+                            "X\t: v", "X\x01Y: v", "\x7fX: v", "X\x80Y: v",
+                            ": v", "X", "X: \x01", "X: v\x01", "X: v\rY: v"}) {
+    answers.push_back("HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n" +
+                      stamp + framed_body);
+  }
+  this->expect_refused(answers);
+}
+
+// Guards against a body whose end is elsewhere for the parser than for others.
+TEST_F(broken_answer_test, passes_on_no_body_framed_by_an_invalid_field) {
+  const std::string head = "HTTP/1.1 200 OK\r\n" + stamp;
+  std::vector<std::string> answers{head + "Content-Length: 4\r\n\rX" +
+                                   body_mark};
+  for (const char* field :
+       {"Content-Length : 4", "Content Length: 4",
+        "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked"}) {
+    answers.push_back(head + std::string(field) + "\r\n\r\nf\r\n" + body_mark +
+                      "\r\n0\r\n\r\n");
+  }
+  this->expect_refused(answers);
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
--- a/test/http-test/message_parser_test.cpp
+++ b/test/http-test/message_parser_test.cpp
@@ -172,6 +172,46 @@
   }
 }
 
+// Guards against a line that frames the message for the parser alone, or is
+// passed on as a field though it is none.
+TEST(message_parser_test, refuses_an_invalid_field) {
+  for (const auto kind : {message_kind::request, message_kind::answer}) {
+    const std::string start = kind == message_kind::request
+                                  ? "POST / HTTP/1.1\r\n"
+                                  : "HTTP/1.1 200 OK\r\n";
+    for (const char* field :
+         {"X Y: v\r\n", "X : v\r\n", " X: v\r\n", "\tX: v\r\n", "X\t: v\r\n",
+          "X\x01: v\r\n", "X\x7f: v\r\n", "X\x80: v\r\n", "X(: v\r\n",
+          ": v\r\n", "X\r\n", "X: \x01\r\n", "X: v\x7f\r\n", "X: v\rY: v\r\n",
+          "X: v\r\n\rY", "Content-Length : 2\r\n",
+          "Transfer-Encoding : chunked\r\n"}) {
+      for (const std::size_t piece : {1, 5, 1000}) {
+        message_parser parser(kind, head_limit);
+        std::string rest = start + field + "Content-Length: 2\r\n\r\nok";
+        while (!rest.empty() && !parser.failed()) {
+          rest.erase(0, parser.feed(rest.substr(0, piece)));
+        }
+        EXPECT_TRUE(parser.failed()) << field;
+        EXPECT_FALSE(parser.head_complete()) << field;
+        EXPECT_TRUE(parser.take_body().empty()) << field;
+      }
+    }
+  }
+}
+
+TEST(message_parser_test, reads_valid_fields) {
+  for (const char* field :
+       {"X:v\r\n", "X: \tv \r\n", "X:\r\n", "!#$%&'*+-.^_`|~09azAZ: v\r\n",
+        "X: v\x80\xff\r\n", "X: v\n", "X: v\r\n  goes on\r\n"}) {
+    message_parser parser(message_kind::answer, head_limit);
+    parser.feed("HTTP/1.1 200 OK\r\n" + std::string(field) +
+                "Content-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(parser.complete()) << field;
+    EXPECT_EQ(parser.head().headers.all().size(), 2U) << field;
+    EXPECT_EQ(parser.take_body(), "ok") << field;
+  }
+}
+
 TEST(message_parser_test, reads_valid_status_lines) {
   for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.0 599 X", "HTTP/1.1 404",
                            "HTTP/1.1 201 ", "\r\n\r\nHTTP/1.1 200 OK"}) {
