--- a/test/fleet-test/broken_answer_test.cpp
+++ b/test/fleet-test/broken_answer_test.cpp
@@ -75,6 +75,16 @@
   small_fleet fleet;
 };
 
+/// \return An answer with a length whose head begins so.
+std::string answer_after(const std::string& beginning) {
+  return beginning + "\r\n" + stamp + framed_body;
+}
+
+/// \return The same, with a body that ends with its connection.
+std::string open_answer_after(const std::string& beginning) {
+  return beginning + "\r\n" + stamp + "\r\n" + body_mark;
+}
+
 // Guards against an answer that is passed on under a status that is none, and
 // against its body in the place of a status line.
 TEST_F(broken_answer_test, passes_on_no_answer_without_a_valid_status) {
@@ -84,9 +94,9 @@
         "HTTP/1.1 20 OK", "HTTP/1.1 2 0 0", "HTTP/1.1 0200 OK",
         "HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/1.1  200 OK",
         "HTTP/0.9 200 OK", "HTTP/2.0 200 OK"}) {
-    answers.push_back(std::string(line) + "\r\n" + stamp + framed_body);
+    answers.push_back(answer_after(line));
   }
-  answers.push_back("HTTP/1.1 000 Trouble\r\n" + stamp + "\r\n" + body_mark);
+  answers.push_back(open_answer_after("HTTP/1.1 000 Trouble"));
   this->expect_refused(answers);
 }
 
@@ -97,9 +107,8 @@
   for (const char* line :
        {"HTTP/1.1 100 Continue", "HTTP/1.1 101 Switching Protocols",
         "HTTP/1.1 103 Early Hints", "HTTP/1.1 199 Trouble"}) {
-    const auto head = std::string(line) + "\r\n" + stamp;
-    answers.push_back(head + framed_body);
-    answers.push_back(head + "\r\n" + body_mark);
+    answers.push_back(answer_after(line));
+    answers.push_back(open_answer_after(line));
   }
   this->expect_refused(answers);
 }
@@ -110,22 +119,21 @@
   for (const char* field : {"X Y: v", "X-Odd : v", " X: v", "\tX: v", "X\tY: v",
                             "X\t: v", "X\x01Y: v", "\x7fX: v", "X\x80Y: v",
                             ": v", "X", "X: \x01", "X: v\x01", "X: v\rY: v"}) {
-    answers.push_back("HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n" +
-                      stamp + framed_body);
+    answers.push_back(answer_after(std::string("HTTP/1.1 200 OK\r\n") + field));
   }
   this->expect_refused(answers);
 }
 
 // Guards against a body whose end is elsewhere for the parser than for others.
 TEST_F(broken_answer_test, passes_on_no_body_framed_by_an_invalid_field) {
-  const std::string head = "HTTP/1.1 200 OK\r\n" + stamp;
-  std::vector<std::string> answers{head + "Content-Length: 4\r\n\rX" +
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string chunk = "\r\n\r\nf\r\n" + body_mark + "\r\n0\r\n\r\n";
+  std::vector<std::string> answers{start + stamp + "Content-Length: 4\r\n\rX" +
                                    body_mark};
   for (const char* field :
        {"Content-Length : 4", "Content Length: 4",
         "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked"}) {
-    answers.push_back(head + std::string(field) + "\r\n\r\nf\r\n" + body_mark +
-                      "\r\n0\r\n\r\n");
+    answers.push_back((start + stamp).append(field).append(chunk));
   }
   this->expect_refused(answers);
 }
