Bound the fields of a head

What was seen: nothing yet by users of this system; other operators lost processes that kept bytes without end.

Cause: a head is limited by the bytes of its names and values, and separators count only as framing. What a field takes in memory counted nowhere.

Change: a head of more than 256 fields is too large, for answers and requests alike; a caller gets 431.

--- a/src/http/head_checker.cpp
+++ b/src/http/head_checker.cpp
@@ -87,7 +87,9 @@
     // Goes on with the field of the line before.
     this->at = place::value;
   } else {
-    this->at = is_name_byte(byte) ? place::name : place::invalid;
+    ++this->fields;
+    const bool valid = is_name_byte(byte) && !this->has_too_many_fields();
+    this->at = valid ? place::name : place::invalid;
   }
 }
 
@@ -110,6 +112,7 @@
 void head_checker::restart() {
   this->at = place::start_line;
   this->line_ends = false;
+  this->fields = 0;
   this->start_line.clear();
 }
 
--- a/src/http/head_checker.hpp
+++ b/src/http/head_checker.hpp
@@ -26,8 +26,13 @@
 
   /// \return True if the bytes so far begin no valid head.
   bool failed() const { return this->at == place::invalid; }
+  /// \return True if that is since the head has too many fields.
+  bool has_too_many_fields() const { return this->fields > max_fields; }
 
  private:
+  /// A field is held in some hundred bytes, however short it is.
+  static constexpr int max_fields = 256;
+
   enum class place {
     start_line,
     first_line_begin,
@@ -48,6 +53,7 @@
   place at = place::start_line;
   /// A carriage return came, which only a line feed may follow.
   bool line_ends = false;
+  int fields = 0;
   /// The beginning of the start line.
   std::string start_line;
 };
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -77,6 +77,7 @@
   if (!this->head_done) this->checker.feed(bytes);
   if (this->checker.failed()) {
     this->broken = true;
+    this->oversized = this->checker.has_too_many_fields();
     return 0;
   }
   const std::size_t held = this->body.size();
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -21,7 +21,8 @@
 ///     if (parser.complete()) parser.next();
 class message_parser {
  public:
-  /// \param max_head_bytes Longer heads fail with `head_too_large()`. Line ends
+  /// \param max_head_bytes Longer heads, and those of hundreds of fields, fail
+  ///     with `head_too_large()`. Line ends
   ///     before a head, chunk extensions and trailers that are twice as long
   ///     fail, too: nothing else would end them.
   message_parser(message_kind kind, std::size_t max_head_bytes);
--- a/test/fleet-test/endless_bytes_test.cpp
+++ b/test/fleet-test/endless_bytes_test.cpp
@@ -111,10 +111,7 @@
   /// within its memory.
   void expect_bounded(const std::string& begin, const std::string& piece) {
     const endless_server server(begin, piece);
-    this->fleet.write_entry("i-endless",
-                            R"({"service":"assist","zone":"zone-1","slots":8,)"
-                            R"("state":"ready","seq":0,"models":[],"addr":")" +
-                                server.address().to_string() + R"("})");
+    this->list(server);
     milliseconds took{0};
     for (int tries = 0; tries < 250 && server.requests() == 0; ++tries) {
       const auto called = std::chrono::steady_clock::now();
@@ -130,6 +127,14 @@
     this->expect_small();
   }
 
+  /// Lists the server in the store.
+  void list(const endless_server& server) {
+    this->fleet.write_entry("i-endless",
+                            R"({"service":"assist","zone":"zone-1","slots":8,)"
+                            R"("state":"ready","seq":0,"models":[],"addr":")" +
+                                server.address().to_string() + R"("})");
+  }
+
   void expect_small() {
     EXPECT_LT(this->fleet["router-1"].status_of("VmHWM"), router_memory_kb);
   }
@@ -172,6 +177,39 @@
                        "Content-Length: 2\r\n\r\nok");
 }
 
+TEST_F(endless_bytes_test, breaks_off_a_reason_phrase_without_end) {
+  this->expect_bounded("HTTP/1.1 200 ", "xxxxxxxx");
+}
+
+TEST_F(endless_bytes_test, breaks_off_a_field_without_end) {
+  this->expect_bounded(stamped_head + "a: ", "bbbbbbbb");
+}
+
+TEST_F(endless_bytes_test, breaks_off_an_event_without_end) {
+  this->expect_bounded(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "Boragehill-Response-Stamp: s\r\n\r\n",
+      "data: x\n");
+}
+
+// Guards against a router that keeps what its caller doesn't read.
+TEST_F(endless_bytes_test, keeps_little_of_a_body_that_nobody_reads) {
+  const endless_server server(stamped_head + "\r\n", "xxxxxxxx");
+  this->list(server);
+  const std::string request =
+      "POST /stream/x HTTP/1.1\r\nHost: valves.example\r\n"
+      "Boragehill-Attempt-Id: unread\r\nBoragehill-Deadline-Ms: 1000\r\n"
+      "Content-Length: 1\r\n\r\n?";
+  std::this_thread::sleep_for(milliseconds(1500));
+  const int socket = this->fleet.connect(1);
+  ::send(socket, request.data(), request.size(), MSG_NOSIGNAL);
+  std::this_thread::sleep_for(milliseconds(1500));
+  ::close(socket);
+  EXPECT_EQ(server.requests(), 1);
+  EXPECT_EQ(server.unclosed(), 0);
+  this->expect_small();
+}
+
 // Guards against a request that isn't sent to another server, since the body of
 // a rejection never ends.
 TEST_F(endless_bytes_test, takes_a_rejection_without_the_end_of_its_body) {
--- a/test/http-test/message_parser_test.cpp
+++ b/test/http-test/message_parser_test.cpp
@@ -199,6 +199,22 @@
   }
 }
 
+// Guards against a head of short fields, each of which takes many times its
+// bytes in memory.
+TEST(message_parser_test, refuses_hundreds_of_fields) {
+  constexpr int most_fields = 256;
+  std::string head = "GET / HTTP/1.1\r\n";
+  for (int each = 0; each < most_fields; ++each) head += "a: \r\n";
+  constexpr std::size_t wide_limit = 65536;
+  message_parser parser(message_kind::request, wide_limit);
+  parser.feed(head + "\r\n");
+  EXPECT_TRUE(parser.complete());
+  parser.next();
+  parser.feed(head + "a: \r\n");
+  EXPECT_TRUE(parser.failed());
+  EXPECT_TRUE(parser.head_too_large());
+}
+
 TEST(message_parser_test, reads_valid_fields) {
   for (const char* field :
        {"X:v\r\n", "X: \tv \r\n", "X:\r\n", "!#$%&'*+-.^_`|~09azAZ: v\r\n",
