Answer the requests that come late in a stop

Cause: from 2.9 s after SIGTERM connections without a request are closed each 50 ms, a new one too, though its request is on its way; beside load a caller may take longer than that between its connect and its send. The end of the process was decided by the requests at servers and in line alone: one that was still being read was cut off, seconds before the time was over. And at the end the listener was closed with connections in its queue, which resets them.

Change: a new connection has 500 ms for its first request, and one with unread bytes isn't closed. The process doesn't end by itself while a request is being read or may be on its way. At its end it takes all connections from the queue before it closes the listener, rejects requests that aren't whole with 503, and those that come in the 0.3 s after that as well. None of them runs.

--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -27,6 +27,9 @@
 /// How long a closing connection still takes bytes, so that its last answer
 /// isn't lost to a reset.
 constexpr milliseconds linger_limit{1000};
+/// The first request on a connection comes a round trip after it was opened; a
+/// caller with much to do takes longer.
+constexpr milliseconds first_request_limit{500};
 /// A caller that sends more after its last response isn't waited for: it may
 /// never end.
 constexpr std::size_t max_dropped_bytes = 16U << 20U;
@@ -70,8 +73,7 @@
 
 void caller_session::on_idle() {
   // A request that came while the process was paused is there to be read.
-  std::error_code ignored;
-  if (this->socket.available(ignored) > 0) return;
+  if (this->has_unread_bytes()) return;
   this->finish_sending();
 }
 
@@ -152,6 +154,7 @@
 }
 
 void caller_session::begin_request() {
+  this->used = true;
   kernel::switch_off(this->timer);
   const auto& head = this->parser.head();
   this->head_request = head.method == "HEAD";
@@ -321,10 +324,28 @@
 
 void caller_session::close_when_idle() {
   if (this->current || this->closed || this->lingering) return;
-  if (this->parser.begun() || !this->incoming.empty()) return;
+  if (this->awaits_request()) return;
   this->finish_sending();
 }
 
+bool caller_session::awaits_request() {
+  if (this->current || this->closed || this->lingering) return false;
+  if (this->parser.begun() || !this->incoming.empty()) return true;
+  const auto age = time_point::clock::now() - this->accepted;
+  return (!this->used && age < first_request_limit) || this->has_unread_bytes();
+}
+
+bool caller_session::has_unread_bytes() {
+  std::error_code ignored;
+  return this->socket.available(ignored) > 0;
+}
+
+void caller_session::stop_reading_request() {
+  if (this->current || this->closed || this->lingering) return;
+  if (!this->parser.begun()) return;
+  this->reject(unavailable_status, "the router stops");
+}
+
 void caller_session::on_gone() {
   auto served = std::exchange(this->current, nullptr);
   this->close();
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -64,9 +64,17 @@
   ///     may not have been read yet.
   bool has_left();
 
-  /// Ends the connection as soon as no request is on it.
+  /// Ends the connection unless a request is on it or may be on its way.
   void close_when_idle();
 
+  /// \return True if a request is being read or, on a new connection, may be on
+  ///     its way.
+  bool awaits_request();
+
+  /// Rejects a request that isn't whole. One that becomes whole later is
+  /// rejected by the host.
+  void stop_reading_request();
+
   /// Ends it now.
   void close();
 
@@ -85,6 +93,8 @@
   void let_go_body();
   void begin_request();
   void reject(int status, const char* why);
+  /// \return True if bytes of the caller haven't been read.
+  bool has_unread_bytes();
   void queue(const std::string& bytes);
   /// Counts the bytes that are held against the memory of all responses.
   void count_held();
@@ -118,6 +128,9 @@
   std::size_t untaken = 0;
   /// When the caller last took any of them, or when the first came.
   time_point last_taken;
+  time_point accepted = time_point::clock::now();
+  /// A request came on the connection.
+  bool used = false;
   bool reading = false;
   bool writing = false;
   bool head_request = false;
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -1,8 +1,9 @@
 #include "serve/entry.hpp"
 
-#include <future>
+#include <algorithm>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <boragehill/result_code.hpp>
 
@@ -42,6 +43,7 @@
 /// Left before the kill for the last bytes and the end of the threads.
 constexpr milliseconds stop_margin{500};
 constexpr milliseconds drain_poll{50};
+constexpr milliseconds goodbye_poll{10};
 
 }  // namespace
 
@@ -334,30 +336,51 @@
   });
 }
 
-void entry::close_idle() {
-  std::error_code ignored;
-  const auto open = this->sessions;
-  for (const auto& [session, weak] : open) {
-    if (const auto held = weak.lock()) held->close_when_idle();
+std::vector<std::shared_ptr<caller_session>> entry::open_sessions() const {
+  std::vector<std::shared_ptr<caller_session>> open;
+  for (const auto& [session, weak] : this->sessions) {
+    if (auto held = weak.lock()) open.push_back(std::move(held));
   }
+  return open;
 }
 
-void entry::say_goodbye() {
-  const auto ended = std::make_shared<std::promise<void>>();
-  this->loop.post([this, ended] {
-    this->log_undelivered();
-    this->requests.end_stop();
-    std::error_code ignored;
-    this->acceptor.close(ignored);
-    this->close_idle();
-    ended->set_value();
+void entry::close_idle() {
+  for (const auto& each : this->open_sessions()) each->close_when_idle();
+}
+
+bool entry::awaits_requests() const {
+  const auto open = this->open_sessions();
+  return std::any_of(open.begin(), open.end(), [](const auto& session) {
+    return session->awaits_request();
   });
-  // A loop that is behind gets what the last bytes leave of the margin.
+}
+
+void entry::say_goodbye() {
   constexpr milliseconds flush{100};
-  ended->get_future().wait_for(stop_margin - 2 * flush);
+  // A loop that is behind gets what the last bytes leave of the margin.
+  const auto end = time_point::clock::now() + stop_margin - 2 * flush;
+  this->quiet = false;
+  this->loop.post([this] { this->end_requests(); });
+  // The last requests are rejected as they come.
+  while (!this->quiet && time_point::clock::now() < end) {
+    std::this_thread::sleep_for(goodbye_poll);
+    this->loop.post([this] { this->quiet = !this->awaits_requests(); });
+  }
   std::this_thread::sleep_for(flush);
 }
 
+void entry::end_requests() {
+  this->log_undelivered();
+  this->requests.end_stop();
+  for (const auto& each : this->open_sessions()) each->stop_reading_request();
+  // Closing the listener resets the connections in its queue.
+  while (this->take_connection(time_point::clock::now())) {
+  }
+  std::error_code ignored;
+  this->acceptor.close(ignored);
+  this->close_idle();
+}
+
 void entry::log_undelivered() const {
   const auto now = time_point::clock::now();
   for (const auto& [session, weak] : this->sessions) {
@@ -383,7 +406,8 @@
     this->loop.post([this] {
       this->close_idle();
       const bool delivered = this->responses.held() == 0;
-      this->shut = delivered && this->requests.shut_if_idle();
+      this->shut = delivered && !this->awaits_requests() &&
+                   this->requests.shut_if_idle();
     });
     std::this_thread::sleep_for(drain_poll);
   }
--- a/src/serve/entry.hpp
+++ b/src/serve/entry.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boragehill/result.hpp>
 
@@ -80,8 +81,13 @@
   void on_waiting();
   void report();
   void tidy();
+  std::vector<std::shared_ptr<caller_session>> open_sessions() const;
   void close_idle();
+  /// \return True if a caller's request is being read or may be on its way.
+  bool awaits_requests() const;
   void say_goodbye();
+  /// Answers all open requests and rejects those that still come.
+  void end_requests();
   /// Logs the responses that callers have not taken.
   void log_undelivered() const;
   void on_quarantine(const fleet::quarantine_row& row);
@@ -128,6 +134,8 @@
   std::atomic<bool> close_connections{false};
   /// The process takes no request any more and has none.
   std::atomic<bool> shut{false};
+  /// The last requests of a stop are answered.
+  std::atomic<bool> quiet{false};
 };
 
 }  // namespace boragehill::serve
--- a/test/fleet-test/small_fleet.hpp
+++ b/test/fleet-test/small_fleet.hpp
@@ -139,6 +139,13 @@
   /// Sends bytes and returns all that comes until the router closes.
   std::string raw(int router, const std::string& bytes,
                   const std::string& source = {}) const;
+  /// \return A socket that is connected to a router; nothing if the router
+  /// takes
+  ///     no connections. The caller closes it.
+  std::optional<int> try_connect(int router) const;
+  /// Sends bytes on a connection and returns all that comes until the router
+  /// closes; closes it, too.
+  static std::string exchange(int socket, const std::string& bytes);
 
   Json::Value truth(const std::string& standin);
   /// \return How often an attempt ran, over all workers.
--- a/test/fleet-test/small_fleet_callers.cpp
+++ b/test/fleet-test/small_fleet_callers.cpp
@@ -19,6 +19,19 @@
   return address;
 }
 
+int open_socket() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  const timeval limit{.tv_sec = 5, .tv_usec = 0};
+  ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  return socket;
+}
+
+bool reaches(int socket, const endpoint& address) {
+  const auto to = ip_address(address);
+  return ::connect(socket, reinterpret_cast<const sockaddr*>(&to),
+                   sizeof(to)) == 0;
+}
+
 }  // namespace
 
 httplib::Result small_fleet::call(int router, const std::string& attempt,
@@ -39,10 +52,7 @@
 }
 
 int small_fleet::connect(int router, const std::string& source) const {
-  const auto to = ip_address(this->caller_address(router));
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  const timeval limit{.tv_sec = 5, .tv_usec = 0};
-  ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  const int socket = open_socket();
   if (!source.empty()) {
     const auto from = ip_address({source, 0});
     if (::bind(socket, reinterpret_cast<const sockaddr*>(&from),
@@ -50,16 +60,23 @@
       std::perror("bind");
     }
   }
-  if (::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) !=
-      0) {
-    std::perror("connect");
-  }
+  if (!reaches(socket, this->caller_address(router))) std::perror("connect");
   return socket;
 }
 
+std::optional<int> small_fleet::try_connect(int router) const {
+  const int socket = open_socket();
+  if (reaches(socket, this->caller_address(router))) return socket;
+  ::close(socket);
+  return std::nullopt;
+}
+
 std::string small_fleet::raw(int router, const std::string& bytes,
                              const std::string& source) const {
-  const int socket = this->connect(router, source);
+  return exchange(this->connect(router, source), bytes);
+}
+
+std::string small_fleet::exchange(int socket, const std::string& bytes) {
   std::string got;
   ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   char buffer[4096];
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -153,6 +154,77 @@
   }
 }
 
+/// \return What comes on a connection on which bytes are sent after a pause.
+std::string answer_after(int socket, milliseconds pause,
+                         const std::string& bytes) {
+  std::this_thread::sleep_for(pause);
+  return small_fleet::exchange(socket, bytes);
+}
+
+// Guards against a connection that is closed while its first request is on its
+// way.
+TEST(stopping_router_test, answers_a_request_that_comes_after_its_connection) {
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("worker-1", R"({"kind":"slow_events","ms":700})");
+  fleet["router-1"].signal(SIGTERM);
+  std::thread open(
+      [&fleet] { fleet.raw(1, request_of("open", "/stream/x", "model-1")); });
+  std::this_thread::sleep_for(milliseconds(3200));
+  const auto answer = answer_after(fleet.connect(1), milliseconds(200),
+                                   request_of("call", "/plain/x", "", 0));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+  open.join();
+}
+
+// Guards against connections that end without an answer with the process.
+TEST(stopping_router_test, answers_all_requests_that_come_until_its_end) {
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("worker-1", R"({"kind":"slow_events","ms":2000})");
+  fleet["router-1"].signal(SIGTERM);
+  std::thread open(
+      [&fleet] { fleet.raw(1, request_of("open", "/stream/x", "model-1")); });
+  // The stream has the process run until its time is over.
+  std::this_thread::sleep_for(milliseconds(6500));
+  std::vector<std::future<std::string>> answers;
+  while (const auto socket = fleet.try_connect(1)) {
+    const auto attempt = numbered("late", static_cast<int>(answers.size()));
+    answers.push_back(std::async(std::launch::async, [socket, attempt] {
+      return answer_after(*socket, milliseconds(30),
+                          request_of(attempt, "/plain/x", "", 0));
+    }));
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  open.join();
+  int unanswered = 0;
+  for (auto& each : answers) {
+    const auto answer = each.get();
+    if (!answer.starts_with("HTTP/1.1 200 ") &&
+        !answer.starts_with("HTTP/1.1 503 ")) {
+      ++unanswered;
+    }
+  }
+  EXPECT_GT(answers.size(), 50U);
+  EXPECT_EQ(unanswered, 0);
+}
+
+// Guards against a request that is cut off in the middle by the end of a
+// process that has nothing else to do.
+TEST(stopping_router_test, answers_a_request_whose_body_is_on_its_way) {
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet["router-1"].signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2500));
+  const auto request = request_of("slow", "/plain/x", "", 0);
+  const int socket = fleet.connect(1);
+  const auto begun = request.size() - 1;
+  ::send(socket, request.data(), begun, MSG_NOSIGNAL);
+  const auto answer =
+      answer_after(socket, milliseconds(1200), request.substr(begun));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
 TEST(stopping_router_test, lets_a_broken_stream_go_on_while_there_is_time) {
   // Guards against answers that are cut off for the length that they might
   // have had.
