Estimate late calls by the slowest recent ones

What callers saw, in a test: an order that came 5 s after SIGTERM to a router whose service takes 3 s was sent, ran, and was answered 502 "may have run" when the process ended, though the order before it had shown how long one takes.

Cause: whether a request still fits into a stop is judged by the slowest recent responses for generations; a plain call was always reckoned with one second.

Change: plain calls are judged by the slowest recent call of their service, with the same windows and headroom, and by one second at least. One that doesn't fit is refused at once with 503; another router takes it.

A call that takes longer than all before it is still answered 502 at the end: answers_what_no_server_has_answered_by_the_end shows that none goes without an answer.

--- a/src/decide/response_time_estimate.hpp
+++ b/src/decide/response_time_estimate.hpp
@@ -14,10 +14,14 @@
 /// load would cut responses off at another.
 class response_time_estimate {
  public:
-  /// Time to the first token of a generation, or the total time of a plain
-  /// call.
+  /// Time to the first token of a generation, or the least estimate of a plain
+  /// call's total time.
   static constexpr milliseconds base_time{1000};
 
+  /// Records a plain call's response that was forwarded completely.
+  /// \param total_time Time from sending the request to its end.
+  void on_call(milliseconds total_time, time_point now);
+
   /// Records a response that was forwarded completely.
   /// \param max_tokens The maximum number of tokens that was requested.
   /// \param stream_time Time from its first byte to its end.
@@ -45,10 +49,14 @@
 
   /// Starts a new window if the current one is over.
   void advance_window(time_point now);
+  /// \return True if the windows hold recent responses.
+  bool is_recent(time_point now) const;
 
   std::optional<time_point> window_start;
   ms_per_token current_slowest = 0;
   ms_per_token previous_slowest = 0;
+  milliseconds current_slowest_call{0};
+  milliseconds previous_slowest_call{0};
 };
 
 }  // namespace boragehill::decide
--- a/src/serve/dispatcher_report.cpp
+++ b/src/serve/dispatcher_report.cpp
@@ -22,9 +22,14 @@
   const auto now = time_point::clock::now();
   const bool one_run = request.sends().attempt_count() == 1;
   if (ended.code == result_code::ok && one_run && !request.slowed_by_caller()) {
-    this->paces[request.service()].on_response(
-        request.fields().output_tokens,
-        milliseconds(ms_between(request.answered().value_or(now), now)), now);
+    auto& pace = this->paces[request.service()];
+    const int tokens = request.fields().output_tokens;
+    if (tokens > 0) {
+      const auto began = request.answered().value_or(now);
+      pace.on_response(tokens, milliseconds(ms_between(began, now)), now);
+    } else {
+      pace.on_call(milliseconds(ms_between(request.last_sent(), now)), now);
+    }
   }
   const auto received = request.request().received;
   const auto& asked = request.fields();
--- a/test/decide-test/response_time_estimate_test.cpp
+++ b/test/decide-test/response_time_estimate_test.cpp
@@ -26,6 +26,19 @@
   EXPECT_EQ(estimate.max_response_time(0, begin + seconds(2)), seconds(1));
 }
 
+// Guards against calls that are sent to a slow service late in a shutdown and
+// cut off at its end.
+TEST(response_time_estimate_test, uses_the_slowest_recent_call) {
+  response_time_estimate estimate;
+  estimate.on_call(seconds(4), begin);
+  estimate.on_call(milliseconds(20), begin + seconds(11));
+  EXPECT_EQ(estimate.max_response_time(0, begin + seconds(12)), seconds(6));
+  EXPECT_EQ(estimate.max_response_time(0, begin + seconds(31)), seconds(1));
+  // Generations are judged by generations.
+  EXPECT_EQ(estimate.max_response_time(100, begin + seconds(12)),
+            milliseconds(1900));
+}
+
 TEST(response_time_estimate_test, never_estimates_less_than_the_default) {
   // Guards against an estimate from a few responses that end far below their
   // maximum length, which say nothing about long ones, or from plain calls.
--- a/test/fleet-test/stopping_router_test.cpp
+++ b/test/fleet-test/stopping_router_test.cpp
@@ -177,6 +177,26 @@
   open.join();
 }
 
+// Guards against calls that are sent to a slow service late in a stop, run and
+// are cut off at its end.
+TEST(stopping_router_test, takes_no_late_call_that_lasts_as_the_last_ones_did) {
+  small_fleet fleet(1, 1, 1, 1);
+  ASSERT_TRUE(fleet.start());
+  fleet.fault("worker-1", R"({"kind":"slow_events","ms":700})");
+  fleet.fault("plain-1", R"({"kind":"slow","ms":3000})");
+  const auto first = fleet.raw(1, request_of("first", "/plain/x", "", 0));
+  EXPECT_TRUE(first.starts_with("HTTP/1.1 200 ")) << first;
+  fleet["router-1"].signal(SIGTERM);
+  std::thread open(
+      [&fleet] { fleet.raw(1, request_of("open", "/stream/x", "model-1")); });
+  std::this_thread::sleep_for(milliseconds(5000));
+  const auto late = fleet.raw(1, request_of("late", "/plain/x", "", 0));
+  EXPECT_TRUE(late.starts_with("HTTP/1.1 503 ")) << late;
+  EXPECT_NE(late.find("Retry-After: "), std::string::npos) << late;
+  EXPECT_EQ(fleet.runs_of("late"), 0);
+  open.join();
+}
+
 // Guards against connections that end without an answer with the process.
 TEST(stopping_router_test, answers_all_requests_that_come_until_its_end) {
   small_fleet fleet(1, 1, 1, 1);
