Refuse a body in a coding that isn't passed on

What callers saw, in a test: an answer with "Transfer-Encoding: gzip, chunked" came without its chunks and without the name of its coding, "gzip" and "xchunked" with their bytes as they were, all as whole 200s: bodies that aren't the server's.

Cause: the parser reads any other coding up to the end of the connection, or only the chunks of it; the field concerns one connection and is dropped.

Change: a head whose Transfer-Encoding is anything but "chunked", once, is invalid; for requests, which went on in the same way, that is 400.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "http/message_parser.hpp"
 
+#include <absl/strings/ascii.h>
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -54,6 +56,8 @@
   };
   calls.on_headers_complete = [](http_parser* raw) {
     auto& self = message_parser::owner(raw);
+    self.flush_header();
+    if (!self.has_known_coding()) return stop_parsing;
     self.on_head();
     return self.lacks_body() ? skip_body : go_on;
   };
@@ -132,8 +136,16 @@
   return std::exchange(this->body, {});
 }
 
+bool message_parser::has_known_coding() const {
+  const auto& headers = this->current.headers.all();
+  return std::all_of(headers.begin(), headers.end(), [](const auto& each) {
+    if (!same_name(each.name, "Transfer-Encoding")) return true;
+    const std::string coding(absl::StripTrailingAsciiWhitespace(each.value));
+    return same_name(coding, "chunked");
+  });
+}
+
 void message_parser::on_head() {
-  this->flush_header();
   this->head_done = true;
   if (this->kind == message_kind::request) {
     this->current.method =
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -65,6 +65,9 @@
   static message_parser& owner(http_parser* raw);
 
   void on_head();
+  /// \return False for a body in another coding than chunks: its coding isn't
+  ///     passed on, so nobody could read it.
+  bool has_known_coding() const;
   /// \return True for an answer without a length.
   bool has_open_end() const;
   /// \return True for an answer that has no body whatever its head says.
--- a/test/answer-test/broken_answer_test.cpp
+++ b/test/answer-test/broken_answer_test.cpp
@@ -138,5 +138,15 @@
   this->expect_refused(answers);
 }
 
+// Guards against a body that is passed on without the name of its coding.
+TEST_F(broken_answer_test, passes_on_no_body_in_an_unknown_coding) {
+  std::vector<std::string> answers;
+  for (const char* coding : {"gzip", "gzip, chunked", "xchunked", ""}) {
+    answers.push_back(open_answer_after(
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + coding));
+  }
+  this->expect_refused(answers);
+}
+
 }  // namespace
 }  // namespace boragehill::fleet_test
--- a/test/http-test/message_parser_test.cpp
+++ b/test/http-test/message_parser_test.cpp
@@ -215,6 +215,31 @@
   EXPECT_TRUE(parser.head_too_large());
 }
 
+// Guards against a body that is passed on without the name of its coding.
+TEST(message_parser_test, refuses_a_coding_other_than_chunks) {
+  for (const auto kind : {message_kind::request, message_kind::answer}) {
+    const std::string start = kind == message_kind::request
+                                  ? "POST / HTTP/1.1\r\n"
+                                  : "HTTP/1.1 200 OK\r\n";
+    for (const char* coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "xchunked", "chunkedx", "\"chunked\"", "identity", ""}) {
+      message_parser parser(kind, head_limit);
+      parser.feed(start + "Transfer-Encoding: " + coding +
+                  "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+      EXPECT_TRUE(parser.failed()) << coding;
+      EXPECT_FALSE(parser.head_complete()) << coding;
+    }
+    for (const char* coding : {"chunked", "Chunked", "chunked "}) {
+      message_parser parser(kind, head_limit);
+      parser.feed(start + "Transfer-Encoding: " + coding +
+                  "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+      EXPECT_TRUE(parser.complete()) << coding;
+      EXPECT_EQ(parser.take_body(), "ok") << coding;
+    }
+  }
+}
+
 TEST(message_parser_test, reads_valid_fields) {
   for (const char* field :
        {"X:v\r\n", "X: \tv \r\n", "X:\r\n", "!#$%&'*+-.^_`|~09azAZ: v\r\n",
