Count what a caller's kernel has acknowledged

Read once more, the wait for a slow caller compared what the kernel holds for it at two moments. That grows when the kernel takes more of a write that isn't finished, so a caller that reads could still look like one that doesn't. The kernel's own count of acknowledged bytes only rises, so it replaces the comparison.

At the end of a stop as many connections are taken as the listen queue holds, so that callers who go on connecting don't hold it up.

--- a/src/kernel/socket_options.cpp
+++ b/src/kernel/socket_options.cpp
@@ -1,9 +1,7 @@
 #include "kernel/socket_options.hpp"
 
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <system_error>
 
@@ -24,10 +22,4 @@
                &user_timeout_ms, sizeof(user_timeout_ms));
 }
 
-std::size_t unacknowledged_bytes(asio::ip::tcp::socket& socket) {
-  int bytes = 0;
-  if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
-  return static_cast<std::size_t>(bytes);
-}
-
 }  // namespace boragehill::kernel
--- a/src/kernel/socket_options.hpp
+++ b/src/kernel/socket_options.hpp
@@ -2,7 +2,6 @@
 #define BORAGEHILL_KERNEL_SOCKET_OPTIONS_HPP
 
 #include <asio/ip/tcp.hpp>
-#include <cstddef>
 
 namespace boragehill::kernel {
 
@@ -13,10 +12,6 @@
 /// without the second a write or an open connection would hang for minutes.
 void set_socket_options(asio::ip::tcp::socket& socket);
 
-/// \return The bytes that were written to a connection and that its peer hasn't
-///     acknowledged; 0 if that can't be told.
-std::size_t unacknowledged_bytes(asio::ip::tcp::socket& socket);
-
 }  // namespace boragehill::kernel
 
 #endif  // BORAGEHILL_KERNEL_SOCKET_OPTIONS_HPP
--- a/src/serve/caller_session.cpp
+++ b/src/serve/caller_session.cpp
@@ -8,6 +8,7 @@
 
 #include "fleet/caller_limits.hpp"
 #include "http/head_text.hpp"
+#include "kernel/acknowledged_bytes.hpp"
 #include "kernel/link_bytes.hpp"
 #include "kernel/socket_options.hpp"
 #include "kernel/timer_support.hpp"
@@ -292,7 +293,7 @@
 
 void caller_session::wait_for_close() {
   if (this->writing) {
-    this->untaken = kernel::unacknowledged_bytes(this->socket);
+    this->taken = kernel::acknowledged_bytes(this->socket.native_handle());
     return this->arm(this->host.limits().idle_timeout, "unread response");
   }
   std::error_code ignored;
@@ -304,7 +305,7 @@
   // The kernel takes nothing until a third of its buffer is free, and so tells
   // nothing of a slow caller for seconds.
   return this->writing &&
-         kernel::unacknowledged_bytes(this->socket) < this->untaken;
+         kernel::acknowledged_bytes(this->socket.native_handle()) > this->taken;
 }
 
 const std::string& caller_session::answered_attempt() const {
--- a/src/serve/caller_session.hpp
+++ b/src/serve/caller_session.hpp
@@ -124,8 +124,8 @@
   std::string in_flight;
   /// Bytes of both that are counted against the memory of all responses.
   std::size_t counted = 0;
-  /// Bytes in the kernel when the wait for the caller began.
-  std::size_t untaken = 0;
+  /// Bytes that the caller had acknowledged when the wait for it began.
+  std::uint64_t taken = 0;
   /// When the caller last took any of them, or when the first came.
   time_point last_taken;
   time_point accepted = time_point::clock::now();
--- a/src/serve/entry.cpp
+++ b/src/serve/entry.cpp
@@ -374,7 +374,9 @@
   this->requests.end_stop();
   for (const auto& each : this->open_sessions()) each->stop_reading_request();
   // Closing the listener resets the connections in its queue.
-  while (this->take_connection(time_point::clock::now())) {
+  const auto now = time_point::clock::now();
+  for (int each = 0; each < kernel::longest_listen_queue; ++each) {
+    if (!this->take_connection(now)) break;
   }
   std::error_code ignored;
   this->acceptor.close(ignored);
