Show that a cut answer without a length passes for complete

A worker of a plain service is killed while it writes answers that have neither a length nor chunks. The router takes the closed connection for their end and completes them towards its callers with 200. Event streams are confirmed by a question to the worker's port; other answers aren't.

--- /dev/null
+++ b/review/common-2/plain_worker.cpp
@@ -0,0 +1,142 @@
+// A stand-in of a worker of a plain service. It runs what its target asks for:
+//
+//   .../small           a short answer
+//   .../wait/MS         the same after MS milliseconds
+//   .../large/BYTES     an answer of so many bytes, with its length
+//   .../unframed/N      N lines, one each 100 ms, with neither a length nor
+//                       chunks; the answer ends with its connection
+//   .../document        a document with an ETag; 304 if the caller names it
+//   .../gone            204, without a body
+//
+//   review_worker IP PORT ID
+//
+// Each line on standard output says what it did with a request.
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <thread>
+
+#include "net.hpp"
+
+namespace {
+
+std::string own_id;
+
+void note(const char* what, const review::message& request) {
+  std::printf("%lld %s %s %s\n", static_cast<long long>(review::now_ms()), what,
+              request.field("boragehill-attempt-id").c_str(),
+              request.first_line.c_str());
+  std::fflush(stdout);
+}
+
+/// The head of an answer to a request that ran.
+std::string head_of(const review::message& request, const std::string& status) {
+  const auto attempt = request.field("boragehill-attempt-id");
+  return "HTTP/1.1 " + status + "\r\nBoragehill-Attempt-Id: " + attempt +
+         "\r\nBoragehill-Response-Stamp: stamp." + attempt + "\r\n";
+}
+
+bool send_whole(int fd, const review::message& request,
+                const std::string& body) {
+  return review::send_all(fd, head_of(request, "200 OK") +
+                                  "Keep-Alive: timeout=5\r\nContent-Length: " +
+                                  std::to_string(body.size()) + "\r\n\r\n" +
+                                  body);
+}
+
+/// \return False if the connection is over.
+bool send_unframed(int fd, const review::message& request, int lines) {
+  review::send_all(fd,
+                   head_of(request, "200 OK") + "Connection: close\r\n\r\n");
+  for (int line = 1; line <= lines; ++line) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const auto text =
+        "line " + std::to_string(line) + " of " + std::to_string(lines) + "\n";
+    if (!review::send_all(fd, text)) break;
+  }
+  return false;
+}
+
+bool send_document(int fd, const review::message& request) {
+  const std::string tag = "ETag: \"v7\"\r\n";
+  if (request.field("if-none-match") == "\"v7\"") {
+    return review::send_all(fd, head_of(request, "304 Not Modified") +
+                                    "Keep-Alive: timeout=5\r\n" + tag + "\r\n");
+  }
+  return review::send_all(fd, head_of(request, "200 OK") + tag +
+                                  "Keep-Alive: timeout=5\r\n"
+                                  "Content-Length: 10\r\n\r\ndatasheet\n");
+}
+
+/// \return False if the connection is over.
+bool run(int fd, const review::message& request) {
+  const auto& line = request.first_line;
+  const auto target = line.substr(line.find(' ') + 1);
+  const auto argument = [&](const std::string& name) {
+    const auto at = target.find("/" + name + "/");
+    if (at == std::string::npos) return -1;
+    return std::atoi(target.c_str() + at + name.size() + 2);
+  };
+  if (const int bytes = argument("large"); bytes >= 0) {
+    return send_whole(fd, request,
+                      std::string(static_cast<std::size_t>(bytes), 'x'));
+  }
+  if (const int lines = argument("unframed"); lines >= 0) {
+    return send_unframed(fd, request, lines);
+  }
+  if (target.find("/document") != std::string::npos) {
+    return send_document(fd, request);
+  }
+  if (target.find("/gone") != std::string::npos) {
+    return review::send_all(fd, head_of(request, "204 No Content") +
+                                    "Keep-Alive: timeout=5\r\n\r\n");
+  }
+  if (const int wait = argument("wait"); wait >= 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(wait));
+  }
+  return send_whole(fd, request, "done\n");
+}
+
+bool serve_one(int fd, review::reader& from) {
+  auto request = from.read_head();
+  if (request.end != review::ending::whole) return false;
+  from.read_body(request, false);
+  if (request.end != review::ending::whole) return false;
+  if (request.first_line.find(" /healthz ") != std::string::npos) {
+    return review::send_all(fd, "HTTP/1.1 200 OK\r\nBoragehill-Instance-Id: " +
+                                    own_id + "\r\nContent-Length: 0\r\n\r\n");
+  }
+  if (request.field("boragehill-expect-instance") != own_id) {
+    note("misdirected", request);
+    return review::send_all(fd,
+                            "HTTP/1.1 421 Misdirected Request\r\n"
+                            "Boragehill-Not-Run: 1\r\n"
+                            "Content-Length: 0\r\n\r\n");
+  }
+  note("runs", request);
+  const bool goes_on = run(fd, request);
+  note("answered", request);
+  return goes_on;
+}
+
+void serve(int fd) {
+  review::reader from(fd);
+  from.set_limit(5000);
+  while (serve_one(fd, from)) continue;
+  ::close(fd);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 4) return 2;
+  own_id = argv[3];
+  const int listener = review::listen_on(argv[1], std::atoi(argv[2]));
+  if (listener < 0) return 2;
+  while (true) {
+    const int fd = ::accept(listener, nullptr, nullptr);
+    if (fd >= 0) std::thread(serve, fd).detach();
+  }
+}
