Show that a stream of a resting worker that crashed ends as complete

A worker that has asked for rest isn't asked whether it lives when one of its streams without a length ends; it is taken for alive, so a stream that its crash cut off is passed on as complete.

--- a/review/common-2/fleet.sh
+++ b/review/common-2/fleet.sh
@@ -93,7 +93,10 @@
    "timeoutMs": 20000, "sloMs": 150, "priority": 2},
   {"name": "look-up", "host": "sheets.example", "prefix": "/lookup/",
    "kind": "idempotent", "service": "spec-sheets", "attempts": 2,
-   "timeoutMs": 20000, "sloMs": 150, "priority": 2}],
+   "timeoutMs": 20000, "sloMs": 150, "priority": 2},
+  {"name": "draft", "host": "sheets.example", "prefix": "/stream/",
+   "kind": "stream", "service": "spec-sheets", "attempts": 1,
+   "timeoutMs": 20000, "sloMs": 500, "gapAimMs": 250, "priority": 2}],
  "services": [
   {"name": "spec-sheets", "maxConns": 100, "healthPath": "/healthz"}],
  "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1048576,
--- a/review/common-2/plain_worker.cpp
+++ b/review/common-2/plain_worker.cpp
@@ -5,6 +5,8 @@
 //   .../large/BYTES     an answer of so many bytes, with its length
 //   .../unframed/N      N lines, one each 100 ms, with neither a length nor
 //                       chunks; the answer ends with its connection
+//   .../events/N        an event stream of N events, in the same way
+//   .../busy            503, not run, with Retry-After: 5
 //   .../document        a document with an ETag; 304 if the caller names it
 //   .../gone            204, without a body
 //
@@ -46,15 +48,19 @@
                                   body);
 }
 
+/// \param type What the answer holds: lines, or the events of a stream.
 /// \return False if the connection is over.
-bool send_unframed(int fd, const review::message& request, int lines) {
-  review::send_all(fd,
-                   head_of(request, "200 OK") + "Connection: close\r\n\r\n");
-  for (int line = 1; line <= lines; ++line) {
+bool send_unframed(int fd, const review::message& request, int pieces,
+                   const std::string& type) {
+  const bool events = type == "text/event-stream";
+  review::send_all(fd, head_of(request, "200 OK") + "Content-Type: " + type +
+                           "\r\nConnection: close\r\n\r\n");
+  for (int piece = 1; piece <= pieces; ++piece) {
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    const auto text =
-        "line " + std::to_string(line) + " of " + std::to_string(lines) + "\n";
-    if (!review::send_all(fd, text)) break;
+    const auto text = std::to_string(piece) + " of " + std::to_string(pieces);
+    const auto event =
+        "id: " + std::to_string(piece) + "\ndata: " + text + "\n\n";
+    if (!review::send_all(fd, events ? event : "line " + text + "\n")) break;
   }
   return false;
 }
@@ -84,7 +90,10 @@
                       std::string(static_cast<std::size_t>(bytes), 'x'));
   }
   if (const int lines = argument("unframed"); lines >= 0) {
-    return send_unframed(fd, request, lines);
+    return send_unframed(fd, request, lines, "text/plain");
+  }
+  if (const int events = argument("events"); events >= 0) {
+    return send_unframed(fd, request, events, "text/event-stream");
   }
   if (target.find("/document") != std::string::npos) {
     return send_document(fd, request);
@@ -115,6 +124,16 @@
                             "Boragehill-Not-Run: 1\r\n"
                             "Content-Length: 0\r\n\r\n");
   }
+  if (request.first_line.find("/busy ") != std::string::npos) {
+    note("turns away", request);
+    return review::send_all(fd,
+                            "HTTP/1.1 503 Service Unavailable\r\n"
+                            "Boragehill-Attempt-Id: " +
+                                request.field("boragehill-attempt-id") +
+                                "\r\nBoragehill-Not-Run: 1\r\n"
+                                "Retry-After: 5\r\n"
+                                "Content-Length: 0\r\n\r\n");
+  }
   note("runs", request);
   const bool goes_on = run(fd, request);
   note("answered", request);
