Drop the cases that an earlier review shows, and renumber the others

A cut answer without a length and an answer without a body are cases 2 and 4 of the first review. The slow callers are case 6 now, the resting worker case 7, the second request behind a running one case 9. The sources of the stand-ins and callers lie in review/common-2/src, where the first review's build doesn't look.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,12 +8,13 @@
 mkdir -p "$out"
 
 compile() {
-  g++ -std=c++20 -O1 -Ireview/common-2 "$2" -o "$out/$1" "${@:3}" -pthread
+  g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers \
+    "review/common-2/src/$2" -o "$out/$1" "${@:3}" -pthread
 }
 
-compile review_worker review/common-2/plain_worker.cpp
-compile review_store review/common-2/store.cpp $(pkg-config --cflags --libs jsoncpp) -lcpp-httplib
+compile review_worker plain_worker.cpp
+read -ra json <<<"$(pkg-config --cflags --libs jsoncpp)"
+compile review_store store.cpp "${json[@]}" -lcpp-httplib
 for number in 6 7 8 9 10; do
-  [ -f "review/$number/caller.cpp" ] || continue
-  compile "review_caller_$number" "review/$number/caller.cpp"
+  compile "review_caller_$number" "caller_$number.cpp"
 done
--- a/review/common-2/fleet.sh
+++ b/review/common-2/fleet.sh
@@ -12,12 +12,12 @@
 readonly ip=127.0.2.1
 work=$(mktemp -d)
 readonly work
-pids=()
 worker_pids=()
+: >"$work/pids"
 
 stop_fleet() {
   local pid
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$work/pids"
   wait 2>/dev/null
   rm -rf "$work"
 }
@@ -50,8 +50,8 @@
   local name=$1
   shift
   "$@" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
   last_pid=$!
+  echo "$last_pid" >>"$work/pids"
 }
 
 await() {
@@ -96,7 +96,11 @@
    "timeoutMs": 20000, "sloMs": 150, "priority": 2},
   {"name": "draft", "host": "sheets.example", "prefix": "/stream/",
    "kind": "stream", "service": "spec-sheets", "attempts": 1,
-   "timeoutMs": 20000, "sloMs": 500, "gapAimMs": 250, "priority": 2}],
+   "timeoutMs": 20000, "sloMs": 500, "gapAimMs": 250, "priority": 2},
+  {"name": "quote", "host": "sheets.example", "prefix": "/resumable/",
+   "kind": "stream", "service": "spec-sheets", "attempts": 2,
+   "resumable": true, "timeoutMs": 25000, "sloMs": 3000, "gapAimMs": 250,
+   "priority": 0}],
  "services": [
   {"name": "spec-sheets", "maxConns": 100, "healthPath": "/healthz"}],
  "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 1048576,
@@ -109,23 +113,29 @@
 worker_entry() {
   printf '{"service": "spec-sheets", "addr": "%s", "zone": "zone-1",' \
     "$(worker_address "$1")"
-  printf ' "version": "v1", "slots": 32, "state": "ready", "coldLeftMs": 0,'
-  printf ' "seq": 0, "born": %s}' "$(date +%s%3N)"
+  printf ' "version": "%s", "slots": 32, "state": "ready", "coldLeftMs": 0,' "$2"
+  printf ' "seq": 0, "born": %s}' "$3"
 }
 
-start_worker() {
+# Starts a worker's process; takes its number and its software. Sets `born`.
+start_worker_process() {
   local address
   address=$(worker_address "$1")
-  launch "worker-$1" "$stand_ins/review_worker" "${address%:*}" \
-    "${address#*:}" "i-worker-$1"
-  worker_pids+=("$last_pid")
+  born=$(date +%s%3N)
+  launch "worker-$1-$2" "$stand_ins/review_worker" "${address%:*}" \
+    "${address#*:}" "i-worker-$1" "$2"
   await "http://$address/healthz"
-  worker_entry "$1" | put_row servers "i-worker-$1"
 }
 
-# Starts all; takes the number of workers.
+start_worker() {
+  start_worker_process "$1" "$2"
+  worker_pids+=("$last_pid")
+  worker_entry "$1" "$2" "$born" | put_row servers "i-worker-$1"
+}
+
+# Starts all; takes the software of each worker.
 start_fleet() {
-  local number
+  local number=0 software
   : >"$record"
   [ -x "$root/target/boragehill" ] || cannot_run "target/boragehill is missing"
   [ -x "$stand_ins/review_store" ] || cannot_run "review/build-2.sh not run"
@@ -134,7 +144,10 @@
   launch store "$stand_ins/review_store" "$ip" "$base"
   await "http://$ip:$base/rows-get?table=op"
   configuration | put_row op config
-  for number in $(seq 1 "$1"); do start_worker "$number"; done
+  for software in "$@"; do
+    number=$((number + 1))
+    start_worker "$number" "$software"
+  done
   write_settings
   launch router target/boragehill router --settings "$work/router.toml"
   router_pid=$last_pid
--- a/review/7/caller.cpp
+++ b/review/common-2/src/caller_6.cpp
@@ -2,7 +2,7 @@
 // hundred kilobytes; its caller reads a few, does something else for some
 // seconds, and reads on. Every answer has to come whole.
 //
-//   review_caller_7 IP PORT PAUSE-MS
+//   review_caller_6 IP PORT PAUSE-MS
 
 #include <cstdio>
 #include <cstdlib>
--- a/review/10/caller.cpp
+++ b/review/common-2/src/caller_7.cpp
@@ -3,7 +3,7 @@
 // is killed. No caller may get a stream that ends as complete before its last
 // event.
 //
-//   review_caller_10 IP PORT WORKER-PID TROUBLE
+//   review_caller_7 IP PORT WORKER-PID TROUBLE
 
 #include <csignal>
 #include <cstdio>
--- a/review/8/caller.cpp
+++ b/review/common-2/src/caller_9.cpp
@@ -2,7 +2,7 @@
 // one, with a body of 128 KiB, before the answer to the first one has come.
 // Both have to be answered, in order.
 //
-//   review_caller_8 IP PORT TROUBLE
+//   review_caller_9 IP PORT TROUBLE
 
 #include <cstdio>
 #include <cstdlib>
--- a/review/common-2/plain_worker.cpp
+++ b/review/common-2/src/plain_worker.cpp
@@ -6,11 +6,13 @@
 //   .../unframed/N      N lines, one each 100 ms, with neither a length nor
 //                       chunks; the answer ends with its connection
 //   .../events/N        an event stream of N events, in the same way
+//   .../drafts/N        an event stream of N events in chunks, which goes on at
+//                       Last-Event-Id; each event names the worker's software
 //   .../busy            503, not run, with Retry-After: 5
 //   .../document        a document with an ETag; 304 if the caller names it
 //   .../gone            204, without a body
 //
-//   review_worker IP PORT ID
+//   review_worker IP PORT ID SOFTWARE
 //
 // Each line on standard output says what it did with a request.
 
@@ -25,6 +27,7 @@
 namespace {
 
 std::string own_id;
+std::string own_software;
 
 void note(const char* what, const review::message& request) {
   std::printf("%lld %s %s %s\n", static_cast<long long>(review::now_ms()), what,
@@ -65,6 +68,24 @@
   return false;
 }
 
+bool send_draft(int fd, const review::message& request, int events) {
+  if (!review::send_all(fd, head_of(request, "200 OK") +
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n")) {
+    return false;
+  }
+  int event = std::atoi(request.field("last-event-id").c_str());
+  while (++event <= events) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const auto text =
+        "id: " + std::to_string(event) + "\ndata: by " + own_software + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    if (!review::send_all(fd, size + text + "\r\n")) return false;
+  }
+  return review::send_all(fd, "0\r\n\r\n");
+}
+
 bool send_document(int fd, const review::message& request) {
   const std::string tag = "ETag: \"v7\"\r\n";
   if (request.field("if-none-match") == "\"v7\"") {
@@ -95,6 +116,9 @@
   if (const int events = argument("events"); events >= 0) {
     return send_unframed(fd, request, events, "text/event-stream");
   }
+  if (const int events = argument("drafts"); events >= 0) {
+    return send_draft(fd, request, events);
+  }
   if (target.find("/document") != std::string::npos) {
     return send_document(fd, request);
   }
@@ -134,7 +158,7 @@
                                 "Retry-After: 5\r\n"
                                 "Content-Length: 0\r\n\r\n");
   }
-  note("runs", request);
+  note(("runs on " + own_software).c_str(), request);
   const bool goes_on = run(fd, request);
   note("answered", request);
   return goes_on;
@@ -150,8 +174,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc != 4) return 2;
+  if (argc != 5) return 2;
   own_id = argv[3];
+  own_software = argv[4];
   const int listener = review::listen_on(argv[1], std::atoi(argv[2]));
   if (listener < 0) return 2;
   while (true) {
