--- a/review/common-2/src/store.cpp
+++ b/review/common-2/src/store.cpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -133,7 +134,11 @@
   std::vector<std::pair<row_name, row>> history;
 };
 
+/// What the pages say that the store takes for an answer.
+constexpr std::chrono::milliseconds answer_time{4};
+
 void answer(httplib::Response& response, int status, const Json::Value& body) {
+  std::this_thread::sleep_for(answer_time);
   response.status = status;
   response.set_content(written(body), "application/json");
 }
