Record what the callers send, and bound the scripts' starts

A start has 20 s, a caller 80 s, so that a script ends within 120 s, and a script that ends early waits for its disruption before it ends what that started.

The checks are unchanged.

--- a/review/common-2/fleet.sh
+++ b/review/common-2/fleet.sh
@@ -1,15 +1,21 @@
 # shellcheck shell=bash
 # What the scripts of the second review share: one router of the project, one
 # platform store and plain workers, all on loopback addresses. A script sets
-# `here`, sources this, calls start_fleet, runs its caller, and ends with the
+# `here` and `record`, sources this, calls start_fleet, runs its caller, and ends with the
 # caller's exit code. Whatever can't start ends the script with 2.
 
 root=$(cd "$here/../.." && pwd)
 readonly root
 readonly stand_ins=$root/target/review-2
-readonly record=$here/record.txt
 readonly trouble=${TROUBLE:-1}
 readonly ip=127.0.2.1
+# A script runs for 120 s at most: what has to start does so within the first of
+# these times, in seconds, and the caller ends within the second one.
+readonly start_limit=20
+readonly caller_limit=80
+await_until=$start_limit
+# A part of the script that runs beside the caller, if there is one.
+disruption=
 work=$(mktemp -d)
 readonly work
 worker_pids=()
@@ -17,6 +23,8 @@
 
 stop_fleet() {
   local pid
+  # It may start a process, which has to be ended as well.
+  [ -z "$disruption" ] || wait "$disruption" 2>/dev/null
   while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$work/pids"
   wait 2>/dev/null
   rm -rf "$work"
@@ -55,8 +63,8 @@
 }
 
 await() {
-  local url=$1 try
-  for try in $(seq 1 200); do
+  local url=$1
+  while [ "$SECONDS" -lt "$await_until" ]; do
     curl -fsS -m 1 -o /dev/null "$url" 2>/dev/null && return
     sleep 0.05
   done
@@ -158,7 +166,7 @@
 # Runs the caller of the case, appends what the worker ran, and ends the script
 # with the caller's exit code.
 finish_with() {
-  timeout 100 "$@" >>"$record" 2>&1
+  timeout "$caller_limit" "$@" >>"$record" 2>&1
   local code=$?
   say "--- what the workers ran"
   cat "$work"/worker-*.log >>"$record"
--- a/review/common-2/src/caller_10.cpp
+++ b/review/common-2/src/caller_10.cpp
@@ -33,12 +33,13 @@
   const int fd = review::connect_to(ip, port);
   review::reader from(fd);
   from.set_limit(12000);
-  review::send_all(
+  review::send_request(
       fd, review::request_text("GET", "/lookup/small", name + "-0", 12000));
   from.read_answer();
-  review::send_all(
-      fd, review::request_text("GET", "/lookup/wait/3600", name + "-1", 12000) +
-              review::request_text("GET", "/lookup/small", name + "-2", 12000));
+  review::send_request(
+      fd, review::request_text("GET", "/lookup/wait/3600", name + "-1", 12000));
+  review::send_request(
+      fd, review::request_text("GET", "/lookup/small", name + "-2", 12000));
   const auto sent = review::now_ms();
   found.first = from.read_answer();
   found.second = from.read_answer();
--- a/review/common-2/src/caller_6.cpp
+++ b/review/common-2/src/caller_6.cpp
@@ -32,11 +32,11 @@
   review::reader from(fd);
   from.set_limit(15000);
   const auto name = "small-" + std::to_string(number);
-  review::send_all(fd,
-                   review::request_text("GET", "/lookup/small", name, 15000));
+  review::send_request(
+      fd, review::request_text("GET", "/lookup/small", name, 15000));
   from.read_answer();
   const auto began = review::now_ms();
-  review::send_all(
+  review::send_request(
       fd, review::request_text("POST",
                                "/order/large/" + std::to_string(answer_bytes),
                                found.attempt, 15000, {}, "one valve"));
@@ -45,6 +45,7 @@
   if (found.answer.end == review::ending::whole) {
     from.read_body(found.answer, true);
   }
+  review::reader::note("answered", found.answer);
   found.took_ms = review::now_ms() - began;
   ::close(fd);
   return found;
--- a/review/common-2/src/caller_7.cpp
+++ b/review/common-2/src/caller_7.cpp
@@ -34,7 +34,7 @@
   const int fd = review::connect_to(ip, port);
   review::reader from(fd);
   from.set_limit(15000);
-  review::send_all(
+  review::send_request(
       fd, review::request_text(
               "POST", "/stream/events/" + std::to_string(events_of_stream),
               found.attempt, 15000, {}, "a quote"));
@@ -54,7 +54,8 @@
   const int fd = review::connect_to(ip, port);
   review::reader from(fd);
   from.set_limit(5000);
-  review::send_all(fd, review::request_text("GET", "/lookup/busy", name, 1000));
+  review::send_request(fd,
+                       review::request_text("GET", "/lookup/busy", name, 1000));
   const auto answer = from.read_answer();
   std::printf("%s: %s %s\n", name.c_str(), answer.first_line.c_str(),
               answer.body.c_str());
--- a/review/common-2/src/caller_8.cpp
+++ b/review/common-2/src/caller_8.cpp
@@ -29,7 +29,7 @@
   const int fd = review::connect_to(ip, port);
   review::reader from(fd);
   from.set_limit(15000);
-  review::send_all(
+  review::send_request(
       fd, review::request_text(
               "POST", "/resumable/drafts/" + std::to_string(events_of_stream),
               found.attempt, 25000, {}, "a quote " + found.attempt));
@@ -44,7 +44,7 @@
   review::reader from(fd);
   from.set_limit(5000);
   for (int each = 1; each <= 80; ++each) {
-    review::send_all(
+    review::send_request(
         fd, review::request_text("GET", "/lookup/small",
                                  "small-" + std::to_string(each), 5000));
     from.read_answer();
--- a/review/common-2/src/caller_9.cpp
+++ b/review/common-2/src/caller_9.cpp
@@ -36,14 +36,14 @@
   const int fd = review::connect_to(ip, port);
   review::reader from(fd);
   from.set_limit(8000);
-  review::send_all(
+  review::send_request(
       fd, review::request_text("GET", "/lookup/small", attempt + "-0", 10000));
   from.read_answer();
-  review::send_all(
+  review::send_request(
       fd, review::request_text("PUT", "/lookup/wait/600", attempt + "-1", 10000,
                                {}, std::string(first_bytes, 'a')));
   if (!at_once) found.first = from.read_answer();
-  review::send_all(
+  review::send_request(
       fd, review::request_text("PUT", "/lookup/small", attempt + "-2", 10000,
                                {}, std::string(body_bytes, 'b')));
   if (at_once) found.first = from.read_answer();
@@ -96,7 +96,7 @@
     const int fd = review::connect_to(argv[1], port);
     review::reader from(fd);
     from.set_limit(8000);
-    review::send_all(
+    review::send_request(
         fd, review::request_text("PUT", "/lookup/small",
                                  "c-" + std::to_string(each), 10000, {},
                                  std::string(afterwards_bytes, 'c')));
--- a/review/common-2/src/net.hpp
+++ b/review/common-2/src/net.hpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <netinet/in.h>
@@ -162,15 +163,30 @@
   /// Reads an answer.
   message read_answer() {
     auto found = this->read_head();
-    if (found.end != ending::whole) return found;
+    if (found.end != ending::whole) {
+      note("no answer", found);
+      return found;
+    }
     if (found.first_line.rfind("HTTP/1.", 0) != 0) {
       found.end = ending::malformed;
+      note("no answer", found);
       return found;
     }
     this->read_body(found, true);
+    note("answered", found);
     return found;
   }
 
+  /// Records an answer.
+  static void note(const char* what, const message& found) {
+    std::printf("%lld %s %s %s, %zu bytes, ends: %s\n",
+                static_cast<long long>(now_ms()), what,
+                found.field("boragehill-attempt-id").c_str(),
+                found.first_line.c_str(), found.body.size(),
+                name_of(found.end));
+    std::fflush(stdout);
+  }
+
   /// \return Bytes that were read and belong to no message yet.
   const std::string& unread() const { return this->buffer; }
 
@@ -245,6 +261,17 @@
   return text + "\r\n" + body;
 }
 
+/// Sends a request and records its first line, its attempt and its size.
+inline bool send_request(int fd, const std::string& text) {
+  const std::string attempt_name = "Boragehill-Attempt-Id: ";
+  const auto at = text.find(attempt_name) + attempt_name.size();
+  std::printf("%lld sent %s %s, %zu bytes\n", static_cast<long long>(now_ms()),
+              text.substr(at, text.find("\r\n", at) - at).c_str(),
+              text.substr(0, text.find("\r\n")).c_str(), text.size());
+  std::fflush(stdout);
+  return send_all(fd, text);
+}
+
 }  // namespace review
 
 #endif  // BORAGEHILL_REVIEW_NET_HPP
