--- a/review/part/build.sh
+++ b/review/part/build.sh
@@ -9,8 +9,8 @@
 g++ "${flags[@]}" -Iinclude -Isrc -Itest test/standin/*.cpp \
   $(pkg-config --cflags --libs cpp-httplib jsoncpp absl_flags absl_flags_parse absl_strings libxxhash) \
   -lpthread -o "$out/standin" &
-for each in cut rest empty; do
+for each in cut gone rest empty; do
   g++ "${flags[@]}" "review/part/lab.cpp" "review/part/$each/$each.cpp" -lpthread -o "$out/$each" &
 done
 wait
-for each in standin cut rest empty; do test -x "$out/$each"; done
+for each in standin cut gone rest empty; do test -x "$out/$each"; done
--- a/review/part/lab.cpp
+++ b/review/part/lab.cpp
@@ -458,16 +458,28 @@
                                  R"(","value":")" + base64(value) + R"("})");
 }
 
-std::string fleet::entry(const std::string& service, int machine,
-                         int slots) const {
-  const auto born = std::chrono::duration_cast<milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count();
+void fleet::drop(const std::string& table, const std::string& key) {
+  this->post("/standin/put", R"({"table":")" + table + R"(","key":")" + key +
+                                 R"(","deleted":true})");
+}
+
+std::string fleet::entry(const std::string& service, int machine, int slots,
+                         long left_ms) const {
+  // Of this lifetime, whatever is written of it later.
+  static std::map<int, long> starts;
+  if (left_ms == 0) {
+    starts[machine] = std::chrono::duration_cast<milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+  }
+  const std::string state =
+      left_ms == 0 ? R"("ready")"
+                   : R"("draining","remainingMs":)" + std::to_string(left_ms);
   return R"({"service":")" + service + R"(","addr":")" + this->ip(machine) +
          ":" + std::to_string(this->base + app) +
-         R"(","zone":"zone-1","version":"v1","state":"ready","seq":0,)"
-         R"("slots":)" +
-         std::to_string(slots) + R"(,"born":)" + std::to_string(born) + "}";
+         R"(","zone":"zone-1","version":"v1","seq":0,"state":)" + state +
+         R"(,"slots":)" + std::to_string(slots) + R"(,"born":)" +
+         std::to_string(starts[machine]) + "}";
 }
 
 child& fleet::add_router(int machine) {
--- a/review/part/lab.hpp
+++ b/review/part/lab.hpp
@@ -140,8 +140,11 @@
   /// Writes what the operator or a worker writes.
   void put(const std::string& table, const std::string& key,
            const std::string& value);
+  void drop(const std::string& table, const std::string& key);
   /// \return What a worker that starts now writes of itself.
-  std::string entry(const std::string& service, int machine, int slots) const;
+  /// \param left_ms How much longer it is there; nothing is said if 0.
+  std::string entry(const std::string& service, int machine, int slots,
+                    long left_ms = 0) const;
   /// Adds a router on a machine of its own.
   child& add_router(int machine);
   bool wait_ready(int machine, milliseconds limit);
