--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,6 +15,7 @@
 compile review_worker plain_worker.cpp
 read -ra json <<<"$(pkg-config --cflags --libs jsoncpp)"
 compile review_store store.cpp "${json[@]}" -lcpp-httplib
-for number in 6 7 8 9 10; do
+for number in 6 7 8 10; do
   compile "review_caller_$number" "caller_$number.cpp"
 done
+compile review_removed removed.cpp review/common-2/src/lab.cpp
--- a/review/common-2/fleet.sh
+++ b/review/common-2/fleet.sh
@@ -62,20 +62,36 @@
   echo "$last_pid" >>"$work/pids"
 }
 
+# Sends one HTTP request and prints the status of its answer; takes IP:PORT, the
+# method, the path and the body.
+http_status() {
+  local line
+  exec 3<>"/dev/tcp/${1%:*}/${1#*:}" || return
+  printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n' "$2" "$3" "$1" >&3
+  printf 'Content-Type: application/json\r\nContent-Length: %s\r\n\r\n%s' \
+    "${#4}" "$4" >&3
+  read -r -t 2 line <&3
+  exec 3<&- 3>&-
+  line=${line#* }
+  echo "${line%% *}"
+}
+
 await() {
-  local url=$1
+  local address=${1#http://}
+  local path=/${address#*/}
   while [ "$SECONDS" -lt "$await_until" ]; do
-    curl -fsS -m 1 -o /dev/null "$url" 2>/dev/null && return
+    [ "$(http_status "${address%%/*}" GET "$path" "" 2>/dev/null)" = 200 ] && return
     sleep 0.05
   done
-  cannot_run "no answer from $url"
+  cannot_run "no answer from $1"
 }
 
 put_row() {
-  printf '{"table": "%s", "key": "%s", "value": "%s"}' "$1" "$2" \
-    "$(base64 -w 0)" |
-    curl -fsS -m 2 -o /dev/null -H 'Content-Type: application/json' \
-      --data-binary @- "http://$ip:$base/test/put" || cannot_run "no store"
+  local body
+  body=$(printf '{"table": "%s", "key": "%s", "value": "%s"}' "$1" "$2" \
+    "$(base64 -w 0)")
+  [ "$(http_status "$ip:$base" POST /test/put "$body" 2>/dev/null)" = 200 ] ||
+    cannot_run "no store"
 }
 
 # The settings of a router, from the template of the deploy file.
--- a/review/part/lab.cpp
+++ b/review/common-2/src/lab.cpp
@@ -114,6 +114,11 @@
   std::fflush(record());
 }
 
+void note_file(const std::string& path) {
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) note("%s", line.c_str());
+}
+
 void finish(int verdict, const std::string& why) {
   note("verdict %d: %s", verdict, why.c_str());
   std::printf("verdict %d: %s\n", verdict, why.c_str());
@@ -424,10 +429,8 @@
 
 void fleet::start_store() {
   auto store = std::make_unique<child>(
-      std::vector<std::string>{variable("BORAGEHILL_STANDIN", ""), "rows",
-                               "--address=" + this->ip(1),
-                               "--port=" + std::to_string(this->base),
-                               "--threads=256"},
+      std::vector<std::string>{variable("REVIEW_STORE", ""), this->ip(1),
+                               std::to_string(this->base)},
       this->folder + "/store.log");
   store->start();
   this->children.push_back(std::move(store));
@@ -454,13 +457,13 @@
 
 void fleet::put(const std::string& table, const std::string& key,
                 const std::string& value) {
-  this->post("/standin/put", R"({"table":")" + table + R"(","key":")" + key +
-                                 R"(","value":")" + base64(value) + R"("})");
+  this->post("/test/put", R"({"table":")" + table + R"(","key":")" + key +
+                              R"(","value":")" + base64(value) + R"("})");
 }
 
 void fleet::drop(const std::string& table, const std::string& key) {
-  this->post("/standin/put", R"({"table":")" + table + R"(","key":")" + key +
-                                 R"(","deleted":true})");
+  this->post("/test/put", R"({"table":")" + table + R"(","key":")" + key +
+                              R"(","deleted":true})");
 }
 
 std::string fleet::entry(const std::string& service, int machine, int slots,
--- a/review/part/lab.hpp
+++ b/review/common-2/src/lab.hpp
@@ -29,6 +29,8 @@
 
 /// Writes a line to record.txt in the case's folder, with the time.
 void note(const char* format, ...) __attribute__((format(printf, 1, 2)));
+/// Writes the lines of a file there.
+void note_file(const std::string& path);
 /// Ends the program with a verdict: 0 held, 1 broken, 2 could not run.
 [[noreturn]] void finish(int verdict, const std::string& why);
 
--- a/review/part/gone/gone.cpp
+++ b/review/common-2/src/removed.cpp
@@ -2,7 +2,7 @@
 // a length nor chunks: when its time runs out its process ends (SIGKILL), and
 // its address answers nobody any more.
 //
-// As "gone worker IP PORT MACHINE" this program is that worker.
+// As "review_removed worker IP PORT MACHINE" this program is that worker.
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -13,7 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "../lab.hpp"
+#include "lab.hpp"
 
 using namespace lab;
 
@@ -21,9 +21,9 @@
 
 constexpr int router = 2;
 constexpr int first_worker = 3;
-constexpr int workers = 7;
+constexpr int workers = 8;
 constexpr int slots = 6;
-constexpr int streams_at_once = 21;
+constexpr int streams_at_once = 24;
 constexpr int events = 32;
 constexpr int rounds = 5;
 constexpr long between_events_ms = 100;
@@ -181,6 +181,7 @@
     return;
   }
   ++seen_so_far.sent;
+  note("%s sent", attempt.c_str());
   caller.send(request(
       "POST", "valves.example", (resumable ? "/draft/" : "/chat/") + attempt,
       {{"Boragehill-Attempt-Id", attempt}, {"Boragehill-Deadline-Ms", "12000"}},
@@ -260,6 +261,12 @@
     if (trouble()) start_worker(victim);
     sleep_ms(1000);
   }
+  note("--- what the workers ran");
+  for (int each = 0; each < workers; ++each) {
+    note("worker %s", id_of(first_worker + each).c_str());
+    note_file(own.folder + "/worker-" + std::to_string(first_worker + each) +
+              ".log");
+  }
   char line[300];
   std::snprintf(line, sizeof(line),
                 "%d streams: %d whole, %d seen to be cut, %d without a "
--- a/review/common-2/src/store.cpp
+++ b/review/common-2/src/store.cpp
@@ -25,6 +25,7 @@
 struct row {
   std::string value;
   std::int64_t version = 0;
+  bool deleted = false;
 };
 
 Json::Value parsed(const std::string& text) {
@@ -43,10 +44,10 @@
 
 class store {
  public:
-  void put(const row_name& name, const std::string& value) {
+  void put(const row_name& name, const std::string& value, bool deleted) {
     const std::scoped_lock lock(this->mutex);
     ++this->version;
-    this->write(name, value);
+    this->write(name, value, deleted);
   }
 
   std::pair<int, Json::Value> transact(const Json::Value& call) {
@@ -56,7 +57,7 @@
     bool holds = true;
     for (const auto& each : call["expected"]) {
       const auto found = this->rows.find(name_of(each));
-      const bool there = found != this->rows.end();
+      const bool there = found != this->rows.end() && !found->second.deleted;
       if (there) answer["rows"].append(shown(found->first, found->second));
       const auto known = there ? found->second.version : 0;
       holds = holds && known == each["ver"].asInt64();
@@ -76,7 +77,7 @@
     answer["rows"] = Json::Value(Json::arrayValue);
     answer["hasMore"] = false;
     for (const auto& [name, found] : this->rows) {
-      if (name.first != table || name.second < from) continue;
+      if (name.first != table || name.second < from || found.deleted) continue;
       answer["rows"].append(shown(name, found));
     }
     return this->ended(answer);
@@ -107,8 +108,12 @@
     value["table"] = name.first;
     value["part"] = "";
     value["key"] = name.second;
-    value["value"] = found.value;
     value["ver"] = Json::Int64(found.version);
+    if (found.deleted) {
+      value["deleted"] = true;
+    } else {
+      value["value"] = found.value;
+    }
     return value;
   }
 
@@ -120,8 +125,9 @@
     return answer;
   }
 
-  void write(const row_name& name, const std::string& value) {
-    const row added{value, this->version};
+  void write(const row_name& name, const std::string& value,
+             bool deleted = false) {
+    const row added{value, this->version, deleted};
     this->rows[name] = added;
     this->history.emplace_back(name, added);
     this->changed.notify_all();
@@ -154,7 +160,7 @@
   server.Post("/test/put", [&](const auto& request, auto& response) {
     const auto call = parsed(request.body);
     rows.put({call["table"].asString(), call["key"].asString()},
-             call["value"].asString());
+             call["value"].asString(), call["deleted"].asBool());
     answer(response, 200, Json::Value(Json::objectValue));
   });
   server.Post("/rows-tx", [&](const auto& request, auto& response) {
