--- a/review/common-2/src/lab.cpp
+++ b/review/common-2/src/lab.cpp
@@ -396,6 +396,7 @@
 }
 
 fleet::fleet() {
+  constexpr int most_machines = 12;
   this->folder = std::filesystem::temp_directory_path().string() + "/review-" +
                  std::to_string(::getpid());
   std::filesystem::create_directories(this->folder);
@@ -403,12 +404,14 @@
   for (int tries = 0; tries < 50 && this->base == 0; ++tries) {
     const int from = 20000 + 8 * ((::getpid() * 7 + tries * 131) % 1400);
     bool free = true;
-    for (int each = 0; each < 8 && free; ++each) {
-      const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
-      const auto name = address_of("0.0.0.0", from + each);
-      free = ::bind(probe, reinterpret_cast<const sockaddr*>(&name),
-                    sizeof(name)) == 0;
-      ::close(probe);
+    for (int machine = 1; machine <= most_machines; ++machine) {
+      for (int each = 0; each < 8 && free; ++each) {
+        const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+        const auto name = address_of(this->ip(machine), from + each);
+        free = ::bind(probe, reinterpret_cast<const sockaddr*>(&name),
+                      sizeof(name)) == 0;
+        ::close(probe);
+      }
     }
     if (free) this->base = from;
   }
